--- /dev/null
+++ b/cmake/network_pch.h
@@ -0,0 +1,9 @@
+#pragma once
+
+// <utility> goes first: Boost.Asio 1.74 uses std::exchange without including it.
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
--- /dev/null
+++ b/kernel/group_state.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "kernel/endpoint_info.h"
+#include "kernel/name_table.h"
+#include "kernel/term_start.h"
+
+namespace poplarmoor {
+
+/// Phase of a group's current term.
+enum class GroupPhase {
+  kServing,   // The primary of the term is chosen.
+  kElecting,  // A promotion is under way.
+};
+
+inline constexpr NameTable<GroupPhase, 2> kGroupPhaseNames{{{
+    {GroupPhase::kServing, "serving"},
+    {GroupPhase::kElecting, "electing"},
+}}};
+
+/// Content of the platform object group/SERVICE.
+struct GroupState {
+  std::string service;
+  uint64_t version = 0;  // Version of the platform object, for conditional updates.
+  uint64_t term = 0;
+  GroupPhase phase = GroupPhase::kServing;
+  std::string primary;   // Name of the primary endpoint; empty while electing.
+  std::string proposer;  // Daemon and nonce that proposed the term.
+  std::vector<EndpointInfo> endpoints;
+  std::vector<TermStart> term_starts;  // In order of terms.
+
+  friend bool operator==(const GroupState&, const GroupState&) = default;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/log_position.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace poplarmoor {
+
+/// Position in a group's log. The pair identifies a prefix of the log.
+struct LogPosition {
+  uint64_t term = 0;   // Number of the primary's reign; 0 means no position.
+  uint64_t index = 0;  // Entries are numbered from 1.
+
+  friend auto operator<=>(const LogPosition&, const LogPosition&) = default;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/reason.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "kernel/name_table.h"
+
+namespace poplarmoor {
+
+/// Reason of a verdict other than kRan.
+enum class Reason {
+  kNone,
+  kBadRequest,          // A field is missing or invalid.
+  kBadToken,            // The session or transaction token is not authentic.
+  kUnknownService,      // No configuration unit names this service.
+  kDeadlineExceeded,    // The deadline passed, or the predicted wait exceeds it.
+  kOverloaded,          // The queue is full, or the predicted wait exceeds the deadline.
+  kNoPrimary,           // The group has no reachable primary.
+  kNoQuorum,            // Too few endpoints are reachable to confirm a write.
+  kBehind,              // The endpoint has not replayed the required position.
+  kStale,               // The endpoint's staleness exceeds the bound of the request.
+  kFenced,              // The endpoint follows a higher term.
+  kNotPrimary,          // A write reached a replica.
+  kNoSlot,              // The endpoint runs as many statements as it has slots.
+  kTooManyConnections,  // The endpoint is at its connection limit.
+  kConnectFailed,       // No connection to the endpoint or the owner could be opened.
+  kConnectionLost,      // The connection broke after the request was sent.
+  kTimeout,             // No answer within the time allowed.
+  kNotOwner,            // The daemon does not own the endpoint and could not take it.
+  kLeaving,             // The endpoint is leaving and takes no new work.
+  kTransactionGone,     // The transaction does not exist any more.
+  kOutOfSequence,       // A transaction's statement has the wrong sequence number.
+  kRequestIdReused,     // The request id was used with another statement.
+  kUnconfirmed,         // The write ran at the primary but is not confirmed.
+  kStopping,            // The daemon is stopping.
+  kInternal,
+};
+
+inline constexpr NameTable<Reason, 25> kReasonNames{{{
+    {Reason::kNone, "none"},
+    {Reason::kBadRequest, "bad_request"},
+    {Reason::kBadToken, "bad_token"},
+    {Reason::kUnknownService, "unknown_service"},
+    {Reason::kDeadlineExceeded, "deadline_exceeded"},
+    {Reason::kOverloaded, "overloaded"},
+    {Reason::kNoPrimary, "no_primary"},
+    {Reason::kNoQuorum, "no_quorum"},
+    {Reason::kBehind, "behind"},
+    {Reason::kStale, "stale"},
+    {Reason::kFenced, "fenced"},
+    {Reason::kNotPrimary, "not_primary"},
+    {Reason::kNoSlot, "no_slot"},
+    {Reason::kTooManyConnections, "too_many_connections"},
+    {Reason::kConnectFailed, "connect_failed"},
+    {Reason::kConnectionLost, "connection_lost"},
+    {Reason::kTimeout, "timeout"},
+    {Reason::kNotOwner, "not_owner"},
+    {Reason::kLeaving, "leaving"},
+    {Reason::kTransactionGone, "transaction_gone"},
+    {Reason::kOutOfSequence, "out_of_sequence"},
+    {Reason::kRequestIdReused, "request_id_reused"},
+    {Reason::kUnconfirmed, "unconfirmed"},
+    {Reason::kStopping, "stopping"},
+    {Reason::kInternal, "internal"},
+}}};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/service_settings.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "kernel/name_table.h"
+#include "kernel/rank.h"
+#include "kernel/time.h"
+
+namespace poplarmoor {
+
+/// What a write waits for before it is acknowledged.
+enum class Acknowledge {
+  kQuorum,   // The primary and enough replicas that a promotion sees the write.
+  kPrimary,  // The primary alone; a failover may lose the write.
+};
+
+inline constexpr NameTable<Acknowledge, 2> kAcknowledgeNames{{{
+    {Acknowledge::kQuorum, "quorum"},
+    {Acknowledge::kPrimary, "primary"},
+}}};
+
+/// Settings of one rank of work.
+struct RankSettings {
+  double floor_share = 0.0;  // Share of the slots kept while work of this rank waits, 0 to 1.
+  Duration target = 1000ms;  // Latency target.
+  double worth = 1.0;        // Relative worth of one answered request, for reports.
+  size_t max_queue = 256;    // Requests that wait at one endpoint, for each site.
+};
+
+/// Effective settings of one service for one site, after the site's overlay.
+struct ServiceSettings {
+  std::string service;
+  std::string pool;                // For example "fold-ledger".
+  std::vector<std::string> sites;  // Sites that may reach the service.
+  Acknowledge acknowledge = Acknowledge::kQuorum;
+  bool records_request_ids = true;             // The endpoints recognise a repeated request id.
+  int slots = 3;                               // Statements that an endpoint runs at once.
+  int connections = 25;                        // Connection limit of each endpoint.
+  Duration connect_time = 10ms;                // Expected time to open a connection.
+  Duration default_deadline = 2000ms;          // For requests that name none.
+  std::string routing = "fresh_replicas";      // Name of a routing policy plug-in.
+  std::string admission = "floors";            // Name of an admission policy plug-in.
+  std::array<RankSettings, kRankCount> ranks;  // Indexed by Rank.
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/statement_request.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "kernel/log_position.h"
+#include "kernel/name_table.h"
+#include "kernel/rank.h"
+#include "kernel/time.h"
+
+namespace poplarmoor {
+
+/// Operation of a request.
+enum class Operation {
+  kRead,
+  kWrite,
+  kBegin,
+  kTransactionRead,
+  kTransactionWrite,
+  kCommit,
+  kRollback,
+  kOutcome,  // Asks whether an earlier request id ran.
+};
+
+inline constexpr NameTable<Operation, 8> kOperationNames{{{
+    {Operation::kRead, "read"},
+    {Operation::kWrite, "write"},
+    {Operation::kBegin, "begin"},
+    {Operation::kTransactionRead, "transaction_read"},
+    {Operation::kTransactionWrite, "transaction_write"},
+    {Operation::kCommit, "commit"},
+    {Operation::kRollback, "rollback"},
+    {Operation::kOutcome, "outcome"},
+}}};
+
+/// One request as it travels from the entry to the owner.
+struct StatementRequest {
+  std::string request_id;
+  std::string trace_id;  // W3C trace id, 32 hex digits.
+  std::string span_id;   // Parent span, 16 hex digits.
+  std::string service;
+  std::string site;
+  Rank rank = Rank::kStandard;
+  Operation operation = Operation::kRead;
+  std::string statement;                  // Serialized JSON, opaque to the proxy.
+  bool repeatable = true;                 // False: never sent again after kMayHaveRun.
+  LogPosition required;                   // Newest own write; term 0: none.
+  std::optional<Duration> max_staleness;  // Bound for reads on replicas.
+  TimePoint deadline;
+  std::string transaction;  // Owner-local transaction id; empty outside transactions.
+  uint64_t sequence = 0;    // Of a transaction's statement, from 1.
+};
+
+/// @param operation Any operation.
+/// @returns Whether only the primary can serve it.
+constexpr bool NeedsPrimary(Operation operation) {
+  return operation != Operation::kRead;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/term_start.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+
+namespace poplarmoor {
+
+/// Start of a term in a group's log.
+struct TermStart {
+  uint64_t term = 0;
+  uint64_t index = 0;  // Last index before the term's first entry.
+
+  friend bool operator==(const TermStart&, const TermStart&) = default;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/time.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <chrono>
+
+namespace poplarmoor {
+
+using Duration = std::chrono::microseconds;
+
+/// Clock of the kernel. It has no now(): the caller passes the time in, so that tests run on a
+/// virtual clock.
+struct KernelClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<KernelClock>;
+  static constexpr bool is_steady = true;
+};
+
+using TimePoint = KernelClock::time_point;
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+/// Converts a duration to whole milliseconds for protocols and settings.
+/// @param duration Any duration.
+/// @returns Milliseconds, rounded towards zero.
+constexpr int64_t ToMillis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/verdict.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "kernel/name_table.h"
+
+namespace poplarmoor {
+
+/// Says whether a request may have run. It travels through every hop.
+enum class Verdict {
+  kRan,         // The request ran, and a write is acknowledged.
+  kNotRun,      // The request did not run and never will.
+  kMayHaveRun,  // The answer was lost or the confirmation is missing.
+};
+
+inline constexpr NameTable<Verdict, 3> kVerdictNames{{{
+    {Verdict::kRan, "ran"},
+    {Verdict::kNotRun, "not_run"},
+    {Verdict::kMayHaveRun, "may_have_run"},
+}}};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/net/http_client.cc
@@ -0,0 +1,66 @@
+#include "net/http_client.h"
+
+#include <boost/asio.hpp>
+
+#include "net/http_connection.h"
+#include "net/http_message.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+HttpClient::HttpClient(asio::any_io_executor executor, size_t max_idle)
+    : executor(executor), max_idle(max_idle) {}
+
+HttpClient::~HttpClient() = default;
+
+std::unique_ptr<HttpConnection> HttpClient::TakeIdle(const std::string& address) {
+  std::lock_guard lock(this->mutex);
+  auto& connections = this->idle[address];
+  if (connections.empty()) {
+    return nullptr;
+  }
+  auto connection = std::move(connections.back());
+  connections.pop_back();
+  return connection;
+}
+
+void HttpClient::KeepIdle(const std::string& address, std::unique_ptr<HttpConnection> connection) {
+  std::lock_guard lock(this->mutex);
+  auto& connections = this->idle[address];
+  if (connections.size() < this->max_idle) {
+    connections.push_back(std::move(connection));
+  }
+}
+
+asio::awaitable<HttpResponse> HttpClient::Send(std::string address,
+                                               HttpRequest request,
+                                               std::chrono::milliseconds timeout) {
+  auto connection = this->TakeIdle(address);
+  const bool reused = connection != nullptr;
+  if (!reused) {
+    connection = std::make_unique<HttpConnection>(asio::make_strand(this->executor), address);
+    co_await connection->Connect(timeout);
+  }
+  bool again = false;
+  HttpResponse response;
+  try {
+    response = co_await connection->Exchange(request, timeout);
+  } catch (const HttpError& error) {
+    if (!reused || request.method != "GET" || error.timeout) {
+      throw;
+    }
+    again = true;
+  }
+  if (again) {
+    connection = std::make_unique<HttpConnection>(asio::make_strand(this->executor), address);
+    co_await connection->Connect(timeout);
+    response = co_await connection->Exchange(request, timeout);
+  }
+  if (connection->is_open()) {
+    this->KeepIdle(address, std::move(connection));
+  }
+  co_return response;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/net/http_client.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace poplarmoor {
+
+class HttpConnection;
+struct HttpRequest;
+struct HttpResponse;
+
+/// HTTP client that keeps idle connections for reuse. Safe to use from several threads.
+class HttpClient {
+ public:
+  /// @param executor Executor of the I/O threads.
+  /// @param max_idle Idle connections kept for each address.
+  explicit HttpClient(boost::asio::any_io_executor executor, size_t max_idle = 8);
+  ~HttpClient();
+
+  /// Sends a request over an idle or a new connection. A kept connection that the peer has closed
+  /// is replaced by a fresh one only for GET, because the request may have run otherwise.
+  /// @param address "IP:port".
+  /// @param request Request.
+  /// @param timeout Time limit of connecting and exchange each.
+  /// @returns The response, of any status.
+  /// @throws HttpError.
+  boost::asio::awaitable<HttpResponse> Send(std::string address,
+                                            HttpRequest request,
+                                            std::chrono::milliseconds timeout);
+
+ private:
+  std::unique_ptr<HttpConnection> TakeIdle(const std::string& address);
+  void KeepIdle(const std::string& address, std::unique_ptr<HttpConnection> connection);
+
+  boost::asio::any_io_executor executor;
+  size_t max_idle;
+  std::mutex mutex;
+  std::map<std::string, std::vector<std::unique_ptr<HttpConnection>>> idle;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/net/http_connection.cc
@@ -0,0 +1,113 @@
+#include "net/http_connection.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "net/address.h"
+#include "net/http_message.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+constexpr size_t kMaxResponse = 64 << 20;  // Bytes; the stand-in's whole log is the largest answer.
+}
+
+struct HttpConnection::Impl {
+  Impl(asio::any_io_executor executor, std::string address)
+      : address(std::move(address)), stream(executor) {}
+
+  [[noreturn]] void Fail(const std::string& step,
+                         const boost::system::error_code& error,
+                         bool sent) {
+    this->open = false;
+    this->stream.close();
+    throw HttpError(step + " " + this->address + ": " + error.message(), sent,
+                    error == beast::error::timeout);
+  }
+
+  std::string address;
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  bool open = false;
+};
+
+HttpConnection::HttpConnection(asio::any_io_executor executor, std::string address)
+    : impl(std::make_unique<Impl>(executor, std::move(address))) {}
+
+HttpConnection::~HttpConnection() = default;
+
+asio::awaitable<void> HttpConnection::Connect(std::chrono::milliseconds timeout) {
+  const auto endpoint = ParseAddress(this->impl->address);
+  boost::system::error_code error;
+  this->impl->stream.expires_after(timeout);
+  co_await this->impl->stream.async_connect(endpoint,
+                                            asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    this->impl->Fail("cannot connect to", error, false);
+  }
+  this->impl->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  this->impl->buffer.clear();
+  this->impl->open = true;
+}
+
+asio::awaitable<HttpResponse> HttpConnection::Exchange(const HttpRequest& request,
+                                                       std::chrono::milliseconds timeout) {
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(http::field::host, this->impl->address);
+  message.set(http::field::content_type, "application/json");
+  for (const auto& [name, value] : request.headers) {
+    message.set(name, value);
+  }
+  message.body() = request.body;
+  message.prepare_payload();
+
+  boost::system::error_code error;
+  this->impl->stream.expires_after(timeout);
+  co_await http::async_write(this->impl->stream, message,
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    this->impl->Fail("cannot send to", error, true);
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxResponse);
+  co_await http::async_read(this->impl->stream, this->impl->buffer, parser,
+                            asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    this->impl->Fail("no answer from", error, true);
+  }
+  auto answer = parser.release();
+  HttpResponse response;
+  response.status = answer.result_int();
+  for (const auto& field : answer) {
+    std::string name(field.name_string());
+    for (char& letter : name) {
+      letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+    }
+    response.headers[name] = std::string(field.value());
+  }
+  response.body = std::move(answer.body());
+  if (!answer.keep_alive()) {
+    response.close = true;
+    this->Close();
+  }
+  co_return response;
+}
+
+bool HttpConnection::is_open() const {
+  return this->impl->open;
+}
+
+void HttpConnection::Close() {
+  this->impl->open = false;
+  this->impl->stream.close();
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/net/http_connection.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+namespace poplarmoor {
+
+struct HttpRequest;
+struct HttpResponse;
+
+/// Failure of an exchange over an HttpConnection.
+class HttpError : public std::runtime_error {
+ public:
+  /// @param message What failed, with the address.
+  /// @param sent Whether any byte of the request may have reached the peer.
+  /// @param timeout Whether the time limit passed.
+  HttpError(const std::string& message, bool sent, bool timeout)
+      : std::runtime_error(message), sent(sent), timeout(timeout) {}
+
+  bool sent = false;
+  bool timeout = false;
+};
+
+/// One keep-alive HTTP/1.1 client connection: one request at a time.
+class HttpConnection {
+ public:
+  /// @param executor Executor (a strand when several threads run it).
+  /// @param address "IP:port".
+  HttpConnection(boost::asio::any_io_executor executor, std::string address);
+  ~HttpConnection();
+
+  /// Opens the connection.
+  /// @param timeout Time limit.
+  /// @throws HttpError with sent == false.
+  boost::asio::awaitable<void> Connect(std::chrono::milliseconds timeout);
+
+  /// Sends one request and reads its answer. After an error the connection is closed, so that a
+  /// late answer cannot reach a later request.
+  /// @param request Request; the Host header is added.
+  /// @param timeout Time limit of the whole exchange.
+  /// @returns The response.
+  /// @throws HttpError.
+  boost::asio::awaitable<HttpResponse> Exchange(const HttpRequest& request,
+                                                std::chrono::milliseconds timeout);
+
+  /// @returns Whether the connection is open.
+  bool is_open() const;
+
+  void Close();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/net/http_server.cc
@@ -0,0 +1,228 @@
+#include "net/http_server.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <mutex>
+
+#include "net/address.h"
+#include "net/http_message.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+struct HttpServer::Session {
+  struct Connection {
+    beast::tcp_stream* stream = nullptr;
+    bool idle = true;
+  };
+  std::mutex mutex;
+  std::map<ConnectionId, std::shared_ptr<Connection>> connections;
+};
+
+HttpServer::HttpServer(asio::any_io_executor executor, Handler handler, HttpServerOptions options)
+    : executor(executor),
+      handler(std::move(handler)),
+      options(options),
+      acceptor(executor),
+      sessions(std::make_shared<Session>()) {}
+
+void HttpServer::SetCloseHandler(CloseHandler handler) {
+  this->close_handler = std::move(handler);
+}
+
+void HttpServer::Listen(const std::string& address) {
+  const tcp::endpoint endpoint = ParseAddress(address);
+  try {
+    this->acceptor.open(endpoint.protocol());
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+    this->acceptor.bind(endpoint);
+    this->acceptor.listen(4096);
+  } catch (const boost::system::system_error& error) {
+    throw std::runtime_error("cannot listen on " + address + ": " + error.code().message());
+  }
+  asio::co_spawn(
+      this->executor, [self = this->shared_from_this()] { return self->Accept(); }, asio::detached);
+}
+
+std::string HttpServer::address() const {
+  return FormatAddress(this->acceptor.local_endpoint());
+}
+
+void HttpServer::Stop() {
+  this->stopping = true;
+  asio::post(this->executor, [self = this->shared_from_this()] {
+    boost::system::error_code ignored;
+    self->acceptor.close(ignored);
+  });
+  std::lock_guard lock(this->sessions->mutex);
+  for (auto& [id, connection] : this->sessions->connections) {
+    asio::post(connection->stream->get_executor(), [connection = connection] {
+      if (connection->idle && connection->stream != nullptr) {
+        connection->stream->cancel();
+      }
+    });
+  }
+}
+
+asio::awaitable<void> HttpServer::Accept() {
+  while (!this->stopping) {
+    boost::system::error_code error;
+    tcp::socket socket(asio::make_strand(this->executor));
+    co_await this->acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+      co_return;
+    }
+    if (error) {
+      // Out of file descriptors, most likely: wait instead of spinning.
+      asio::steady_timer timer(this->executor, std::chrono::milliseconds(20));
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    socket.set_option(tcp::no_delay(true), error);
+    const auto strand = socket.get_executor();
+    asio::co_spawn(
+        strand,
+        [self = this->shared_from_this(), socket = std::move(socket)]() mutable {
+          return self->Serve(std::move(socket));
+        },
+        asio::detached);
+  }
+}
+
+asio::awaitable<HttpResponse> HttpServer::Answer(HttpRequest request, ConnectionId id) {
+  try {
+    co_return co_await this->handler(std::move(request), id);
+  } catch (const std::exception& error) {
+    HttpResponse response;
+    response.status = 500;
+    response.body = R"({"error":{"reason":"internal","message":"internal error"}})";
+    co_return response;
+  }
+}
+
+namespace {
+
+HttpResponse MakeProtocolError(const boost::system::error_code& error) {
+  HttpResponse response;
+  const bool too_large = error == http::error::body_limit || error == http::error::header_limit;
+  response.status = too_large ? 413 : 400;
+  response.close = true;
+  response.body =
+      too_large
+          ? R"({"error":{"reason":"bad_request","field":"body","message":"request is too large"}})"
+          : R"({"error":{"reason":"bad_request","message":"malformed HTTP request"}})";
+  return response;
+}
+
+bool IsProtocolError(const boost::system::error_code& error) {
+  return error && error.category() == make_error_code(http::error::bad_method).category() &&
+         error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+HttpRequest ToRequest(http::request<http::string_body>& message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    std::string name(field.name_string());
+    for (char& letter : name) {
+      letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+    }
+    request.headers[name] = std::string(field.value());
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+asio::awaitable<boost::system::error_code> Write(beast::tcp_stream& stream,
+                                                 HttpResponse answer,
+                                                 unsigned version,
+                                                 bool keep_alive,
+                                                 std::chrono::milliseconds timeout) {
+  http::response<http::string_body> message{static_cast<http::status>(answer.status), version};
+  message.set(http::field::content_type, "application/json");
+  for (const auto& [name, value] : answer.headers) {
+    message.set(name, value);
+  }
+  message.body() = std::move(answer.body);
+  message.keep_alive(keep_alive);
+  message.prepare_payload();
+  stream.expires_after(timeout);
+  boost::system::error_code error;
+  co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
+  co_return error;
+}
+
+}  // namespace
+
+asio::awaitable<void> HttpServer::Serve(tcp::socket socket) {
+  beast::tcp_stream stream(std::move(socket));
+  const ConnectionId id = this->next_id++;
+  const auto connection = std::make_shared<Session::Connection>();
+  connection->stream = &stream;
+  {
+    std::lock_guard lock(this->sessions->mutex);
+    this->sessions->connections[id] = connection;
+  }
+  ++this->open_connections;
+  beast::flat_buffer buffer;
+  boost::system::error_code error;
+  while (!this->stopping) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(this->options.max_body);
+    parser.header_limit(static_cast<uint32_t>(this->options.max_header));
+    connection->idle = true;
+    if (buffer.size() == 0) {
+      stream.expires_after(this->options.idle_timeout);
+      const size_t count = co_await stream.async_read_some(
+          buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
+        break;
+      }
+      buffer.commit(count);
+    }
+    connection->idle = false;
+    stream.expires_after(this->options.read_timeout);
+    co_await http::async_read(stream, buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (IsProtocolError(error)) {
+      co_await Write(stream, MakeProtocolError(error), 11, false, this->options.read_timeout);
+      break;
+    }
+    if (error) {
+      break;
+    }
+    auto message = parser.release();
+    const bool keep_alive = message.keep_alive();
+    const unsigned version = message.version();
+    stream.expires_never();
+    ++this->active_requests;
+    HttpResponse answer = co_await this->Answer(ToRequest(message), id);
+    const bool close = answer.close || !keep_alive || this->stopping;
+    error = co_await Write(stream, std::move(answer), version, !close, this->options.read_timeout);
+    --this->active_requests;
+    if (error || close) {
+      break;
+    }
+  }
+  boost::system::error_code ignored;
+  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  stream.close();
+  {
+    std::lock_guard lock(this->sessions->mutex);
+    this->sessions->connections.erase(id);
+  }
+  connection->stream = nullptr;
+  --this->open_connections;
+  if (this->close_handler) {
+    this->close_handler(id);
+  }
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/net/peer_network.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+namespace poplarmoor {
+
+class KeyRing;
+
+/// One message between daemons. The body is one msgpack value, packed by the codec of its type.
+struct PeerMessage {
+  std::string type;  // For example "forward" or "gossip".
+  std::string body;
+};
+
+/// Failure of a call to another daemon.
+class PeerError : public std::runtime_error {
+ public:
+  /// @param message What failed, with the address.
+  /// @param sent Whether any byte of the call may have reached the peer.
+  PeerError(const std::string& message, bool sent) : std::runtime_error(message), sent(sent) {}
+
+  bool sent = false;
+};
+
+/// Authenticated connections to the other daemons; calls are multiplexed over one connection for
+/// each peer. Safe to use from several threads.
+class PeerNetwork {
+ public:
+  using Handler =
+      std::function<boost::asio::awaitable<PeerMessage>(std::string from_daemon, PeerMessage)>;
+
+  /// @param executor Executor of the I/O threads.
+  /// @param daemon Name of this daemon.
+  /// @param keys Shared keys for the handshake; must outlive the network.
+  PeerNetwork(boost::asio::any_io_executor executor, std::string daemon, const KeyRing* keys);
+  ~PeerNetwork();
+
+  /// Sets the handler of one message type. Call before Listen().
+  void SetHandler(const std::string& type, Handler handler);
+
+  /// Accepts peers.
+  /// @param address "IP:port"; port 0 takes a free one.
+  /// @throws std::runtime_error when the address is malformed or in use.
+  void Listen(const std::string& address);
+
+  /// @returns The address it listens on.
+  std::string address() const;
+
+  /// Calls another daemon.
+  /// @param address Address of its peer listener.
+  /// @param message Message.
+  /// @param timeout Time limit, connecting included.
+  /// @returns Its answer.
+  /// @throws PeerError.
+  boost::asio::awaitable<PeerMessage> Call(std::string address,
+                                           PeerMessage message,
+                                           std::chrono::milliseconds timeout);
+
+  /// Closes the listener and all connections.
+  void Stop();
+
+  /// @returns Bytes sent and received since the start.
+  std::pair<uint64_t, uint64_t> traffic() const;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/tests/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
