Add stand-ins for the platform and the database endpoints

The tests and the demo need a platform and database servers to run against. Both stand-ins are embeddable servers with one thread of their own, and thin programs around them. HttpResponse gains 'drop' for answers that are lost.

--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -205,9 +205,13 @@
     ++this->active_requests;
     HttpResponse answer = co_await this->Answer(ToRequest(message), id);
     const bool close = answer.close || !keep_alive || this->stopping;
-    error = co_await Write(stream, std::move(answer), version, !close, this->options.read_timeout);
+    const bool drop = answer.drop;
+    if (!drop) {
+      error =
+          co_await Write(stream, std::move(answer), version, !close, this->options.read_timeout);
+    }
     --this->active_requests;
-    if (error || close) {
+    if (error || close || drop) {
       break;
     }
   }
--- /dev/null
+++ b/standins/platform_server.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "standins/platform_options.h"
+#include "standins/signal.h"
+#include "standins/standin_server.h"
+
+namespace poplarmoor {
+
+class ObjectStore;
+
+/// Stand-in for the platform: section 11 of the design page, "Platform".
+class PlatformServer : public StandinServer {
+ public:
+  /// @param options Settings.
+  explicit PlatformServer(PlatformOptions options = {});
+  ~PlatformServer() override;
+
+  /// Loads objects and VMs; call it before Start().
+  /// @param json {"objects":[{kind, name, value}], "vms":[{name, role, ...}]}.
+  /// @throws nlohmann::json::exception when a field is missing.
+  void Seed(const std::string& json);
+
+ private:
+  using Json = nlohmann::json;
+  using Clock = std::chrono::steady_clock;
+
+  // Calls allowed now, at a rate.
+  struct Bucket {
+    double level = 0;
+    Clock::time_point at;
+
+    bool Take(int rate);
+  };
+
+  struct VmChange {
+    Clock::time_point at;
+    std::string vm;  // JSON.
+  };
+
+  boost::asio::awaitable<HttpResponse> Handle(HttpRequest request, ConnectionId id) override;
+  boost::asio::awaitable<HttpResponse> HandleCall(HttpRequest request);
+  boost::asio::awaitable<HttpResponse> Watch(std::string kind, std::string target);
+  HttpResponse Put(const std::string& kind, const std::string& name, const Json& request);
+  HttpResponse Get(const std::string& path) const;
+  HttpResponse HandleControl(const HttpRequest& request);
+  Json ListVms() const;
+  bool LosesAnswer();
+
+  PlatformOptions options;
+  std::unique_ptr<ObjectStore> store;
+  std::map<std::string, std::vector<VmChange>> vms;  // Changes in order of time, by name.
+  Signal changed;
+  bool down = false;
+  int slow_ms = 0;
+  int64_t answers_to_lose = 0;  // Updates whose answer is lost; -1 for all.
+  Bucket read_bucket;
+  Bucket write_bucket;
+  uint64_t reads = 0;
+  uint64_t writes = 0;
+  uint64_t watches = 0;
+  uint64_t limited = 0;  // Calls answered with status 429.
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/standins/signal.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <set>
+
+namespace poplarmoor {
+
+/// Lets coroutines of one thread wait for a change of shared state. Must outlive the I/O context.
+class Signal {
+ public:
+  /// Waits for the next Notify().
+  /// @param limit Latest time to return.
+  boost::asio::awaitable<void> Wait(std::chrono::steady_clock::time_point limit) {
+    Waiter waiter(*this, co_await boost::asio::this_coro::executor);
+    waiter.timer.expires_at(limit);
+    boost::system::error_code ignored;
+    co_await waiter.timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+
+  /// Wakes all coroutines that wait now.
+  void Notify() {
+    for (Waiter* waiter : this->waiters) {
+      waiter->timer.cancel();
+    }
+  }
+
+ private:
+  struct Waiter {
+    Waiter(Signal& signal, boost::asio::any_io_executor executor)
+        : signal(signal), timer(std::move(executor)) {
+      this->signal.waiters.insert(this);
+    }
+    ~Waiter() { this->signal.waiters.erase(this); }
+    Waiter(const Waiter&) = delete;
+    Waiter& operator=(const Waiter&) = delete;
+
+    Signal& signal;
+    boost::asio::steady_timer timer;
+  };
+
+  std::set<Waiter*> waiters;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/standins/standin_server.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <thread>
+
+#include "net/http_message.h"
+#include "net/http_server.h"
+
+namespace poplarmoor {
+
+/// Base of the stand-ins: an HTTP server with an I/O context and one thread of its own, so that
+/// the state of a stand-in needs no lock.
+class StandinServer {
+ public:
+  StandinServer() = default;
+  StandinServer(const StandinServer&) = delete;
+  StandinServer& operator=(const StandinServer&) = delete;
+  virtual ~StandinServer();
+
+  /// Starts to listen and to serve.
+  /// @param listen "IP:port"; port 0 takes a free one.
+  /// @throws std::runtime_error when the address is malformed or in use.
+  void Start(const std::string& listen);
+
+  /// @returns The address it listens on, "IP:port".
+  const std::string& address() const { return this->bound; }
+
+  /// Closes all connections at once and ends the thread, like a crash of the process.
+  void Stop();
+
+  /// Waits until the server has been stopped or SIGINT or SIGTERM arrives.
+  void RunUntilSignal();
+
+  /// Handles a request in process, for tests.
+  /// @param method HTTP method.
+  /// @param target Path and query.
+  /// @param body JSON text.
+  /// @returns The answer.
+  /// @throws std::runtime_error when the server has stopped.
+  HttpResponse Call(const std::string& method,
+                    const std::string& target,
+                    const std::string& body = "");
+
+ protected:
+  /// Answers one request on the server's thread.
+  virtual boost::asio::awaitable<HttpResponse> Handle(HttpRequest request, ConnectionId id) = 0;
+  virtual void OnStart() {}
+  virtual void OnClose(ConnectionId) {}
+
+  /// Ends the I/O loop from its own thread; its connections are closed without an answer.
+  void StopLoop() { this->context->stop(); }
+  boost::asio::io_context& io() { return *this->context; }
+
+ private:
+  std::mutex mutex;
+  std::unique_ptr<boost::asio::io_context> context;  // Null when stopped.
+  std::shared_ptr<HttpServer> server;
+  std::thread thread;
+  std::string bound;
+};
+
+/// @returns An HTTP answer with a JSON body.
+HttpResponse MakeJsonResponse(unsigned status, const nlohmann::json& body);
+
+/// @returns The error answer of section 11 of the design page.
+HttpResponse MakeErrorResponse(unsigned status,
+                               const std::string& reason,
+                               const std::string& message);
+
+/// @returns A response that closes the connection without an answer.
+HttpResponse MakeDroppedResponse();
+
+/// @returns The value of a numeric query parameter, or the fallback.
+uint64_t QueryNumber(const std::string& target, const std::string& name, uint64_t fallback);
+
+/// Waits on the timer of the calling coroutine.
+boost::asio::awaitable<void> Sleep(std::chrono::milliseconds duration);
+
+}  // namespace poplarmoor
