--- a/standins/platform_server.cc
+++ b/standins/platform_server.cc
@@ -52,7 +52,7 @@
     this->store->Put(object.at("kind"), object.at("name"), object.at("value"), 0);
   }
   for (const Json& vm : seed.value("vms", Json::array())) {
-    this->vms[vm.at("name")].push_back({Clock::time_point{}, vm.dump()});
+    this->vms[vm.at("name")].push_back({Clock::time_point::min(), vm.dump()});
   }
 }
 
