Add the load tool and the checker of the promises

The demo and the landing need a load that keeps what callers were told and compares it with the endpoints' logs. Writes write their own request id, so a read value names its write and the log orders the two. Not yet run against daemons.

--- /dev/null
+++ b/load/direct_target.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "load/load_target.h"
+
+namespace poplarmoor {
+
+class HttpConnection;
+
+/// Calls the primaries directly over a pool of connections: the baseline without the proxy.
+/// A statement that the server refuses is tried again until its deadline, in no order of rank. A
+/// write counts as acknowledged when the primary has run it.
+class DirectTarget : public LoadTarget {
+ public:
+  /// @param context I/O context of the tool.
+  /// @param endpoints Addresses by service.
+  /// @param connections Data connections to each primary.
+  DirectTarget(boost::asio::io_context& context,
+               const std::map<std::string, std::vector<std::string>>& endpoints,
+               int connections);
+  ~DirectTarget() override;
+
+  boost::asio::awaitable<CallOutcome> Call(LoadCall call, LoadSession& session) override;
+
+ private:
+  using Json = nlohmann::json;
+
+  struct Service {
+    std::vector<std::string> endpoints;
+    std::string primary;  // Address; empty when unknown.
+    uint64_t term = 0;
+    int open = 0;  // Data connections, idle or in use.
+    std::vector<std::unique_ptr<HttpConnection>> idle;
+  };
+
+  boost::asio::awaitable<void> FindPrimary(Service& service);
+  boost::asio::awaitable<bool> TakeConnection(Service& service, LoadSession& session);
+  boost::asio::awaitable<CallOutcome> Attempt(Service& service,
+                                              const LoadCall& call,
+                                              LoadSession& session);
+  void Release(Service& service, LoadSession& session);
+
+  boost::asio::io_context& context;
+  std::map<std::string, Service> services;
+  int connections;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/load/load_runner.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <utility>
+
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "kernel/rank.h"
+#include "kernel/time.h"
+#include "load/load_options.h"
+#include "load/load_report.h"
+#include "load/load_session.h"
+#include "load/request_record.h"
+#include "load/workload.h"
+
+namespace poplarmoor {
+
+class ConfigWatch;
+class LoadTarget;
+
+/// One run of the load tool: open-loop load with a bounded number of outstanding requests, then
+/// the comparison with the endpoints' logs.
+class LoadRunner {
+ public:
+  /// @param options Settings.
+  explicit LoadRunner(LoadOptions options);
+  ~LoadRunner();
+
+  /// Runs the load and the checks; writes a progress line each second to stderr.
+  /// @returns The report.
+  LoadReport Run();
+
+ private:
+  using Clock = std::chrono::steady_clock;
+
+  boost::asio::awaitable<void> RunAll();
+  boost::asio::awaitable<void> OfferRank(Rank rank);
+  boost::asio::awaitable<void> SendRequest(size_t record, size_t session);
+  boost::asio::awaitable<void> SendTransaction(RequestRecord& record, LoadSession& session);
+  boost::asio::awaitable<void> PrintProgress();
+  boost::asio::awaitable<void> Check();
+  Duration Now() const;
+
+  LoadOptions options;
+  boost::asio::io_context context{1};
+  std::unique_ptr<LoadTarget> target;
+  std::unique_ptr<ConfigWatch> config_watch;
+  Workload workload;
+  std::vector<LoadSession> sessions;
+  std::vector<size_t> free_sessions;
+  std::deque<RequestRecord> records;  // References stay valid while it grows.
+  std::array<uint64_t, kRankCount> not_sent{};
+  std::array<uint64_t, 3> verdicts{};  // Answers by verdict.
+  Clock::time_point start;
+  LoadReport report;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/load/log_reader.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <string>
+#include <vector>
+
+namespace poplarmoor {
+
+struct ServiceHistory;
+
+/// Reads the logs of a service's endpoints.
+/// @param endpoints Addresses of the endpoints.
+/// @param history Receives the log of the primary with the highest term, and the executions at all
+/// endpoints that answer.
+/// @returns Name of that primary; empty when none answers.
+boost::asio::awaitable<std::string> ReadServiceLogs(std::vector<std::string> endpoints,
+                                                    ServiceHistory& history);
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/load/service_history.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace poplarmoor {
+
+/// One entry of the log of a service's primary.
+struct LoggedWrite {
+  uint64_t index = 0;
+  bool transaction = false;
+  std::vector<std::pair<std::string, std::string>> puts;  // Key and value.
+};
+
+/// What the endpoints of a service recorded.
+struct ServiceHistory {
+  std::vector<LoggedWrite> entries;       // Log of the current primary.
+  std::map<std::string, int> executions;  // By request id, summed over the endpoints.
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/load/workload.cc
@@ -0,0 +1,58 @@
+#include "load/workload.h"
+
+#include <array>
+#include <utility>
+
+#include "load/load_options.h"
+
+namespace poplarmoor {
+
+namespace {
+
+constexpr size_t kSharedKeys = 50;         // Few, so that sessions meet on them.
+constexpr size_t kTransactionGroups = 10;  // Sets of keys that are only written together.
+constexpr std::array<double, kRankCount> kWriteShare{0.8, 0.5, 0.0};
+
+}  // namespace
+
+Workload::Workload(const LoadOptions& options, std::string run_id)
+    : options(options), run_id(std::move(run_id)), random(options.seed) {}
+
+bool Workload::Chance(double share) {
+  return std::uniform_real_distribution<double>(0, 1)(this->random) < share;
+}
+
+size_t Workload::Pick(size_t bound) {
+  return std::uniform_int_distribution<size_t>(0, bound - 1)(this->random);
+}
+
+double Workload::MakeInterval(double rate) {
+  return std::exponential_distribution<double>(rate)(this->random);
+}
+
+RequestRecord Workload::MakeRequest(Rank rank, int session) {
+  RequestRecord record;
+  record.request_id = this->run_id + "-" + std::to_string(++this->next_id);
+  record.session = session;
+  record.rank = rank;
+  record.service = this->options.services[this->Pick(this->options.services.size())];
+  const bool lookup = rank == Rank::kBackground;
+  if (!lookup && this->Chance(this->options.transactions)) {
+    record.kind = RequestKind::kTransaction;
+    const std::string group = "group-" + std::to_string(this->Pick(kTransactionGroups));
+    record.keys = {group + "-a", group + "-b"};
+  } else {
+    const bool write = this->Chance(kWriteShare[static_cast<size_t>(rank)]);
+    record.kind = write ? RequestKind::kWrite : RequestKind::kRead;
+    const bool shared = lookup || this->Chance(0.3);
+    record.keys = {shared ? "shared-" + std::to_string(this->Pick(kSharedKeys))
+                          : this->run_id + "-session-" + std::to_string(session)};
+    record.own_writes = !lookup;
+  }
+  if (record.kind != RequestKind::kRead) {
+    record.repeatable = !this->Chance(this->options.nonrepeatable);
+  }
+  return record;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/tests/load/checker_test.cc
@@ -0,0 +1,199 @@
+#include "load/checker.h"
+
+#include <catch2/catch.hpp>
+
+#include "load/request_record.h"
+#include "load/service_history.h"
+
+namespace poplarmoor {
+namespace {
+
+/// A history that keeps all promises; each test breaks one.
+struct HistoryFixture {
+  HistoryFixture() {
+    this->AddWrite("w1", 0, "own-0");
+    this->AddWrite("w2", 0, "own-0");
+    this->AddWrite("w3", 1, "own-1").repeatable = false;
+    this->AddRead("r1", 0, "own-0", "w2");
+    this->AddTransaction("t1", 1);
+    RequestRecord& refused = this->Add("x1", 1, RequestKind::kWrite, {"own-1"});
+    refused.verdict = Verdict::kNotRun;
+    this->Log("w1", {"own-0"});
+    this->Log("w2", {"own-0"});
+    this->Log("w3", {"own-1"});
+    this->Log("t1", {"g-a", "g-b"});
+  }
+
+  RequestRecord& Add(const std::string& id,
+                     int session,
+                     RequestKind kind,
+                     const std::vector<std::string>& keys) {
+    RequestRecord record;
+    record.request_id = id;
+    record.session = session;
+    record.service = "orders";
+    record.kind = kind;
+    record.keys = keys;
+    record.verdict = Verdict::kRan;
+    record.echoed_id = id;
+    this->records.push_back(record);
+    return this->records.back();
+  }
+
+  RequestRecord& AddWrite(const std::string& id, int session, const std::string& key) {
+    RequestRecord& record = this->Add(id, session, RequestKind::kWrite, {key});
+    record.values = {id};
+    return record;
+  }
+
+  RequestRecord& AddRead(const std::string& id,
+                         int session,
+                         const std::string& key,
+                         const std::string& value) {
+    RequestRecord& record = this->Add(id, session, RequestKind::kRead, {key});
+    record.values = {value};
+    return record;
+  }
+
+  RequestRecord& AddTransaction(const std::string& id, int session) {
+    RequestRecord& record = this->Add(id, session, RequestKind::kTransaction, {"g-a", "g-b"});
+    record.values = {"", ""};
+    record.rereads = {id};
+    return record;
+  }
+
+  void Log(const std::string& id, const std::vector<std::string>& keys) {
+    ServiceHistory& history = this->histories["orders"];
+    LoggedWrite entry;
+    entry.index = history.entries.size() + 1;
+    entry.transaction = keys.size() > 1;
+    for (const std::string& key : keys) {
+      entry.puts.emplace_back(key, id);
+    }
+    history.entries.push_back(entry);
+    ++history.executions[id];
+  }
+
+  // Checks that exactly one violation is seen, of the kind of the counter.
+  void ExpectOnly(uint64_t CheckResult::*counter) {
+    const CheckResult result = Checker(this->records, this->histories).Run();
+    INFO((result.examples.empty() ? "no example" : result.examples.front()));
+    CHECK(result.*counter == 1);
+    CHECK(result.violations() == 1);
+    CHECK(result.examples.size() == 1);
+  }
+
+  std::vector<RequestRecord> records;
+  std::map<std::string, ServiceHistory> histories;
+};
+
+TEST_CASE_METHOD(HistoryFixture, "a clean history has no violation") {
+  this->records[3].by_replica = true;
+  this->records[5].cut = true;
+  const CheckResult result = Checker(this->records, this->histories).Run();
+  CHECK(result.violations() == 0);
+  CHECK(result.acked_writes == 4);
+  CHECK(result.reads_total == 1);
+  CHECK(result.reads_by_replica == 1);
+  CHECK(result.cut_in_flight == 1);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "an acknowledged write that the log lacks is lost") {
+  this->AddWrite("w9", 2, "own-2");
+  this->ExpectOnly(&CheckResult::lost_acked_writes);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a write that may have run need not be in the log") {
+  this->AddWrite("w9", 2, "own-2").verdict = Verdict::kMayHaveRun;
+  CHECK(Checker(this->records, this->histories).Run().violations() == 0);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a write in two log entries is doubled, whatever its id there") {
+  this->Log("w2", {"own-0"});
+  this->ExpectOnly(&CheckResult::doubled_writes);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a read before the session's acknowledged write is stale") {
+  this->AddRead("r9", 0, "own-0", "w1");
+  this->ExpectOnly(&CheckResult::stale_reads);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a read that finds nothing after the session's write is stale") {
+  this->AddRead("r9", 0, "own-0", "");
+  this->ExpectOnly(&CheckResult::stale_reads);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "without a log the session's own order tells a stale read") {
+  this->histories.clear();
+  this->AddRead("r9", 0, "own-0", "w1");
+  this->ExpectOnly(&CheckResult::stale_reads);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a read that allows staleness may miss the session's write") {
+  this->AddRead("r9", 0, "own-0", "w1").own_writes = false;
+  this->AddRead("r10", 1, "own-0", "w1");  // Another session.
+  CHECK(Checker(this->records, this->histories).Run().violations() == 0);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a shared key may show another session's later write") {
+  this->AddWrite("w9", 1, "own-0");
+  this->Log("w9", {"own-0"});
+  this->AddRead("r9", 0, "own-0", "w9");
+  CHECK(Checker(this->records, this->histories).Run().violations() == 0);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a log entry with two transactions is mixed") {
+  this->histories["orders"].entries.back().puts.emplace_back("g-a", "t0");
+  this->ExpectOnly(&CheckResult::mixed_transactions);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a log entry with half of a transaction is mixed") {
+  this->histories["orders"].entries.back().puts.pop_back();
+  this->ExpectOnly(&CheckResult::mixed_transactions);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a transaction that reads two others' writes is mixed") {
+  this->AddTransaction("t2", 0).values = {"t1", ""};
+  this->Log("t2", {"g-a", "g-b"});
+  this->ExpectOnly(&CheckResult::mixed_transactions);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a transaction that does not read its own write is mixed") {
+  this->AddTransaction("t2", 0).rereads = {"t1"};
+  this->Log("t2", {"g-a", "g-b"});
+  this->ExpectOnly(&CheckResult::mixed_transactions);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "an answer with another request's id is crossed") {
+  this->records[0].echoed_id = "w3";
+  this->ExpectOnly(&CheckResult::crossed_answers);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a read that returns another key's value is crossed") {
+  this->AddRead("r9", 2, "own-0", "w3");
+  this->ExpectOnly(&CheckResult::crossed_answers);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a write that returns another write's result is crossed") {
+  this->records[0].values = {"w2"};
+  this->ExpectOnly(&CheckResult::crossed_answers);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a refused write that is in the log ran") {
+  this->Log("x1", {"own-1"});
+  this->ExpectOnly(&CheckResult::not_run_that_ran);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a refused write that ran on a replaced primary ran") {
+  this->histories["orders"].executions["x1"] = 1;
+  this->ExpectOnly(&CheckResult::not_run_that_ran);
+}
+
+TEST_CASE_METHOD(HistoryFixture, "a payout that ran on two primaries ran twice") {
+  this->histories["orders"].executions["w3"] = 2;
+  this->histories["orders"].executions["w1"] = 2;  // Repeatable: this is a retry.
+  this->ExpectOnly(&CheckResult::nonrepeatable_run_twice);
+}
+
+}  // namespace
+}  // namespace poplarmoor
