--- /dev/null
+++ b/kernel/admission_queue.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kernel/rank.h"
+#include "kernel/reason.h"
+#include "kernel/registry.h"
+#include "kernel/service_settings.h"
+#include "kernel/time.h"
+
+namespace poplarmoor {
+
+/// A request that waits for a slot of one endpoint.
+struct AdmissionItem {
+  uint64_t id = 0;  // Chosen by the owner, unique among waiting items.
+  Rank rank = Rank::kStandard;
+  std::string site;
+  TimePoint deadline;
+};
+
+/// Answer to an offered item.
+struct AdmissionDecision {
+  bool queued = false;
+  Reason reason = Reason::kNone;  // kOverloaded or kDeadlineExceeded when it was refused.
+  Duration predicted_wait{0};     // Until the item would get a slot.
+  Duration retry_after{0};        // Hint for the caller when it was refused.
+};
+
+/// Settings of one endpoint's queue.
+struct AdmissionSettings {
+  std::array<RankSettings, kRankCount> ranks;  // Indexed by Rank.
+  std::map<std::string, double> site_weights;  // Share of a site within a rank; 1 when missing.
+};
+
+/// Queue in front of the slots of one endpoint, at its owner. Plug-ins are registered in
+/// Registry<AdmissionQueue>: floors, strict_priority and fcfs. The queue counts the items that hold
+/// a slot: each item from Next() is given back by exactly one call of Finished() or Abandoned().
+class AdmissionQueue {
+ public:
+  virtual ~AdmissionQueue() = default;
+
+  /// Takes over changed settings. Waiting items stay.
+  /// @param settings New settings.
+  virtual void Configure(const AdmissionSettings& settings) = 0;
+
+  /// @param slots Items that may hold a slot at once, at least 1; from ConcurrencyLimit.
+  virtual void SetSlots(int slots) = 0;
+
+  /// Queues an item or refuses it. After a queued item the owner calls Next().
+  /// @param item The item.
+  /// @param now Current time.
+  /// @returns The decision; refused when the queue of its rank and site is full or the predicted
+  ///     wait exceeds the deadline.
+  virtual AdmissionDecision Offer(const AdmissionItem& item, TimePoint now) = 0;
+
+  /// Takes the next item if a slot is free. Expired items are skipped; TakeExpired() returns them.
+  /// @param now Current time.
+  /// @returns The item that now holds a slot, or nothing.
+  virtual std::optional<AdmissionItem> Next(TimePoint now) = 0;
+
+  /// Gives back a slot after the endpoint answered.
+  /// @param rank Rank of the item.
+  /// @param service_time Time between sending and the answer.
+  virtual void Finished(Rank rank, Duration service_time) = 0;
+
+  /// Gives back a slot without a measurement: the item was not sent, or no answer came.
+  /// @param rank Rank of the item.
+  virtual void Abandoned(Rank rank) = 0;
+
+  /// Removes a waiting item, for example because its caller went away.
+  /// @param id Id of the item.
+  /// @returns Whether it was waiting.
+  virtual bool Cancel(uint64_t id) = 0;
+
+  /// @param now Current time.
+  /// @returns Items whose deadline passed while they waited; each is returned once.
+  virtual std::vector<AdmissionItem> TakeExpired(TimePoint now) = 0;
+
+  /// @returns The earliest time at which TakeExpired() may return something, if any item waits.
+  virtual std::optional<TimePoint> NextExpiry() const = 0;
+
+  /// @param rank Any rank.
+  /// @returns Waiting items of the rank.
+  virtual size_t Waiting(Rank rank) const = 0;
+
+  /// @returns Items that hold a slot.
+  virtual int Running() const = 0;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/confirmation_tracker.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kernel/endpoint_status.h"
+#include "kernel/log_position.h"
+#include "kernel/time.h"
+
+namespace poplarmoor {
+
+/// Writes of one group that wait, at the owner of its primary, until enough replicas have received
+/// them.
+///
+/// A replica counts for a write only if it follows the primary's term and its last entry is of this
+/// term. A received index alone proves nothing: a replica may hold other entries at the same
+/// indexes until it has truncated its log. For the same reason an entry of an earlier term (the
+/// answer to a repeated request id after a promotion) is confirmed by a later entry of the current
+/// term; a primary must therefore append an entry of its own when it is promoted.
+class ConfirmationTracker {
+ public:
+  /// Starts a term. Writes that wait for an earlier term can no longer be confirmed here.
+  /// @param term Term of the primary.
+  /// @param replicas Names of its replicas.
+  /// @param needed Replicas that must receive a write: 1 of 2 in a group of 3.
+  /// @param now Current time.
+  /// @returns Ids of the waiting writes of an earlier term; they are answered kMayHaveRun.
+  std::vector<uint64_t> SetTerm(uint64_t term,
+                                std::vector<std::string> replicas,
+                                size_t needed,
+                                TimePoint now);
+
+  /// Predicts whether a write sent now would be confirmed in time.
+  /// @param deadline Deadline of the write.
+  /// @param now Current time.
+  /// @returns False when the write must be refused with kNotRun: no_quorum before it is sent.
+  bool CanConfirm(TimePoint deadline, TimePoint now) const;
+
+  /// @param now Current time.
+  /// @returns The predicted time from the primary's answer to the confirmation; nothing when too
+  /// few
+  ///     replicas report.
+  std::optional<Duration> PredictDelay(TimePoint now) const;
+
+  /// Adds a write that ran at the primary.
+  /// @param id Id chosen by the owner, unique among waiting writes.
+  /// @param position Position of the write.
+  /// @param deadline When TakeExpired() gives up.
+  /// @param now Current time.
+  /// @returns True when it is confirmed already; it is not added then.
+  bool Add(uint64_t id, LogPosition position, TimePoint deadline, TimePoint now);
+
+  /// Takes the status of a replica.
+  /// @param status Status; it is ignored when it is of another term.
+  /// @param now Current time.
+  /// @returns Ids of the writes that are confirmed by it, in log order.
+  std::vector<uint64_t> OnStatus(const EndpointStatus& status, TimePoint now);
+
+  /// @param now Current time.
+  /// @returns Ids of the writes whose deadline passed; they are answered kMayHaveRun: unconfirmed.
+  std::vector<uint64_t> TakeExpired(TimePoint now);
+
+  /// @returns The earliest deadline of a waiting write.
+  std::optional<TimePoint> NextExpiry() const;
+
+  /// @returns The index that a status long poll should wait for: the lowest unconfirmed one.
+  std::optional<uint64_t> WaitIndex() const;
+
+  /// @returns The highest index that enough replicas have received in this term; 0 when none.
+  uint64_t ConfirmedIndex() const { return this->confirmed; }
+
+  /// @returns Writes that wait.
+  size_t size() const { return this->waiting.size(); }
+
+ private:
+  struct Replica {
+    uint64_t received = 0;          // In this term.
+    std::optional<TimePoint> seen;  // Last status of this term.
+  };
+
+  struct Write {
+    uint64_t id = 0;
+    TimePoint deadline;
+    TimePoint added;
+  };
+
+  uint64_t term = 0;
+  size_t needed = 1;
+  TimePoint term_since;
+  std::map<std::string, Replica> replicas;
+  std::multimap<uint64_t, Write> waiting;  // By log index.
+  uint64_t confirmed = 0;
+  double mean_delay = 0.0;     // Smoothed time to confirmation, microseconds.
+  uint64_t stalled_index = 0;  // Unconfirmed write that was given up; 0: none.
+  TimePoint stalled_since;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/connection_pool.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "kernel/service_settings.h"
+#include "kernel/time.h"
+
+namespace poplarmoor {
+
+/// Settings of one endpoint's pool.
+struct PoolSettings {
+  int budget = 12;                // Connections that this owner may hold, opening ones included.
+  int warm = 4;                   // Kept open without demand.
+  int max_pinned = 6;             // Held by transactions at once.
+  int max_opening = 3;            // Opened at once, so that a restart does not flood the endpoint.
+  Duration connect_time = 10ms;   // Expected time to open one.
+  Duration idle_limit = 60s;      // Unused connections above the warm number are closed after it.
+  Duration backoff_base = 50ms;   // After the first failed open.
+  Duration backoff_cap = 5000ms;  // Longest wait between failed opens.
+
+  /// Uses half of the connection limit, so that an old and a new owner fit at the same time.
+  /// @param service Settings of the service.
+  /// @returns Pool settings of each of its endpoints.
+  static PoolSettings FromService(const ServiceSettings& service);
+};
+
+/// Decides which connections to one endpoint its owner opens, uses and closes. The owner performs
+/// the I/O and reports what happened.
+class ConnectionPool {
+ public:
+  using ConnectionId = uint64_t;
+
+  /// What the owner must do now.
+  struct Plan {
+    std::vector<ConnectionId> open;   // Report each by OnOpened() or OnOpenFailed().
+    std::vector<ConnectionId> close;  // Already forgotten by the pool.
+    std::optional<TimePoint> next;    // Call Tick() again at this time at the latest.
+  };
+
+  explicit ConnectionPool(const PoolSettings& settings) : settings(settings) {}
+
+  /// Takes over changed settings; Tick() closes idle connections above a smaller budget.
+  /// @param settings New settings.
+  void Configure(const PoolSettings& settings) { this->settings = settings; }
+
+  /// Takes an idle clean connection; the most recently used one, so that surplus ones become idle.
+  /// @param for_transaction True for a begin: the connection stays pinned until its release.
+  /// @param now Current time.
+  /// @returns The connection, or nothing when none is idle or transactions hold their whole part.
+  std::optional<ConnectionId> Acquire(bool for_transaction, TimePoint now);
+
+  /// Gives a connection back.
+  /// @param id Connection from Acquire().
+  /// @param clean True when the answer to its last request was complete and no transaction is open.
+  /// @param now Current time.
+  /// @returns True when the owner must close it: it is not clean, or was condemned meanwhile.
+  bool Release(ConnectionId id, bool clean, TimePoint now);
+
+  /// Records that an acquired connection delivered an answer, without releasing it.
+  /// @param id Connection from Acquire().
+  /// @param now Time of the answer.
+  void OnAnswer(ConnectionId id, TimePoint now);
+
+  /// Records an opened connection.
+  /// @param id Id from Plan::open.
+  /// @param now Current time.
+  void OnOpened(ConnectionId id, TimePoint now);
+
+  /// Records a failed open and starts the backoff.
+  /// @param id Id from Plan::open.
+  /// @param now Current time.
+  /// @param random Uniformly distributed random bits, for jitter.
+  void OnOpenFailed(ConnectionId id, TimePoint now, uint64_t random);
+
+  /// Forgets a connection that the endpoint closed, whether idle or in use.
+  /// @param id Any connection.
+  void OnClosed(ConnectionId id);
+
+  /// Records that a request got no answer in time. All connections whose last success is older than
+  /// the timeout are condemned, because connections that go silent do so without an error.
+  /// @param id Connection of the request; it is forgotten and the owner must close it.
+  /// @param timeout How long the request waited.
+  /// @param now Current time.
+  /// @returns Idle connections to close now, including id. Those in use are closed at Release().
+  std::vector<ConnectionId> OnTimeout(ConnectionId id, Duration timeout, TimePoint now);
+
+  /// Decides what to open and close.
+  /// @param waiting Requests that wait for a connection or a slot.
+  /// @param now Current time.
+  /// @returns The plan.
+  Plan Tick(size_t waiting, TimePoint now);
+
+  /// @returns Open and opening connections.
+  int Size() const { return static_cast<int>(this->connections.size()); }
+
+  /// @returns Idle connections that Acquire() may return.
+  int Idle() const { return this->Count(State::kIdle); }
+
+  /// @returns Connections that transactions hold.
+  int Pinned() const;
+
+ private:
+  enum class State { kOpening, kIdle, kInUse };
+
+  struct Connection {
+    State state = State::kOpening;
+    bool pinned = false;
+    bool condemned = false;
+    TimePoint last_success;
+    TimePoint last_used;
+  };
+
+  int Count(State state) const;
+
+  PoolSettings settings;
+  std::map<ConnectionId, Connection> connections;
+  ConnectionId next_id = 1;
+  int failures = 0;           // Failed opens in a row.
+  TimePoint open_not_before;  // End of the backoff.
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/group_view.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kernel/endpoint_status.h"
+#include "kernel/group_state.h"
+#include "kernel/log_position.h"
+#include "kernel/time.h"
+
+namespace poplarmoor {
+
+/// What an entry knows of one group: its state, the newest status of each endpoint and the work
+/// that this entry has outstanding there.
+class GroupView {
+ public:
+  /// One endpoint as the entry sees it.
+  struct Endpoint {
+    EndpointInfo info;
+    bool is_primary = false;               // According to the group state.
+    std::optional<EndpointStatus> status;  // Newest known; none before the first answer.
+    TimePoint status_time;                 // When the status arrived.
+    int outstanding = 0;                   // Requests of this entry without an answer.
+    std::optional<TimePoint> failed_at;    // Last failure without a later answer.
+  };
+
+  GroupView() = default;
+  explicit GroupView(GroupState state);
+
+  /// Takes over a newer group state. Statuses of endpoints that stay in the group are kept.
+  /// @param state State from the configuration store.
+  /// @returns False when the state is older (lower term or version) and was ignored.
+  bool SetState(const GroupState& state);
+
+  /// Records the status that came with an answer.
+  /// @param status Status of an endpoint of this group; others are ignored.
+  /// @param now Time of arrival.
+  /// @returns Whether the endpoint follows a higher term than the known state, so that the state
+  ///     should be fetched again.
+  bool OnStatus(const EndpointStatus& status, TimePoint now);
+
+  /// Counts a request as outstanding at an endpoint.
+  /// @param endpoint Name of the endpoint.
+  void OnSent(const std::string& endpoint);
+
+  /// Ends a request that OnSent() counted.
+  /// @param endpoint Name of the endpoint.
+  /// @param failed True when no answer arrived: routing prefers other endpoints for a while.
+  /// @param now Current time.
+  void OnDone(const std::string& endpoint, bool failed, TimePoint now);
+
+  /// @returns The group state.
+  const GroupState& State() const { return this->state; }
+
+  /// @returns All endpoints in the order of the group state.
+  const std::vector<Endpoint>& Endpoints() const { return this->endpoints; }
+
+  /// @param name Name of an endpoint.
+  /// @returns The endpoint, or null when the group has none of this name.
+  const Endpoint* Find(const std::string& name) const;
+
+  /// @returns The primary of the current term, or null while electing or when it is leaving.
+  const Endpoint* UsablePrimary() const;
+
+  /// Estimates how far a replica has replayed by now. Replay goes on after the status was taken: a
+  /// replica whose state was S old then has now replayed what the primary held S ago.
+  /// @param endpoint An endpoint of this view.
+  /// @param now Current time.
+  /// @returns A log index; 0 when nothing is known.
+  uint64_t EstimateReplayed(const Endpoint& endpoint, TimePoint now) const;
+
+  /// @param endpoint An endpoint of this view.
+  /// @param now Current time.
+  /// @returns Statements believed to be at the endpoint, for comparison between endpoints.
+  int Load(const Endpoint& endpoint, TimePoint now) const;
+
+  /// @param endpoint An endpoint of this view.
+  /// @param now Current time.
+  /// @returns Whether it failed recently and has not answered since.
+  bool IsSuspect(const Endpoint& endpoint, TimePoint now) const;
+
+  /// Says whether a session's position names a write that a promotion lost, which only
+  /// acknowledgement by the primary alone can cause.
+  /// @param position Position of an acknowledged write.
+  /// @returns True when a later term starts before the position.
+  bool IsLost(LogPosition position) const;
+
+ private:
+  /// Index that the primary held at a time.
+  struct Sample {
+    TimePoint time;
+    uint64_t index = 0;
+  };
+
+  Endpoint* FindMutable(const std::string& name);
+
+  GroupState state;
+  std::vector<Endpoint> endpoints;
+  std::deque<Sample> samples;  // Of the primary in the current term, oldest first.
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/routing_policy.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kernel/group_view.h"
+#include "kernel/log_position.h"
+#include "kernel/registry.h"
+#include "kernel/statement_request.h"
+#include "kernel/time.h"
+
+namespace poplarmoor {
+
+/// What routing needs to know of a request.
+struct RouteRequest {
+  Operation operation = Operation::kRead;
+  LogPosition required;                   // Newest own write; term 0: none.
+  bool primary_required = false;          // The session's position was dropped or lost.
+  std::optional<Duration> max_staleness;  // Bound for reads on replicas; none: any age.
+};
+
+/// Chooses the endpoints for a request. Plug-ins are registered in Registry<RoutingPolicy>:
+/// fresh_replicas, writer_to_primary, primary_only and round_robin. No policy returns a leaving
+/// endpoint.
+class RoutingPolicy {
+ public:
+  virtual ~RoutingPolicy() = default;
+
+  /// @param request The request.
+  /// @param group State and load of the group.
+  /// @param now Current time.
+  /// @param random Uniformly distributed random bits.
+  /// @returns Names of endpoints, the best first. Empty when no endpoint can serve the request now,
+  ///     for example a write during a promotion.
+  virtual std::vector<std::string> Candidates(const RouteRequest& request,
+                                              const GroupView& group,
+                                              TimePoint now,
+                                              uint64_t random) = 0;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/session_positions.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "kernel/log_position.h"
+
+namespace poplarmoor {
+
+/// For each service, the position of a session's newest acknowledged write: the content of a
+/// session token. The number of services is bounded, because the caller carries the token on each
+/// request.
+class SessionPositions {
+ public:
+  static constexpr size_t kMaxServices = 64;
+
+  /// What a read of one service must observe.
+  struct Requirement {
+    LogPosition position;        // Term 0: no own write is known.
+    bool needs_primary = false;  // The position was dropped; only the primary surely has the write.
+  };
+
+  /// Records an acknowledged write. An older position than the known one changes nothing.
+  /// @param service Exact name of the service.
+  /// @param position Position of the acknowledged write; term 0 is ignored.
+  /// @returns Services whose positions were dropped to stay within the bound; the caller logs them.
+  ///     Require() answers needs_primary for them from now on.
+  std::vector<std::string> Record(const std::string& service, LogPosition position);
+
+  /// Records every position of another session state, for callers that join two sessions.
+  /// @param other Positions to add.
+  /// @returns Services that were dropped, as Record().
+  std::vector<std::string> Merge(const SessionPositions& other);
+
+  /// @param service Exact name of the service.
+  /// @returns What a read of this service must observe.
+  Requirement Require(const std::string& service) const;
+
+  /// @returns The number of services with a known position.
+  size_t size() const { return this->entries.size(); }
+
+  /// @returns Whether a position was ever dropped from this session.
+  bool HasDropped() const { return this->dropped; }
+
+  /// @returns The payload of a session token, without its authentication code.
+  std::string Encode() const;
+
+  /// @param payload Result of Encode().
+  /// @returns The decoded positions.
+  /// @throws std::invalid_argument when the payload is malformed.
+  static SessionPositions Decode(const std::string& payload);
+
+  friend bool operator==(const SessionPositions&, const SessionPositions&) = default;
+
+ private:
+  struct Entry {
+    std::string service;
+    LogPosition position;
+
+    friend bool operator==(const Entry&, const Entry&) = default;
+  };
+
+  std::vector<Entry> entries;  // The least recently written service first.
+  bool dropped = false;
+};
+
+}  // namespace poplarmoor
