--- a/kernel/concurrency_limit.h
+++ b/kernel/concurrency_limit.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "kernel/time.h"
 
 namespace poplarmoor {
@@ -34,15 +36,15 @@
  private:
   void CloseWindow(TimePoint now);
 
-  int slots = 1;
+  int slots = 0;  // 0 before the first Configure().
   int max_connections = 1;
   int limit = 1;
-  int ceiling = 1;  // No growth above it before ceiling_until.
+  int ceiling = 1;  // Refused with no_slot; not reached before ceiling_until.
   TimePoint ceiling_until;
-  Duration ceiling_time{0};  // Doubles with each no_slot at the same limit.
-  TimePoint decreased_at;    // Several refusals of one burst count once.
-  double baseline = 0.0;     // Lowest mean latency of a window, microseconds; 0: none yet.
-  double window_sum = 0.0;   // Microseconds.
+  Duration ceiling_time{0};             // Doubles with each refusal.
+  std::optional<TimePoint> refused_at;  // Several refusals of one burst count once.
+  double baseline = 0.0;                // Lowest mean latency of a window, microseconds; 0: none.
+  double window_sum = 0.0;              // Microseconds.
   int window_count = 0;
   int window_max_running = 0;
   TimePoint window_start;
--- a/kernel/confirmation_tracker.h
+++ b/kernel/confirmation_tracker.h
@@ -84,10 +84,14 @@
 
   struct Write {
     uint64_t id = 0;
+    uint64_t term = 0;  // Of its position.
     TimePoint deadline;
     TimePoint added;
   };
 
+  void UpdateConfirmed();
+  void RecordDelay(Duration delay);
+
   uint64_t term = 0;
   size_t needed = 1;
   TimePoint term_since;
--- /dev/null
+++ b/kernel/group_view.cc
@@ -0,0 +1,142 @@
+#include "kernel/group_view.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarmoor {
+
+namespace {
+
+constexpr Duration kStatusAge = 1000ms;    // Older loads and staleness values say nothing.
+constexpr Duration kSuspectTime = 1000ms;  // Avoids an endpoint that failed, unless it answers.
+constexpr Duration kSampleGap = 5ms;       // Smallest distance of two samples.
+constexpr size_t kMaxSamples = 64;  // At most 320 ms of dense samples; sparse ones last longer.
+constexpr Duration kReplayMargin = 2ms;  // Covers the way from the endpoint to this entry.
+
+}  // namespace
+
+GroupView::GroupView(GroupState state) {
+  this->SetState(state);
+}
+
+bool GroupView::SetState(const GroupState& state) {
+  if (state.term < this->state.term ||
+      (state.term == this->state.term && state.version < this->state.version)) {
+    return false;
+  }
+  if (state.term != this->state.term) {
+    this->samples.clear();
+  }
+  std::vector<Endpoint> updated;
+  for (const EndpointInfo& info : state.endpoints) {
+    Endpoint endpoint;
+    if (const Endpoint* known = this->Find(info.name)) {
+      endpoint = *known;
+    }
+    endpoint.info = info;
+    endpoint.is_primary = state.phase == GroupPhase::kServing && info.name == state.primary;
+    updated.push_back(std::move(endpoint));
+  }
+  this->state = state;
+  this->endpoints = std::move(updated);
+  return true;
+}
+
+bool GroupView::OnStatus(const EndpointStatus& status, TimePoint now) {
+  Endpoint* endpoint = this->FindMutable(status.endpoint);
+  if (endpoint == nullptr) {
+    return false;
+  }
+  endpoint->failed_at.reset();
+  if (endpoint->status && status.term < endpoint->status->term) {
+    return false;  // Answers may arrive out of order; terms never go back.
+  }
+  endpoint->status = status;
+  endpoint->status_time = now;
+  if (endpoint->is_primary && status.term == this->state.term &&
+      (this->samples.empty() || (this->samples.back().index < status.received &&
+                                 now - this->samples.back().time >= kSampleGap))) {
+    this->samples.push_back({now, status.received});
+    if (this->samples.size() > kMaxSamples) {
+      this->samples.pop_front();
+    }
+  }
+  return status.term > this->state.term;
+}
+
+void GroupView::OnSent(const std::string& endpoint) {
+  if (Endpoint* found = this->FindMutable(endpoint)) {
+    ++found->outstanding;
+  }
+}
+
+void GroupView::OnDone(const std::string& endpoint, bool failed, TimePoint now) {
+  if (Endpoint* found = this->FindMutable(endpoint)) {
+    found->outstanding = std::max(0, found->outstanding - 1);
+    if (failed) {
+      found->failed_at = now;
+    }
+  }
+}
+
+const GroupView::Endpoint* GroupView::Find(const std::string& name) const {
+  for (const Endpoint& endpoint : this->endpoints) {
+    if (endpoint.info.name == name) {
+      return &endpoint;
+    }
+  }
+  return nullptr;
+}
+
+GroupView::Endpoint* GroupView::FindMutable(const std::string& name) {
+  return const_cast<Endpoint*>(std::as_const(*this).Find(name));
+}
+
+const GroupView::Endpoint* GroupView::UsablePrimary() const {
+  for (const Endpoint& endpoint : this->endpoints) {
+    if (endpoint.is_primary && !endpoint.info.leaving) {
+      return &endpoint;
+    }
+  }
+  return nullptr;
+}
+
+uint64_t GroupView::EstimateReplayed(const Endpoint& endpoint, TimePoint now) const {
+  if (!endpoint.status || endpoint.status->term != this->state.term) {
+    return 0;
+  }
+  uint64_t replayed = endpoint.status->replayed;
+  if (!this->IsCurrent(endpoint, now)) {
+    return replayed;
+  }
+  const TimePoint reached = now - endpoint.status->staleness - kReplayMargin;
+  for (auto sample = this->samples.rbegin(); sample != this->samples.rend(); ++sample) {
+    if (sample->time <= reached) {
+      replayed = std::max(replayed, sample->index);
+      break;
+    }
+  }
+  return replayed;
+}
+
+int GroupView::Load(const Endpoint& endpoint, TimePoint now) const {
+  return std::max(endpoint.outstanding,
+                  this->IsCurrent(endpoint, now) ? endpoint.status->active : 0);
+}
+
+bool GroupView::IsCurrent(const Endpoint& endpoint, TimePoint now) const {
+  return endpoint.status && now - endpoint.status_time <= kStatusAge;
+}
+
+bool GroupView::IsSuspect(const Endpoint& endpoint, TimePoint now) const {
+  return endpoint.failed_at && now - *endpoint.failed_at < kSuspectTime;
+}
+
+bool GroupView::IsLost(LogPosition position) const {
+  return std::any_of(this->state.term_starts.begin(), this->state.term_starts.end(),
+                     [&](const TermStart& start) {
+                       return start.term > position.term && start.index < position.index;
+                     });
+}
+
+}  // namespace poplarmoor
--- a/kernel/group_view.h
+++ b/kernel/group_view.h
@@ -77,6 +77,11 @@
   /// @returns Statements believed to be at the endpoint, for comparison between endpoints.
   int Load(const Endpoint& endpoint, TimePoint now) const;
 
+  /// @param endpoint An endpoint of this view.
+  /// @param now Current time.
+  /// @returns Whether its load and staleness are recent enough to decide by.
+  bool IsCurrent(const Endpoint& endpoint, TimePoint now) const;
+
   /// @param endpoint An endpoint of this view.
   /// @param now Current time.
   /// @returns Whether it failed recently and has not answered since.
--- /dev/null
+++ b/kernel/ranked_admission.cc
@@ -0,0 +1,282 @@
+#include "kernel/ranked_admission.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <memory>
+
+namespace poplarmoor {
+
+namespace {
+
+constexpr double kSmoothing = 0.1;          // Part of a new service time in the mean.
+constexpr double kArrivalWindow = 500'000;  // Time constant of the arrival rate, microseconds.
+constexpr double kUnmeasured = 1'000;       // Cost of an item before any measurement, microseconds.
+constexpr double kMinShare = 0.01;          // Keeps predictions finite for a starved rank.
+constexpr double kMinWeight = 0.01;         // Smallest weight of a site.
+constexpr Duration kMinRetryAfter = 10ms;
+constexpr Duration kMaxRetryAfter = 5000ms;
+
+Duration FromMicros(double micros) {
+  return Duration(static_cast<int64_t>(std::ceil(micros)));
+}
+
+void Smooth(double* mean, double value) {
+  *mean = *mean == 0.0 ? value : *mean + kSmoothing * (value - *mean);
+}
+
+}  // namespace
+
+RankedAdmission::RankedAdmission(const Traits& traits) : traits(traits) {
+  this->Configure(AdmissionSettings());
+}
+
+void RankedAdmission::Configure(const AdmissionSettings& settings) {
+  this->settings = settings;
+  this->smallest_weight = 1.0;
+  for (const auto& [site, weight] : settings.site_weights) {
+    this->smallest_weight = std::min(this->smallest_weight, std::max(weight, kMinWeight));
+  }
+  size_t total = 0;
+  for (size_t rank = 0; rank < kRankCount; ++rank) {
+    const RankSettings& of_rank = settings.ranks[rank];
+    this->classes[rank].floor_share = this->traits.floors ? of_rank.floor_share : 0.0;
+    this->classes[rank].max_queue = of_rank.max_queue;
+    total += of_rank.max_queue;
+  }
+  if (!this->traits.ranks) {
+    this->classes[0].max_queue = total;
+  }
+}
+
+void RankedAdmission::SetSlots(int slots) {
+  this->slots = std::max(1, slots);
+}
+
+AdmissionDecision RankedAdmission::Offer(const AdmissionItem& item, TimePoint now) {
+  assert(!this->waiters.contains(item.id) && "ids are unique among waiting items");
+  AdmissionDecision decision;
+  if (item.deadline <= now) {
+    decision.reason = Reason::kDeadlineExceeded;
+    return decision;
+  }
+  const size_t index = this->ClassOf(item.rank);
+  const std::string& site = this->SiteKeyOf(item);
+  Class& queue = this->classes[index];
+  decision.predicted_wait = this->PredictWait(index, site, now);
+  Duration needed = decision.predicted_wait;
+  if (needed > Duration(0)) {
+    needed += FromMicros(this->ServiceOf(queue));
+  }
+  const bool full = queue.queues.SizeOf(site) >= queue.max_queue;
+  if (full || now + needed > item.deadline) {
+    decision.reason = Reason::kOverloaded;
+    // When the wait has become short enough for the same deadline.
+    const Duration excess = full ? decision.predicted_wait : now + needed - item.deadline;
+    decision.retry_after = std::clamp<Duration>(excess, kMinRetryAfter, kMaxRetryAfter);
+    return decision;
+  }
+  const SiteQueues::Handle handle = queue.queues.Push(item, site, this->QuantumOf(site));
+  this->waiters.emplace(item.id, Waiter{index, handle});
+  this->deadlines.emplace(item.deadline, item.id);
+  ++this->waiting[static_cast<size_t>(item.rank)];
+  this->CountArrival(&queue, now);
+  decision.queued = true;
+  return decision;
+}
+
+std::optional<AdmissionItem> RankedAdmission::Next(TimePoint now) {
+  if (this->running >= this->slots || this->waiters.empty()) {
+    return std::nullopt;
+  }
+  this->MoveExpired(now);
+  const size_t index = this->ChooseClass();
+  if (index == kRankCount) {
+    return std::nullopt;
+  }
+  Class& queue = this->classes[index];
+  AdmissionItem item = queue.queues.Front();
+  this->Forget(item);
+  queue.queues.PopFront();
+  this->Charge(index);
+  ++this->running;
+  return item;
+}
+
+void RankedAdmission::Finished(Rank rank, Duration service_time) {
+  this->Abandoned(rank);
+  const double micros = std::max(1.0, static_cast<double>(service_time.count()));
+  Smooth(&this->service, micros);
+  Smooth(&this->classes[this->ClassOf(rank)].service, micros);
+}
+
+void RankedAdmission::Abandoned(Rank) {
+  assert(this->running > 0 && "only an item from Next() holds a slot");
+  --this->running;
+}
+
+bool RankedAdmission::Cancel(uint64_t id) {
+  const auto found = this->waiters.find(id);
+  if (found == this->waiters.end()) {
+    return false;
+  }
+  this->Remove(found->second);
+  return true;
+}
+
+std::vector<AdmissionItem> RankedAdmission::TakeExpired(TimePoint now) {
+  this->MoveExpired(now);
+  return std::exchange(this->expired, {});
+}
+
+std::optional<TimePoint> RankedAdmission::NextExpiry() const {
+  if (!this->expired.empty()) {
+    return this->expired.front().deadline;
+  }
+  return this->deadlines.empty() ? std::nullopt : std::optional(this->deadlines.begin()->first);
+}
+
+size_t RankedAdmission::Waiting(Rank rank) const {
+  return this->waiting[static_cast<size_t>(rank)];
+}
+
+size_t RankedAdmission::ClassOf(Rank rank) const {
+  return this->traits.ranks ? static_cast<size_t>(rank) : 0;
+}
+
+const std::string& RankedAdmission::SiteKeyOf(const AdmissionItem& item) const {
+  static const std::string all_sites;
+  return this->traits.sites ? item.site : all_sites;
+}
+
+double RankedAdmission::QuantumOf(const std::string& site) const {
+  const auto found = this->settings.site_weights.find(site);
+  const double weight = found == this->settings.site_weights.end() ? 1.0 : found->second;
+  // At least 1, so that each visit serves an item and Next() takes constant time.
+  return std::max(weight, kMinWeight) / this->smallest_weight;
+}
+
+double RankedAdmission::ServiceOf(const Class& queue) const {
+  return queue.service > 0.0 ? queue.service : this->service;
+}
+
+Duration RankedAdmission::PredictWait(size_t class_index,
+                                      const std::string& site,
+                                      TimePoint now) const {
+  const Class& own = this->classes[class_index];
+  double higher_work = 0.0;  // Slot time of waiting work of higher ranks, microseconds.
+  double higher_load = 0.0;  // Slots that newly arriving work of higher ranks will take.
+  double lower_floors = 0.0;
+  for (size_t each = 0; each < kRankCount; ++each) {
+    const Class& other = this->classes[each];
+    if (each < class_index) {
+      higher_work += static_cast<double>(other.queues.size()) * this->ServiceOf(other);
+      const auto age = static_cast<double>((now - other.last_arrival).count());
+      higher_load += other.arrival_rate * std::exp(-age / kArrivalWindow) * this->ServiceOf(other);
+    } else if (each > class_index && !other.queues.empty()) {
+      lower_floors += other.floor_share;
+    }
+  }
+  if (this->running < this->slots && higher_work == 0.0 && own.queues.empty()) {
+    return Duration(0);
+  }
+  // Items of the own rank that are served before this one: while the items of the own site are
+  // served, the other sites are served in proportion to their quanta.
+  const auto own_items = static_cast<double>(own.queues.SizeOf(site));
+  const double quantum = this->QuantumOf(site);
+  const double other_quanta = own.queues.ActiveQuanta() - (own_items > 0.0 ? quantum : 0.0);
+  const double ahead = std::min(static_cast<double>(own.queues.size()),
+                                own_items + (own_items + 1.0) * other_quanta / quantum);
+  const double own_work = ahead * this->ServiceOf(own);
+  const double slots = this->slots;
+  const double first_free = this->running < this->slots ? 0.0 : this->service / slots;
+  const double share = std::max(kMinShare, 1.0 - std::min(1.0, higher_load / slots));
+  const double capacity = slots * std::max(kMinShare, 1.0 - lower_floors);
+  double wait = (higher_work + own_work / share) / capacity;
+  if (own.floor_share > 0.0) {
+    wait = std::min(wait, (own_work + this->ServiceOf(own)) / (slots * own.floor_share));
+  }
+  return FromMicros(first_free + wait);
+}
+
+size_t RankedAdmission::ChooseClass() const {
+  size_t highest = kRankCount;
+  for (size_t index = 0; index < kRankCount; ++index) {
+    const Class& queue = this->classes[index];
+    if (queue.queues.empty()) {
+      continue;
+    }
+    if (highest == kRankCount) {
+      highest = index;
+    } else if (queue.floor_share > 0.0 && queue.credit >= this->CostOf(queue)) {
+      return index;  // A lower rank whose floor has earned the slot time of one item.
+    }
+  }
+  return highest;
+}
+
+void RankedAdmission::Charge(size_t class_index) {
+  // With few slots a floor is seldom a whole slot, so floors hold over time: each dispatch earns
+  // every waiting rank its share of the slot time, and a rank whose share covers one item goes
+  // first.
+  const double cost = this->CostOf(this->classes[class_index]);
+  for (size_t index = 0; index < kRankCount; ++index) {
+    Class& queue = this->classes[index];
+    if (index == class_index) {
+      // Slot time beyond the floor was free; it creates no debt.
+      queue.credit = std::max(0.0, queue.credit + queue.floor_share * cost - cost);
+    } else if (!queue.queues.empty()) {
+      queue.credit += queue.floor_share * cost;
+    }
+    if (queue.queues.empty()) {
+      queue.credit = 0.0;  // Unused floors are not saved up.
+    }
+  }
+}
+
+double RankedAdmission::CostOf(const Class& queue) const {
+  const double service = this->ServiceOf(queue);
+  return service > 0.0 ? service : kUnmeasured;
+}
+
+void RankedAdmission::CountArrival(Class* queue, TimePoint now) {
+  const auto age = static_cast<double>((now - queue->last_arrival).count());
+  queue->arrival_rate =
+      queue->arrival_rate * std::exp(-age / kArrivalWindow) + 1.0 / kArrivalWindow;
+  queue->last_arrival = now;
+}
+
+void RankedAdmission::MoveExpired(TimePoint now) {
+  while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
+    const auto found = this->waiters.find(this->deadlines.begin()->second);
+    this->expired.push_back(*found->second.handle.item);
+    this->Remove(found->second);
+  }
+}
+
+void RankedAdmission::Forget(const AdmissionItem& item) {
+  --this->waiting[static_cast<size_t>(item.rank)];
+  this->deadlines.erase({item.deadline, item.id});
+  this->waiters.erase(item.id);
+}
+
+void RankedAdmission::Remove(const Waiter& waiter) {
+  const Waiter copy = waiter;
+  this->Forget(*copy.handle.item);
+  this->classes[copy.class_index].queues.Erase(copy.handle);
+}
+
+namespace {
+
+Registry<AdmissionQueue>::Entry Plugin(const char* name, const RankedAdmission::Traits& traits) {
+  return {name, [traits] { return std::make_unique<RankedAdmission>(traits); }};
+}
+
+const Registry<AdmissionQueue>::Entry kFloors = Plugin("floors", {true, true, true});
+const Registry<AdmissionQueue>::Entry kStrictPriority =
+    Plugin("strict_priority", {true, false, false});
+const Registry<AdmissionQueue>::Entry kFcfs = Plugin("fcfs", {false, false, false});
+
+}  // namespace
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/ranked_admission.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <array>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "kernel/admission_queue.h"
+#include "kernel/site_queues.h"
+
+namespace poplarmoor {
+
+/// Admission queue of all three policies. They differ in what they distinguish: floors knows ranks,
+/// sites and floors, strict_priority only ranks, and fcfs serves in the order of arrival.
+class RankedAdmission : public AdmissionQueue {
+ public:
+  /// What a policy distinguishes.
+  struct Traits {
+    bool ranks = true;
+    bool sites = true;
+    bool floors = true;
+  };
+
+  explicit RankedAdmission(const Traits& traits);
+
+  void Configure(const AdmissionSettings& settings) override;
+  void SetSlots(int slots) override;
+  AdmissionDecision Offer(const AdmissionItem& item, TimePoint now) override;
+  std::optional<AdmissionItem> Next(TimePoint now) override;
+  void Finished(Rank rank, Duration service_time) override;
+  void Abandoned(Rank rank) override;
+  bool Cancel(uint64_t id) override;
+  std::vector<AdmissionItem> TakeExpired(TimePoint now) override;
+  std::optional<TimePoint> NextExpiry() const override;
+  size_t Waiting(Rank rank) const override;
+  int Running() const override { return this->running; }
+
+ private:
+  /// State of one rank, or of all work under fcfs.
+  struct Class {
+    SiteQueues queues;
+    double floor_share = 0.0;
+    size_t max_queue = 256;   // For each site.
+    double service = 0.0;     // Smoothed service time, microseconds; 0: not measured.
+    double credit = 0.0;      // Slot time that its floor has earned, microseconds.
+    double arrival_rate = 0;  // Queued items a microsecond, with exponential decay.
+    TimePoint last_arrival;
+  };
+
+  struct Waiter {
+    size_t class_index = 0;
+    SiteQueues::Handle handle;
+  };
+
+  size_t ClassOf(Rank rank) const;
+  const std::string& SiteKeyOf(const AdmissionItem& item) const;
+  double QuantumOf(const std::string& site) const;
+  double ServiceOf(const Class& queue) const;
+  Duration PredictWait(size_t class_index, const std::string& site, TimePoint now) const;
+  size_t ChooseClass() const;
+  void Charge(size_t class_index);
+  void CountArrival(Class* queue, TimePoint now);
+  double CostOf(const Class& queue) const;
+  void MoveExpired(TimePoint now);
+  void Forget(const AdmissionItem& item);
+  void Remove(const Waiter& waiter);
+
+  Traits traits;
+  AdmissionSettings settings;
+  double smallest_weight = 1.0;
+  int slots = 1;
+  int running = 0;
+  double service = 0.0;  // Smoothed service time of all work, microseconds; 0: not measured.
+  std::array<Class, kRankCount> classes;
+  std::array<size_t, kRankCount> waiting{};  // By rank.
+  std::unordered_map<uint64_t, Waiter> waiters;
+  std::set<std::pair<TimePoint, uint64_t>> deadlines;  // Of the waiting items.
+  std::vector<AdmissionItem> expired;                  // Not yet returned by TakeExpired().
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/request_machine.cc
@@ -0,0 +1,353 @@
+#include "kernel/request_machine.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace poplarmoor {
+
+namespace {
+
+constexpr Duration kFirstBackoff = 10ms;
+constexpr Duration kLongestBackoff = 100ms;  // A group change ends it earlier.
+constexpr Duration kReplicaWait = 10ms;      // For a replica that is nearly at the position.
+constexpr uint64_t kCloseEntries = 64;       // Log entries that replay in about kReplicaWait.
+constexpr Duration kCloseStaleness = 100ms;  // Beyond it, replay is stalled rather than late.
+constexpr Duration kMinSplit = 100ms;  // Less time than this is not split for a second attempt.
+constexpr size_t kMaxOwners = 3;       // Daemons tried for one endpoint before a backoff.
+constexpr int kMaxPinnedAttempts = 3;  // Attempts to reach the owner of a transaction.
+
+/// @returns Whether the request belongs to an open transaction.
+bool IsPinned(Operation operation) {
+  return operation == Operation::kTransactionRead || operation == Operation::kTransactionWrite ||
+         operation == Operation::kCommit || operation == Operation::kRollback;
+}
+
+StatementResult MakeResult(Verdict verdict, Reason reason) {
+  StatementResult result;
+  result.verdict = verdict;
+  result.reason = reason;
+  return result;
+}
+
+}  // namespace
+
+RequestMachine::RequestMachine(StatementRequest request, RequestOptions options)
+    : request(std::move(request)), options(std::move(options)) {
+  assert(IsPinned(this->request.operation) == !this->options.pinned_endpoint.empty() &&
+         "exactly the statements of transactions are pinned to an endpoint");
+}
+
+RequestAction RequestMachine::Start(const RequestContext& context) {
+  context.budget.OnRequest();
+  return this->TrySend(context);
+}
+
+RequestAction RequestMachine::OnAnswer(int attempt,
+                                       const StatementResult& result,
+                                       const RequestContext& context) {
+  if (this->finished) {
+    return this->Finish(this->final_result);
+  }
+  Attempt& answered = this->attempts.at(static_cast<size_t>(attempt - 1));
+  if (result.verdict == Verdict::kRan) {
+    return this->Finish(result);
+  }
+  if (answered.state == AttemptState::kNotRun) {
+    return this->WaitUntil(this->timer);  // Answered before.
+  }
+  const bool was_outstanding = answered.state == AttemptState::kOutstanding;
+  this->last_result = result;
+  if (result.verdict == Verdict::kMayHaveRun) {
+    answered.state = AttemptState::kMayHaveRun;
+    return was_outstanding ? this->OnLost(answered, result, context) : this->WaitUntil(this->timer);
+  }
+  answered.state = AttemptState::kNotRun;
+  if (result.reason == Reason::kRequestIdReused && this->options.records_request_ids) {
+    return this->Finish(result);
+  }
+  return was_outstanding ? this->OnRefused(answered, result, context)
+                         : this->WaitUntil(this->timer);
+}
+
+RequestAction RequestMachine::OnSendFailed(int attempt, bool sent, const RequestContext& context) {
+  return this->OnAnswer(attempt,
+                        sent ? MakeResult(Verdict::kMayHaveRun, Reason::kConnectionLost)
+                             : MakeResult(Verdict::kNotRun, Reason::kConnectFailed),
+                        context);
+}
+
+RequestAction RequestMachine::OnTimer(const RequestContext& context) {
+  if (this->finished) {
+    return this->Finish(this->final_result);
+  }
+  if (context.now >= this->request.deadline) {
+    return this->GiveUp(Reason::kDeadlineExceeded);
+  }
+  if (!this->HasOutstanding()) {
+    return this->TrySend(context);
+  }
+  const bool promoted = context.group.State().term > this->attempts.back().term &&
+                        context.group.UsablePrimary() != nullptr;
+  if ((context.now < this->timer && !promoted) || !this->MayRepeatAfterLoss()) {
+    return this->WaitUntil(this->MayRepeatAfterLoss() ? this->timer : this->request.deadline);
+  }
+  // No answer in time. The earlier attempt stays outstanding: its answer still counts.
+  if (!promoted) {
+    this->avoided.push_back(this->attempts.back().endpoint);
+  }
+  return this->TrySend(context);
+}
+
+RequestMachine::Reaction RequestMachine::ReactionTo(Reason reason, bool needs_primary) {
+  switch (reason) {
+    case Reason::kNoPrimary:
+    case Reason::kNoQuorum:
+    case Reason::kFenced:
+    case Reason::kNotPrimary:
+      return Reaction::kWaitForGroup;
+    case Reason::kBehind:
+    case Reason::kStale:
+      return Reaction::kFresher;
+    case Reason::kConnectFailed:
+    case Reason::kNotOwner:
+    case Reason::kStopping:
+      return Reaction::kNextOwner;
+    case Reason::kNoSlot:
+    case Reason::kTooManyConnections:
+    case Reason::kConnectionLost:
+    case Reason::kTimeout:
+    case Reason::kLeaving:
+      return Reaction::kNextCandidate;
+    case Reason::kOverloaded:
+      // Waiting at the entry would hide the queue from the owner's admission; only another endpoint
+      // helps, and a write has none.
+      return needs_primary ? Reaction::kAnswer : Reaction::kNextCandidate;
+    default:
+      return Reaction::kAnswer;
+  }
+}
+
+bool RequestMachine::IsHarmless() const {
+  // A transaction begun by a lost attempt has no statements, and its owner ends it when it is idle.
+  return this->request.operation == Operation::kRead ||
+         this->request.operation == Operation::kBegin ||
+         this->request.operation == Operation::kOutcome;
+}
+
+bool RequestMachine::MayRepeatAfterLoss() const {
+  return this->IsHarmless() || (this->request.operation == Operation::kWrite &&
+                                this->request.repeatable && this->options.records_request_ids);
+}
+
+bool RequestMachine::HasUnresolved() const {
+  return std::any_of(this->attempts.begin(), this->attempts.end(),
+                     [](const Attempt& attempt) { return attempt.state != AttemptState::kNotRun; });
+}
+
+bool RequestMachine::HasOutstanding() const {
+  return std::any_of(this->attempts.begin(), this->attempts.end(), [](const Attempt& attempt) {
+    return attempt.state == AttemptState::kOutstanding;
+  });
+}
+
+RequestAction RequestMachine::OnLost(const Attempt& attempt,
+                                     const StatementResult& result,
+                                     const RequestContext& context) {
+  if (this->HasOutstanding()) {
+    return this->WaitUntil(this->timer);
+  }
+  if (!this->MayRepeatAfterLoss()) {
+    return this->Finish(result);
+  }
+  this->avoided.push_back(attempt.endpoint);
+  return this->TrySend(context);
+}
+
+RequestAction RequestMachine::OnRefused(const Attempt& attempt,
+                                        const StatementResult& result,
+                                        const RequestContext& context) {
+  if (this->HasOutstanding()) {
+    return this->WaitUntil(this->timer);
+  }
+  if (!this->options.pinned_endpoint.empty()) {
+    const bool unreached = result.reason == Reason::kConnectFailed;
+    return unreached && this->Attempts() < kMaxPinnedAttempts ? this->Backoff(context)
+                                                              : this->GiveUp(result.reason);
+  }
+  switch (ReactionTo(result.reason, NeedsPrimary(this->request.operation))) {
+    case Reaction::kAnswer:
+      return this->GiveUp(result.reason);
+    case Reaction::kNextCandidate:
+      this->avoided.push_back(attempt.endpoint);
+      return this->TrySend(context);
+    case Reaction::kWaitForGroup:
+      return context.group.State().term > attempt.term ? this->TrySend(context)
+                                                       : this->Backoff(context);
+    case Reaction::kFresher:
+      return this->UseFresher(attempt, result, context);
+    case Reaction::kNextOwner:
+      return this->UseNextOwner(attempt, context);
+  }
+  return this->GiveUp(Reason::kInternal);
+}
+
+RequestAction RequestMachine::UseFresher(const Attempt& attempt,
+                                         const StatementResult& result,
+                                         const RequestContext& context) {
+  const GroupView::Endpoint* primary = context.group.UsablePrimary();
+  if (primary != nullptr && primary->info.name == attempt.endpoint) {
+    return this->Backoff(context);  // The primary of an old term; a newer group state will come.
+  }
+  const uint64_t needed = this->request.required.index;
+  const bool close = result.reason == Reason::kBehind && result.status &&
+                     result.status->staleness <= kCloseStaleness &&
+                     needed <= result.status->replayed + kCloseEntries;
+  this->next_is_free = this->next_is_free || !this->redirected;
+  this->redirected = true;
+  if (close && !this->waited_for_replica) {
+    this->waited_for_replica = true;
+    this->next_endpoint = attempt.endpoint;
+    this->next_is_free = true;
+    this->redirected = false;
+    return this->WaitUntil(std::min(context.now + kReplicaWait, this->request.deadline));
+  }
+  this->prefer_primary = true;
+  this->avoided.push_back(attempt.endpoint);
+  return this->TrySend(context);
+}
+
+RequestAction RequestMachine::UseNextOwner(const Attempt& attempt, const RequestContext& context) {
+  ++this->owner_choice;
+  if (this->owner_choice >= kMaxOwners) {
+    this->owner_choice = 0;
+    this->avoided.push_back(attempt.endpoint);
+    return this->TrySend(context);
+  }
+  // The request reached no endpoint, so that the next daemon's attempt adds no load to any.
+  this->next_endpoint = attempt.endpoint;
+  this->next_is_free = true;
+  return this->TrySend(context);
+}
+
+std::string RequestMachine::ChooseEndpoint(const RequestContext& context) {
+  if (!this->options.pinned_endpoint.empty()) {
+    return this->options.pinned_endpoint;
+  }
+  if (!this->next_endpoint.empty()) {
+    const std::string preferred = std::exchange(this->next_endpoint, {});
+    const GroupView::Endpoint* endpoint = context.group.Find(preferred);
+    const bool fits = endpoint != nullptr && !endpoint->info.leaving &&
+                      (endpoint->is_primary || !NeedsPrimary(this->request.operation));
+    if (fits) {
+      return preferred;
+    }
+  }
+  RouteRequest route;
+  route.operation = this->request.operation;
+  route.required = this->request.required;
+  route.max_staleness = this->request.max_staleness;
+  route.primary_required = this->options.primary_required ||
+                           context.group.IsLost(this->request.required) ||
+                           (this->prefer_primary && context.group.UsablePrimary() != nullptr);
+  for (std::string& name :
+       context.policy.Candidates(route, context.group, context.now, context.random)) {
+    if (std::find(this->avoided.begin(), this->avoided.end(), name) == this->avoided.end()) {
+      return std::move(name);
+    }
+  }
+  return {};
+}
+
+RequestAction RequestMachine::TrySend(const RequestContext& context) {
+  if (context.now >= this->request.deadline) {
+    return this->GiveUp(Reason::kDeadlineExceeded);
+  }
+  assert((!this->HasUnresolved() || this->MayRepeatAfterLoss()) &&
+         "a request that may have run is repeated only when that is safe");
+  const std::string endpoint = this->ChooseEndpoint(context);
+  if (endpoint.empty()) {
+    if (this->last_result.reason == Reason::kOverloaded && !this->HasUnresolved()) {
+      return this->GiveUp(Reason::kOverloaded);
+    }
+    if (this->attempts.empty()) {
+      this->last_result = MakeResult(Verdict::kNotRun, Reason::kNoPrimary);
+    }
+    return this->Backoff(context);
+  }
+  // The first attempt in each term is free as well: otherwise the requests that wait through a
+  // promotion would use up the budget at the moment the new primary can serve them.
+  const bool is_free = this->attempts.empty() || this->next_is_free ||
+                       context.group.State().term > this->attempts.back().term;
+  if (!is_free && !context.budget.TryTake()) {
+    return this->Backoff(context);
+  }
+  return this->Send(endpoint, context);
+}
+
+RequestAction RequestMachine::Send(const std::string& endpoint, const RequestContext& context) {
+  this->next_is_free = false;
+  if (!this->attempts.empty() && this->attempts.back().endpoint != endpoint) {
+    this->owner_choice = 0;
+  }
+  const Duration remaining = this->request.deadline - context.now;
+  // Half of the time is left for another attempt, in case this one is lost without an error.
+  const bool splits = this->MayRepeatAfterLoss() && remaining >= kMinSplit;
+  RequestAction action;
+  action.kind = RequestAction::Kind::kSend;
+  action.endpoint = endpoint;
+  action.owner_choice = this->owner_choice;
+  action.term = context.group.State().term;
+  action.required =
+      context.group.IsLost(this->request.required) ? LogPosition() : this->request.required;
+  action.until = context.now + (splits ? remaining / 2 : remaining);
+  this->attempts.push_back({endpoint, action.term});
+  action.attempt = this->Attempts();
+  this->timer = action.until;
+  return action;
+}
+
+RequestAction RequestMachine::WaitUntil(TimePoint until) {
+  RequestAction action;
+  action.kind = RequestAction::Kind::kWait;
+  action.until = std::min(until, this->request.deadline);
+  this->timer = action.until;
+  return action;
+}
+
+RequestAction RequestMachine::Backoff(const RequestContext& context) {
+  this->avoided.clear();
+  const Duration full =
+      std::min<Duration>(kFirstBackoff * (1 << std::min(this->backoffs, 4)), kLongestBackoff);
+  ++this->backoffs;
+  const auto half = static_cast<uint64_t>(full.count() / 2);
+  return this->WaitUntil(context.now +
+                         Duration(static_cast<int64_t>(half + context.random % (half + 1))));
+}
+
+RequestAction RequestMachine::GiveUp(Reason reason) {
+  StatementResult result = this->last_result;
+  if (result.reason == Reason::kNone) {
+    result.reason = reason;
+  }
+  if (this->HasUnresolved()) {
+    result.verdict = Verdict::kMayHaveRun;
+    if (this->HasOutstanding()) {
+      result.reason = Reason::kTimeout;
+    }
+  } else {
+    result.verdict = Verdict::kNotRun;
+  }
+  return this->Finish(std::move(result));
+}
+
+RequestAction RequestMachine::Finish(StatementResult result) {
+  this->finished = true;
+  this->final_result = std::move(result);
+  RequestAction action;
+  action.kind = RequestAction::Kind::kAnswer;
+  action.result = this->final_result;
+  return action;
+}
+
+}  // namespace poplarmoor
--- a/kernel/request_machine.h
+++ b/kernel/request_machine.h
@@ -116,36 +116,48 @@
   /// What to do after a refusal.
   enum class Reaction {
     kAnswer,         // Only the caller can change the request.
-    kNextCandidate,  // Another endpoint may serve it.
+    kNextCandidate,  // Another endpoint may serve it, or the same one later.
     kWaitForGroup,   // A promotion is under way, or this entry knows an old state.
     kFresher,        // The replica lags: wait briefly or use the primary.
-    kNextOwner,      // Another daemon can reach the endpoint.
-    kBackoff,        // The same endpoint may serve it a little later.
+    kNextOwner,      // Another daemon may reach the endpoint.
   };
 
-  static Reaction ReactionTo(Reason reason, const StatementRequest& request);
-  bool MaySendAgain() const;
-  bool AnyMayHaveRun() const;
-  bool AnyOutstanding() const;
-  RequestAction React(Reason reason, const StatementResult* result, const RequestContext& context);
+  static Reaction ReactionTo(Reason reason, bool needs_primary);
+  bool IsHarmless() const;
+  bool MayRepeatAfterLoss() const;
+  bool HasUnresolved() const;
+  bool HasOutstanding() const;
+  RequestAction OnLost(const Attempt& attempt,
+                       const StatementResult& result,
+                       const RequestContext& context);
+  RequestAction OnRefused(const Attempt& attempt,
+                          const StatementResult& result,
+                          const RequestContext& context);
+  RequestAction UseFresher(const Attempt& attempt,
+                           const StatementResult& result,
+                           const RequestContext& context);
+  RequestAction UseNextOwner(const Attempt& attempt, const RequestContext& context);
+  std::string ChooseEndpoint(const RequestContext& context);
   RequestAction TrySend(const RequestContext& context);
   RequestAction Send(const std::string& endpoint, const RequestContext& context);
-  RequestAction WaitUntil(TimePoint until, const RequestContext& context);
+  RequestAction WaitUntil(TimePoint until);
+  RequestAction Backoff(const RequestContext& context);
+  RequestAction GiveUp(Reason reason);
   RequestAction Finish(StatementResult result);
-  RequestAction GiveUp(Reason reason, const RequestContext& context);
 
   StatementRequest request;
   RequestOptions options;
   std::vector<Attempt> attempts;
-  std::vector<std::string> avoided;  // Endpoints that refused or failed since the last wait.
+  std::vector<std::string> avoided;  // Endpoints that refused or failed since the last backoff.
   std::string next_endpoint;         // Preferred for the next attempt; empty: ask the policy.
-  size_t owner_choice = 0;           // Daemons of the endpoint's rendezvous order that failed.
-  bool primary_required = false;
+  size_t owner_choice = 0;           // Daemons in the endpoint's rendezvous order that failed.
+  bool prefer_primary = false;       // A replica was too far behind.
   bool waited_for_replica = false;
-  bool free_attempt = true;      // The next attempt costs no retry token.
-  uint64_t free_term = 0;        // Highest term whose first attempt was free.
-  int waits = 0;                 // Backoffs so far.
-  StatementResult last_refusal;  // Reported when the deadline passes.
+  bool redirected = false;   // A redirection without a retry token was used.
+  bool next_is_free = true;  // The next attempt needs no retry token.
+  int backoffs = 0;
+  TimePoint timer;              // Of the last action.
+  StatementResult last_result;  // Refusal or loss that is reported at the deadline.
   bool finished = false;
   StatementResult final_result;
 };
--- /dev/null
+++ b/kernel/site_queues.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstddef>
+#include <list>
+#include <string>
+#include <unordered_map>
+
+#include "kernel/admission_queue.h"
+
+namespace poplarmoor {
+
+/// Waiting items of one rank. Sites share by deficit round robin: on each visit a site may take as
+/// many items as its quantum, so that a flood of one site does not delay the others. All operations
+/// take constant time.
+class SiteQueues {
+ private:
+  struct SiteQueue;
+
+ public:
+  /// Position of a waiting item, valid until the item is removed.
+  struct Handle {
+    SiteQueue* site = nullptr;
+    std::list<AdmissionItem>::iterator item;
+  };
+
+  /// @param item Item to append to its site's queue.
+  /// @param site Key of the queue; policies without site fairness use one key for all.
+  /// @param quantum Items that the site may take on a visit, at least 1.
+  /// @returns Handle for Erase().
+  Handle Push(const AdmissionItem& item, const std::string& site, double quantum);
+
+  /// @returns The item whose turn it is. There must be one.
+  const AdmissionItem& Front() const;
+
+  /// Removes the item of Front() and charges it to its site.
+  void PopFront();
+
+  /// Removes an item that is not served.
+  /// @param handle Result of Push().
+  void Erase(const Handle& handle);
+
+  /// @returns Waiting items of all sites.
+  size_t size() const { return this->count; }
+
+  /// @returns Whether no item waits.
+  bool empty() const { return this->count == 0; }
+
+  /// @param site Key of a queue.
+  /// @returns Waiting items of the site.
+  size_t SizeOf(const std::string& site) const;
+
+  /// @returns Sum of the quanta of the sites with waiting items.
+  double ActiveQuanta() const { return this->active_quanta; }
+
+ private:
+  struct SiteQueue {
+    std::list<AdmissionItem> items;
+    double quantum = 1.0;
+    double deficit = 0.0;                      // Items that it may still take on this visit.
+    std::list<SiteQueue*>::iterator in_turns;  // Valid while items wait.
+  };
+
+  void Deactivate(SiteQueue* site);
+
+  std::unordered_map<std::string, SiteQueue> sites;
+  std::list<SiteQueue*> turns;  // Sites with waiting items; the front one is being visited.
+  size_t count = 0;
+  double active_quanta = 0.0;
+};
+
+}  // namespace poplarmoor
--- a/kernel/transaction_table.h
+++ b/kernel/transaction_table.h
@@ -22,6 +22,7 @@
     uint64_t term = 0;           // In which it began; its statements are sent with this term.
     uint64_t next_sequence = 1;  // Of the next statement.
     bool busy = false;           // A statement is under way.
+    bool counted = false;        // That statement took a sequence number.
     TimePoint last_used;
     TimePoint started;
   };
@@ -80,6 +81,11 @@
   size_t size() const { return this->transactions.size(); }
 
  private:
+  bool IsOver(const Transaction& transaction, TimePoint now) const;
+
+  template <typename Predicate>
+  std::vector<Transaction> RemoveIf(Predicate predicate);
+
   Duration idle_limit;
   Duration age_limit;
   std::map<std::string, Transaction> transactions;
