kernel: test the data-path decisions one by one

Cause: each part needs a check of the failure it guards against. The tests showed that the concurrency limit grew without end under steady queueing, because its baseline followed the latency that it caused; the baseline now rises only at or below the configured slots.

--- a/kernel/concurrency_limit.cc
+++ b/kernel/concurrency_limit.cc
@@ -1,6 +1,7 @@
 #include "kernel/concurrency_limit.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace poplarmoor {
 
@@ -11,7 +12,8 @@
 constexpr int kMinWindowCount = 5;          // Fewer statements say nothing about latency.
 constexpr double kShrinkRatio = 2.0;        // Latency over baseline that shrinks the limit.
 constexpr double kGrowRatio = 1.3;          // Latency over baseline below which it may grow.
-constexpr double kBaselineDrift = 1.01;     // Per window, so that a slower workload is accepted.
+constexpr double kNoGain = 0.9;             // Latency over that before a shrink: nothing gained.
+constexpr double kBaselineDrift = 1.01;     // Per window, so that one fast window is forgotten.
 constexpr Duration kBurst = 50ms;           // Refusals within it stem from the same excess.
 constexpr Duration kFirstCeiling = 1000ms;  // Before the limit may grow again after no_slot.
 constexpr Duration kLongestCeiling = 60s;
@@ -57,10 +59,17 @@
   if (count < kMinWindowCount) {
     return;
   }
-  const double known = this->baseline * kBaselineDrift;
+  // Above the slots the baseline never rises: it would follow the queueing that the limit itself
+  // causes, and the limit would grow without end.
+  const double known = this->baseline * (this->limit <= this->slots ? kBaselineDrift : 1.0);
   this->baseline = this->baseline == 0.0 ? mean : std::min(known, mean);
+  const double before = std::exchange(this->mean_before_shrink, 0.0);
+  if (before > 0.0 && this->limit < this->slots && mean > kNoGain * before) {
+    this->baseline = mean;  // Running less did not help: the statements themselves became slower.
+  }
   const double ratio = mean / std::max(1.0, this->baseline);
   if (ratio > kShrinkRatio) {
+    this->mean_before_shrink = mean;
     this->limit = std::max(1, this->limit - 1);
     return;
   }
--- a/kernel/concurrency_limit.h
+++ b/kernel/concurrency_limit.h
@@ -44,6 +44,7 @@
   Duration ceiling_time{0};             // Doubles with each refusal.
   std::optional<TimePoint> refused_at;  // Several refusals of one burst count once.
   double baseline = 0.0;                // Lowest mean latency of a window, microseconds; 0: none.
+  double mean_before_shrink = 0.0;      // Of the window that shrank the limit; 0: did not shrink.
   double window_sum = 0.0;              // Microseconds.
   int window_count = 0;
   int window_max_running = 0;
--- a/kernel/request_machine.cc
+++ b/kernel/request_machine.cc
@@ -57,12 +57,13 @@
     return this->WaitUntil(this->timer);  // Answered before.
   }
   const bool was_outstanding = answered.state == AttemptState::kOutstanding;
-  this->last_result = result;
   if (result.verdict == Verdict::kMayHaveRun) {
+    this->last_loss = result;
     answered.state = AttemptState::kMayHaveRun;
     return was_outstanding ? this->OnLost(answered, result, context) : this->WaitUntil(this->timer);
   }
   answered.state = AttemptState::kNotRun;
+  this->last_refusal = result;
   if (result.reason == Reason::kRequestIdReused && this->options.records_request_ids) {
     return this->Finish(result);
   }
@@ -92,8 +93,10 @@
   if ((context.now < this->timer && !promoted) || !this->MayRepeatAfterLoss()) {
     return this->WaitUntil(this->MayRepeatAfterLoss() ? this->timer : this->request.deadline);
   }
-  // No answer in time. The earlier attempt stays outstanding: its answer still counts.
-  if (!promoted) {
+  // No answer in time. The earlier attempt stays outstanding: its answer still counts. Its endpoint
+  // is avoided until the next backoff, which ends at once when there is no other candidate.
+  if (!promoted && this->silent_attempt != this->Attempts()) {
+    this->silent_attempt = this->Attempts();
     this->avoided.push_back(this->attempts.back().endpoint);
   }
   return this->TrySend(context);
@@ -203,15 +206,14 @@
   const bool close = result.reason == Reason::kBehind && result.status &&
                      result.status->staleness <= kCloseStaleness &&
                      needed <= result.status->replayed + kCloseEntries;
-  this->next_is_free = this->next_is_free || !this->redirected;
-  this->redirected = true;
   if (close && !this->waited_for_replica) {
     this->waited_for_replica = true;
     this->next_endpoint = attempt.endpoint;
     this->next_is_free = true;
-    this->redirected = false;
-    return this->WaitUntil(std::min(context.now + kReplicaWait, this->request.deadline));
+    return this->WaitUntil(context.now + kReplicaWait);
   }
+  this->next_is_free = !this->redirected;
+  this->redirected = true;
   this->prefer_primary = true;
   this->avoided.push_back(attempt.endpoint);
   return this->TrySend(context);
@@ -267,11 +269,11 @@
          "a request that may have run is repeated only when that is safe");
   const std::string endpoint = this->ChooseEndpoint(context);
   if (endpoint.empty()) {
-    if (this->last_result.reason == Reason::kOverloaded && !this->HasUnresolved()) {
+    if (this->last_refusal.reason == Reason::kOverloaded && !this->HasUnresolved()) {
       return this->GiveUp(Reason::kOverloaded);
     }
     if (this->attempts.empty()) {
-      this->last_result = MakeResult(Verdict::kNotRun, Reason::kNoPrimary);
+      this->last_refusal = MakeResult(Verdict::kNotRun, Reason::kNoPrimary);
     }
     return this->Backoff(context);
   }
@@ -326,17 +328,15 @@
 }
 
 RequestAction RequestMachine::GiveUp(Reason reason) {
-  StatementResult result = this->last_result;
-  if (result.reason == Reason::kNone) {
-    result.reason = reason;
+  if (this->HasOutstanding()) {
+    return this->Finish(MakeResult(Verdict::kMayHaveRun, Reason::kTimeout));
   }
   if (this->HasUnresolved()) {
-    result.verdict = Verdict::kMayHaveRun;
-    if (this->HasOutstanding()) {
-      result.reason = Reason::kTimeout;
-    }
-  } else {
-    result.verdict = Verdict::kNotRun;
+    return this->Finish(this->last_loss);
+  }
+  StatementResult result = this->last_refusal;
+  if (result.reason == Reason::kNone) {
+    result.reason = reason;
   }
   return this->Finish(std::move(result));
 }
--- a/kernel/request_machine.h
+++ b/kernel/request_machine.h
@@ -156,8 +156,10 @@
   bool redirected = false;   // A redirection without a retry token was used.
   bool next_is_free = true;  // The next attempt needs no retry token.
   int backoffs = 0;
-  TimePoint timer;              // Of the last action.
-  StatementResult last_result;  // Refusal or loss that is reported at the deadline.
+  TimePoint timer;               // Of the last action.
+  int silent_attempt = 0;        // Last attempt whose endpoint was avoided for its silence.
+  StatementResult last_refusal;  // Reported at the deadline when no attempt can have run.
+  StatementResult last_loss;     // Reported otherwise.
   bool finished = false;
   StatementResult final_result;
 };
--- /dev/null
+++ b/tests/kernel/admission_test.cc
@@ -0,0 +1,184 @@
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "kernel/admission_queue.h"
+#include "tests/kernel/fixtures.h"
+
+namespace poplarmoor {
+namespace {
+
+AdmissionItem MakeItem(uint64_t id, Rank rank, const std::string& site, int64_t deadline) {
+  return {id, rank, site, At(deadline)};
+}
+
+/// A queue of one slot whose statements take 10 ms each.
+std::unique_ptr<AdmissionQueue> MakeQueue(const std::string& policy, double background_floor) {
+  auto queue = Registry<AdmissionQueue>::Create(policy);
+  AdmissionSettings settings;
+  settings.ranks[2].floor_share = background_floor;
+  queue->Configure(settings);
+  queue->SetSlots(1);
+  queue->Offer(MakeItem(1, Rank::kStandard, "s", 1000), At(0));
+  queue->Next(At(0));
+  queue->Finished(Rank::kStandard, 10ms);
+  return queue;
+}
+
+/// Keeps a number of items of each rank waiting and counts the ranks served.
+std::array<int, kRankCount> Serve(AdmissionQueue* queue, int rounds) {
+  std::array<int, kRankCount> served{};
+  uint64_t id = 100;
+  for (int i = 0; i < rounds; ++i) {
+    for (Rank rank : {Rank::kUrgent, Rank::kStandard, Rank::kBackground}) {
+      while (queue->Waiting(rank) < 5) {
+        REQUIRE(queue->Offer(MakeItem(++id, rank, "s", 1'000'000), At(i * 10)).queued);
+      }
+    }
+    ++served[static_cast<size_t>(queue->Next(At(i * 10))->rank)];
+    queue->Finished(Rank::kStandard, 10ms);
+  }
+  return served;
+}
+
+TEST_CASE("a flood of urgent work leaves each rank its floor and no more") {
+  const auto floors = Serve(MakeQueue("floors", 0.1).get(), 1000);
+  CHECK(floors[2] >= 95);
+  CHECK(floors[2] <= 105);
+  CHECK(floors[1] == 0);  // No floor: unused and ungranted shares go to the highest rank.
+  CHECK(Serve(MakeQueue("strict_priority", 0.1).get(), 1000)[0] == 1000);
+  for (int served : Serve(MakeQueue("fcfs", 0.1).get(), 999)) {
+    CHECK(std::abs(served - 333) <= 5);  // Five items of each rank wait at the end.
+  }
+}
+
+TEST_CASE("a flood of one site does not delay another site of the same rank") {
+  const auto queue = MakeQueue("floors", 0.0);
+  for (uint64_t id = 10; id < 60; ++id) {
+    REQUIRE(queue->Offer(MakeItem(id, Rank::kStandard, "biella", 1'000'000), At(0)).queued);
+  }
+  queue->Offer(MakeItem(60, Rank::kStandard, "treviso", 1'000'000), At(0));
+  queue->Offer(MakeItem(61, Rank::kStandard, "treviso", 1'000'000), At(0));
+  std::string order;
+  for (int i = 0; i < 5; ++i) {
+    order += queue->Next(At(0))->site[0];
+    queue->Finished(Rank::kStandard, 10ms);
+  }
+  CHECK(order == "btbtb");
+}
+
+TEST_CASE("site weights divide the slots of a rank") {
+  const auto queue = MakeQueue("floors", 0.0);
+  AdmissionSettings settings;
+  settings.site_weights = {{"a", 3.0}, {"b", 1.0}};
+  queue->Configure(settings);
+  for (uint64_t id = 10; id < 210; ++id) {
+    queue->Offer(MakeItem(id, Rank::kStandard, id % 2 ? "a" : "b", 1'000'000), At(0));
+  }
+  int of_a = 0;
+  for (int i = 0; i < 80; ++i) {
+    of_a += queue->Next(At(0))->site == "a" ? 1 : 0;
+    queue->Finished(Rank::kStandard, 10ms);
+  }
+  CHECK(of_a == 60);
+}
+
+TEST_CASE("a request that cannot be served before its deadline is refused at once") {
+  const auto queue = MakeQueue("floors", 0.0);
+  queue->Offer(MakeItem(10, Rank::kStandard, "s", 1000), At(0));
+  queue->Next(At(0));
+  for (uint64_t id = 11; id < 16; ++id) {
+    REQUIRE(queue->Offer(MakeItem(id, Rank::kStandard, "s", 1000), At(0)).queued);
+  }
+  const AdmissionDecision refused = queue->Offer(MakeItem(20, Rank::kStandard, "s", 50), At(0));
+  CHECK_FALSE(refused.queued);
+  CHECK(refused.reason == Reason::kOverloaded);
+  CHECK(refused.retry_after >= 10ms);
+  CHECK(queue->Offer(MakeItem(21, Rank::kUrgent, "s", 50), At(0)).queued);
+  CHECK(queue->Offer(MakeItem(22, Rank::kStandard, "s", -1), At(0)).reason ==
+        Reason::kDeadlineExceeded);
+}
+
+TEST_CASE("the queue of a rank and site is bounded, and other sites still enter") {
+  const auto queue = MakeQueue("floors", 0.0);
+  for (uint64_t id = 10; id < 10 + 256; ++id) {
+    REQUIRE(queue->Offer(MakeItem(id, Rank::kBackground, "s", 1'000'000), At(0)).queued);
+  }
+  CHECK_FALSE(queue->Offer(MakeItem(1000, Rank::kBackground, "s", 1'000'000), At(0)).queued);
+  CHECK(queue->Offer(MakeItem(1001, Rank::kBackground, "t", 1'000'000), At(0)).queued);
+}
+
+TEST_CASE("expired and cancelled work never takes a slot") {
+  const auto queue = MakeQueue("floors", 0.0);
+  queue->Offer(MakeItem(10, Rank::kStandard, "s", 30), At(0));
+  queue->Offer(MakeItem(11, Rank::kStandard, "s", 500), At(0));
+  queue->Offer(MakeItem(12, Rank::kStandard, "s", 500), At(0));
+  CHECK(queue->Cancel(11));
+  CHECK_FALSE(queue->Cancel(11));
+  CHECK(queue->NextExpiry() == At(30));
+  CHECK(queue->Next(At(40))->id == 12);
+  const auto expired = queue->TakeExpired(At(40));
+  REQUIRE(expired.size() == 1);
+  CHECK(expired[0].id == 10);
+  CHECK(queue->TakeExpired(At(40)).empty());
+}
+
+TEST_CASE("the queue never runs more than its slots and loses or repeats no item") {
+  for (const std::string& policy : Registry<AdmissionQueue>::Names()) {
+    CHECK(rc::check(policy, [&](const std::vector<uint32_t>& steps) {
+      const auto queue = Registry<AdmissionQueue>::Create(policy);
+      queue->SetSlots(2);
+      std::map<uint64_t, Rank> waiting;
+      std::vector<Rank> running;
+      int64_t now = 0;
+      const auto take = [&](uint64_t id) { RC_ASSERT(waiting.erase(id) == 1); };
+      for (uint32_t step : steps) {
+        now += step % 5;
+        const auto rank = static_cast<Rank>(step / 8 % 3);
+        const uint64_t id = waiting.empty() ? 1 : waiting.rbegin()->first + 1;
+        switch (step % 8) {
+          case 0:
+          case 1:
+          case 2:
+            if (queue->Offer(MakeItem(id, rank, step % 3 ? "a" : "b", now + step % 64), At(now))
+                    .queued) {
+              waiting.emplace(id, rank);
+            }
+            break;
+          case 3:
+          case 4:
+            if (const auto item = queue->Next(At(now))) {
+              RC_ASSERT(item->deadline > At(now));
+              take(item->id);
+              running.push_back(item->rank);
+            }
+            break;
+          case 5:
+            if (!running.empty()) {
+              queue->Finished(running.back(), Duration(step % 20'000));
+              running.pop_back();
+            }
+            break;
+          case 6:
+            RC_ASSERT(queue->Cancel(step % 16) == (waiting.erase(step % 16) == 1));
+            break;
+          default:
+            break;
+        }
+        for (const AdmissionItem& item : queue->TakeExpired(At(now))) {
+          RC_ASSERT(item.deadline <= At(now));
+          take(item.id);
+        }
+        RC_ASSERT(queue->Running() == static_cast<int>(running.size()));
+        RC_ASSERT(running.size() <= 2);
+        size_t total = 0;
+        for (Rank each : {Rank::kUrgent, Rank::kStandard, Rank::kBackground}) {
+          total += queue->Waiting(each);
+        }
+        RC_ASSERT(total == waiting.size());
+      }
+    }));
+  }
+}
+
+}  // namespace
+}  // namespace poplarmoor
--- /dev/null
+++ b/tests/kernel/confirmation_tracker_test.cc
@@ -0,0 +1,125 @@
+#include "kernel/confirmation_tracker.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "tests/kernel/fixtures.h"
+
+namespace poplarmoor {
+namespace {
+
+using Ids = std::vector<uint64_t>;
+
+ConfirmationTracker MakeTracker() {
+  ConfirmationTracker tracker;
+  tracker.SetTerm(2, {"b", "c"}, 1, At(0));
+  return tracker;
+}
+
+TEST_CASE("one replica of the same term confirms, in log order") {
+  ConfirmationTracker tracker = MakeTracker();
+  CHECK_FALSE(tracker.Add(8, {2, 11}, At(500), At(0)));
+  CHECK_FALSE(tracker.Add(7, {2, 10}, At(500), At(0)));
+  CHECK(tracker.WaitIndex() == 10);
+  CHECK(tracker.OnStatus(MakeStatus("b", 2, 9), At(5)).empty());
+  CHECK(tracker.OnStatus(MakeStatus("c", 2, 11), At(6)) == Ids{7, 8});
+  CHECK(tracker.Add(9, {2, 11}, At(500), At(7)));  // The status was faster than the answer.
+}
+
+TEST_CASE("a write is not acknowledged by a replica that may hold other entries") {
+  ConfirmationTracker tracker = MakeTracker();
+  tracker.Add(1, {2, 10}, At(500), At(0));
+  CHECK(tracker.OnStatus(MakeStatus("b", 1, 50), At(1)).empty());  // Of an earlier term.
+  CHECK(tracker.OnStatus(MakeStatus("b", 3, 50), At(1)).empty());  // Fenced by a later term.
+  EndpointStatus untruncated = MakeStatus("b", 2, 50);
+  untruncated.last = {1, 50};
+  CHECK(tracker.OnStatus(untruncated, At(1)).empty());
+  CHECK(tracker.OnStatus(MakeStatus("a", 2, 50), At(1)).empty());  // Not a replica of the group.
+  CHECK(tracker.size() == 1);
+}
+
+TEST_CASE("an entry of an earlier term is confirmed only by a later entry of the current term") {
+  ConfirmationTracker tracker = MakeTracker();
+  CHECK_FALSE(tracker.Add(1, {1, 10}, At(500), At(0)));
+  EndpointStatus synchronised = MakeStatus("b", 2, 10);
+  synchronised.last = {1, 10};
+  CHECK(tracker.OnStatus(synchronised, At(1)).empty());
+  CHECK(tracker.OnStatus(MakeStatus("b", 2, 11), At(2)) == Ids{1});
+}
+
+TEST_CASE("a new term ends the waiting writes of the old one") {
+  ConfirmationTracker tracker = MakeTracker();
+  tracker.Add(1, {2, 10}, At(500), At(0));
+  tracker.Add(2, {3, 11}, At(500), At(0));  // The answer came before the new group state.
+  CHECK(tracker.SetTerm(3, {"a", "b"}, 1, At(1)) == Ids{1});
+  CHECK(tracker.SetTerm(2, {"b", "c"}, 1, At(1)).empty());
+  CHECK(tracker.OnStatus(MakeStatus("b", 2, 50), At(2)).empty());
+  CHECK(tracker.OnStatus(MakeStatus("b", 3, 11), At(3)) == Ids{2});
+}
+
+TEST_CASE("a write is refused before it is sent when its confirmation would come too late") {
+  ConfirmationTracker tracker = MakeTracker();
+  CHECK(tracker.CanConfirm(At(100), At(0)));
+  tracker.OnStatus(MakeStatus("b", 2, 9), At(1));
+  tracker.Add(1, {2, 10}, At(300), At(1));
+  CHECK(tracker.CanConfirm(At(300), At(100)));
+  CHECK_FALSE(tracker.CanConfirm(At(300), At(200)));  // Replication stalls for 199 ms already.
+  CHECK(tracker.NextExpiry() == At(300));
+  CHECK(tracker.TakeExpired(At(300)) == Ids{1});
+  // The write that was given up still shows the stall; otherwise each later one would be sent.
+  CHECK_FALSE(tracker.CanConfirm(At(600), At(310)));
+  CHECK(tracker.WaitIndex() == 10);
+  tracker.OnStatus(MakeStatus("b", 2, 10), At(320));
+  CHECK(tracker.CanConfirm(At(600), At(321)));
+  CHECK_FALSE(tracker.CanConfirm(At(9000), At(3000)));  // No replica reports any more.
+  CHECK_FALSE(tracker.PredictDelay(At(3000)).has_value());
+}
+
+TEST_CASE("acknowledgement by the primary alone waits for no replica") {
+  ConfirmationTracker tracker;
+  tracker.SetTerm(2, {}, 0, At(0));
+  CHECK(tracker.CanConfirm(At(1), At(0)));
+  CHECK(tracker.Add(1, {2, 10}, At(500), At(0)));
+}
+
+TEST_CASE("each write is reported exactly once, as confirmed, expired or abandoned") {
+  CHECK(rc::check("tracker", [](const std::vector<uint16_t>& steps) {
+    ConfirmationTracker tracker = MakeTracker();
+    std::map<uint64_t, LogPosition> waiting;
+    std::map<std::string, uint64_t> received;
+    uint64_t term = 2;
+    uint64_t index = 0;
+    int64_t now = 0;
+    const auto take = [&](const Ids& ids) {
+      for (uint64_t id : ids) {
+        RC_ASSERT(waiting.erase(id) == 1);
+      }
+    };
+    for (uint16_t step : steps) {
+      now += step % 16;
+      if (step % 4 == 0) {
+        ++index;
+        if (!tracker.Add(index, {term, index}, At(now + step % 64), At(now))) {
+          waiting.emplace(index, LogPosition{term, index});
+        }
+      } else if (step % 4 < 3) {
+        const std::string name = step % 4 == 1 ? "b" : "c";
+        received[name] = std::max(received[name], index - std::min<uint64_t>(index, step % 8));
+        const Ids done = tracker.OnStatus(MakeStatus(name, term, received[name]), At(now));
+        for (uint64_t id : done) {
+          RC_ASSERT(waiting.at(id).index <= std::max(received["b"], received["c"]));
+        }
+        take(done);
+      } else if (step % 64 == 3) {
+        take(tracker.SetTerm(++term, {"b", "c"}, 1, At(now)));
+        RC_ASSERT(waiting.empty());
+        received.clear();
+      }
+      take(tracker.TakeExpired(At(now)));
+    }
+    RC_ASSERT(tracker.size() == waiting.size());
+  }));
+}
+
+}  // namespace
+}  // namespace poplarmoor
--- /dev/null
+++ b/tests/kernel/fixtures.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <string>
+
+#include "kernel/endpoint_status.h"
+#include "kernel/group_state.h"
+#include "kernel/time.h"
+
+namespace poplarmoor {
+
+/// @param millis Milliseconds of the virtual clock.
+/// @returns The time.
+inline TimePoint At(int64_t millis) {
+  return TimePoint(std::chrono::milliseconds(millis));
+}
+
+/// @param term Term of the group.
+/// @param primary Its primary; empty while electing.
+/// @returns A group of the endpoints a, b and c.
+inline GroupState MakeGroup(uint64_t term, const std::string& primary) {
+  GroupState state;
+  state.service = "orders";
+  state.version = term;
+  state.term = term;
+  state.phase = primary.empty() ? GroupPhase::kElecting : GroupPhase::kServing;
+  state.primary = primary;
+  for (const char* name : {"a", "b", "c"}) {
+    state.endpoints.push_back({name, "", "", false});
+  }
+  state.term_starts.push_back({term, 0});
+  return state;
+}
+
+/// @param endpoint Name of the endpoint.
+/// @param term Term that it follows, and that its last entry is of.
+/// @param index Received and replayed index.
+/// @returns Its status.
+inline EndpointStatus MakeStatus(const std::string& endpoint, uint64_t term, uint64_t index) {
+  EndpointStatus status;
+  status.endpoint = endpoint;
+  status.term = term;
+  status.received = index;
+  status.replayed = index;
+  status.last = {term, index};
+  return status;
+}
+
+}  // namespace poplarmoor
