--- /dev/null
+++ b/kernel/log_settings.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <string>
+
+#include "kernel/name_table.h"
+
+namespace poplarmoor {
+
+/// Severity of a log line.
+enum class LogLevel { kDebug, kInfo, kWarn, kError };
+
+inline constexpr NameTable<LogLevel, 4> kLogLevelNames{{{
+    {LogLevel::kDebug, "debug"},
+    {LogLevel::kInfo, "info"},
+    {LogLevel::kWarn, "warn"},
+    {LogLevel::kError, "error"},
+}}};
+
+/// Form of a log line.
+enum class LogFormat {
+  kJson,  // One JSON object a line, with the field names of the OpenTelemetry log model.
+  kText,  // Time, level, message and key=value pairs.
+};
+
+inline constexpr NameTable<LogFormat, 2> kLogFormatNames{{{
+    {LogFormat::kJson, "json"},
+    {LogFormat::kText, "text"},
+}}};
+
+/// Where and how a program logs.
+struct LogSettings {
+  LogLevel level = LogLevel::kInfo;  // Least severe level that is written.
+  std::string file;                  // Appended to; empty: stderr.
+  LogFormat format = LogFormat::kJson;
+  bool spans = true;  // Write a line for each finished span.
+};
+
+}  // namespace poplarmoor
