Add logs, spans and metrics

Cause: every part of the daemon reports what it does, and operators read it. Change: telemetry/ writes JSON or text lines through log4cplus, spans with OpenTelemetry field names (as log lines and in a bounded store by trace id), and counters, gauges and latency summaries (Boost.Accumulators) as Prometheus text. The quantiles cover a window, so that they follow the load. All metrics stand in one table. An unusable log file is an error at the start: log4cplus itself only prints a message and drops all lines.

--- /dev/null
+++ b/telemetry/log.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <concepts>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "kernel/log_settings.h"
+
+namespace poplarmoor {
+
+/// One structured field of a log line.
+struct LogField {
+  LogField(std::string_view key, std::string_view text) : key(key), value(text), is_text(true) {}
+  LogField(std::string_view key, const char* text) : LogField(key, std::string_view(text)) {}
+  LogField(std::string_view key, const std::string& text) : LogField(key, std::string_view(text)) {}
+  LogField(std::string_view key, bool flag) : key(key), value(flag ? "true" : "false") {}
+  LogField(std::string_view key, std::integral auto number)
+      : key(key), value(std::to_string(number)) {}
+  LogField(std::string_view key, double number);
+
+  std::string key;
+  std::string value;
+  bool is_text = false;  // The value is text and is quoted in JSON.
+};
+
+/// Sets up the log of this program. Until then, and again after ShutDownLog(), nothing is written.
+/// @param settings Level, file and format.
+/// @param daemon Name that every line carries as service.instance.id; may be empty.
+/// @throws std::runtime_error when the file cannot be opened.
+void SetUpLog(const LogSettings& settings, const std::string& daemon);
+
+/// Flushes and closes the log.
+void ShutDownLog();
+
+/// @param level Severity.
+/// @returns Whether lines of this severity are written.
+bool IsLogged(LogLevel level);
+
+/// Writes one line. Thread-safe.
+/// @param level Severity.
+/// @param message Constant text; what varies goes into the fields.
+/// @param fields Structured fields. Never pass secrets.
+void Log(LogLevel level, std::string_view message, std::initializer_list<LogField> fields = {});
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/telemetry/metric_table.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace poplarmoor {
+
+/// Every metric of the system. kMetricTable documents them.
+enum class Metric {
+  kRequests,
+  kRequestSeconds,
+  kReads,
+  kRetries,
+  kInFlight,
+  kCallerConnections,
+  kQueueLength,
+  kQueueSeconds,
+  kSlotsInUse,
+  kConcurrencyLimit,
+  kEndpointConnections,
+  kEndpointSeconds,
+  kConnectSeconds,
+  kEndpointUp,
+  kReplicaStaleness,
+  kUnconfirmedWrites,
+  kTransactions,
+  kGroupTerm,
+  kGroupServing,
+  kPromotions,
+  kFailoverSeconds,
+  kMembers,
+  kOwnedEndpoints,
+  kConfigRevision,
+  kConfigSeconds,
+  kPlatformCalls,
+  kPlatformSeconds,
+  kPlatformUp,
+  kControlBytes,
+  kPeerCalls,
+  kStopping,
+  kUptime,
+};
+
+/// Kind of a metric in the Prometheus text format.
+enum class MetricType {
+  kCounter,  // Only grows.
+  kGauge,    // Current value.
+  kSummary,  // Quantiles 0.5, 0.9, 0.99 and 0.999, sum and count of durations in seconds.
+};
+
+/// One row of the documentation of all metrics.
+struct MetricRow {
+  Metric metric;
+  MetricType type;
+  std::string_view name;
+  std::string_view labels;  // Label names, separated by commas; empty: none.
+  std::string_view help;
+};
+
+inline constexpr size_t kMetricCount = 32;
+
+/// Names, labels and meaning of all metrics, indexed by Metric.
+inline constexpr std::array<MetricRow, kMetricCount> kMetricTable{{
+    {Metric::kRequests, MetricType::kCounter, "poplarmoor_requests_total",
+     "service,rank,verdict,reason", "Requests of callers answered by this entry."},
+    {Metric::kRequestSeconds, MetricType::kSummary, "poplarmoor_request_seconds", "service,rank",
+     "Time from a caller's request to its answer at this entry."},
+    {Metric::kReads, MetricType::kCounter, "poplarmoor_reads_total", "service,served_by",
+     "Reads that ran, by role of the endpoint that served them (primary or replica)."},
+    {Metric::kRetries, MetricType::kCounter, "poplarmoor_retries_total", "service,reason",
+     "Further attempts of requests, by reason of the attempt that failed."},
+    {Metric::kInFlight, MetricType::kGauge, "poplarmoor_requests_in_flight", "",
+     "Requests of callers that are not answered yet."},
+    {Metric::kCallerConnections, MetricType::kGauge, "poplarmoor_caller_connections", "",
+     "Open connections of callers."},
+    {Metric::kQueueLength, MetricType::kGauge, "poplarmoor_queue_length", "endpoint,rank",
+     "Requests that wait for a slot at this owner."},
+    {Metric::kQueueSeconds, MetricType::kSummary, "poplarmoor_queue_seconds", "service,rank",
+     "Time that requests waited for a slot at this owner."},
+    {Metric::kSlotsInUse, MetricType::kGauge, "poplarmoor_slots_in_use", "endpoint",
+     "Statements that this owner runs at the endpoint."},
+    {Metric::kConcurrencyLimit, MetricType::kGauge, "poplarmoor_concurrency_limit", "endpoint",
+     "Statements that this owner would run at the endpoint at once."},
+    {Metric::kEndpointConnections, MetricType::kGauge, "poplarmoor_endpoint_connections",
+     "endpoint,state", "Connections of this owner to the endpoint (idle, busy or opening)."},
+    {Metric::kEndpointSeconds, MetricType::kSummary, "poplarmoor_endpoint_seconds", "service",
+     "Time of one execution at an endpoint, as this owner sees it."},
+    {Metric::kConnectSeconds, MetricType::kSummary, "poplarmoor_connect_seconds", "service",
+     "Time to open a connection to an endpoint."},
+    {Metric::kEndpointUp, MetricType::kGauge, "poplarmoor_endpoint_up", "service,endpoint",
+     "1 while the endpoint answers this monitor's probes, else 0."},
+    {Metric::kReplicaStaleness, MetricType::kGauge, "poplarmoor_replica_staleness_seconds",
+     "service,endpoint", "Age of the state that the endpoint has replayed."},
+    {Metric::kUnconfirmedWrites, MetricType::kGauge, "poplarmoor_unconfirmed_writes", "service",
+     "Writes that ran at the primary and wait for their confirmation."},
+    {Metric::kTransactions, MetricType::kGauge, "poplarmoor_transactions", "service",
+     "Open transactions at this owner."},
+    {Metric::kGroupTerm, MetricType::kGauge, "poplarmoor_group_term", "service",
+     "Term of the group as this daemon knows it."},
+    {Metric::kGroupServing, MetricType::kGauge, "poplarmoor_group_serving", "service",
+     "1 while the group has a primary, 0 while it elects one."},
+    {Metric::kPromotions, MetricType::kCounter, "poplarmoor_promotions_total", "service,result",
+     "Promotions that this daemon attempted."},
+    {Metric::kFailoverSeconds, MetricType::kSummary, "poplarmoor_failover_seconds", "service",
+     "Time from the first missed probe to the new primary."},
+    {Metric::kMembers, MetricType::kGauge, "poplarmoor_members", "state",
+     "Daemons in the member table (alive, suspect or leaving)."},
+    {Metric::kOwnedEndpoints, MetricType::kGauge, "poplarmoor_owned_endpoints", "",
+     "Endpoints that this daemon owns."},
+    {Metric::kConfigRevision, MetricType::kGauge, "poplarmoor_config_revision", "",
+     "Highest platform revision of the configuration in force."},
+    {Metric::kConfigSeconds, MetricType::kSummary, "poplarmoor_config_seconds", "",
+     "Time from the first sight of a unit in the fleet to its arrival here."},
+    {Metric::kPlatformCalls, MetricType::kCounter, "poplarmoor_platform_calls_total",
+     "operation,result", "Calls to the platform."},
+    {Metric::kPlatformSeconds, MetricType::kSummary, "poplarmoor_platform_seconds", "operation",
+     "Time of calls to the platform, watches excluded."},
+    {Metric::kPlatformUp, MetricType::kGauge, "poplarmoor_platform_up", "",
+     "1 while the last platform call succeeded, else 0."},
+    {Metric::kControlBytes, MetricType::kCounter, "poplarmoor_control_bytes_total", "direction",
+     "Bytes of control traffic (sent or received)."},
+    {Metric::kPeerCalls, MetricType::kCounter, "poplarmoor_peer_calls_total", "type,result",
+     "Calls to other daemons, by type of message."},
+    {Metric::kStopping, MetricType::kGauge, "poplarmoor_stopping", "",
+     "1 during a graceful shutdown, else 0."},
+    {Metric::kUptime, MetricType::kGauge, "poplarmoor_uptime_seconds", "",
+     "Time since the start of the daemon."},
+}};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/telemetry/span.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "telemetry/span_record.h"
+
+namespace poplarmoor {
+
+class SpanStore;
+
+/// @returns A new random W3C trace id, 32 hex digits.
+std::string NewTraceId();
+
+/// @returns A new random W3C span id, 16 hex digits.
+std::string NewSpanId();
+
+/// One unit of work of a trace. Ends when destroyed; it is then kept in the store and written to
+/// the log. Used by one thread or coroutine at a time.
+class Span {
+ public:
+  /// @param store Keeps the finished span; may be null. Must outlive the span.
+  /// @param name For example "entry.statement".
+  /// @param trace_id Trace that it belongs to; empty starts a new one.
+  /// @param parent_span_id Span that caused it; may be empty.
+  Span(SpanStore* store, std::string name, std::string trace_id, std::string parent_span_id);
+  Span(Span&& other) noexcept;
+  Span(const Span&) = delete;
+  Span& operator=(const Span&) = delete;
+  Span& operator=(Span&&) = delete;
+  ~Span();
+
+  /// @param key Name of the attribute, for example "pm.verdict".
+  /// @param value Value. Never pass secrets or statements.
+  void SetAttribute(std::string_view key, std::string_view value);
+
+  /// Marks the span as failed.
+  /// @param message Why.
+  void SetFailed(std::string_view message);
+
+  /// Ends the span before it is destroyed. Later calls do nothing.
+  void End();
+
+  const std::string& trace_id() const { return this->record.trace_id; }
+  const std::string& span_id() const { return this->record.span_id; }
+
+  /// @returns The value of a W3C traceparent header for work that this span causes.
+  std::string traceparent() const;
+
+ private:
+  SpanStore* store;
+  SpanRecord record;
+  bool ended = false;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/tests/telemetry/telemetry_test.cc
@@ -0,0 +1,167 @@
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "telemetry/log.h"
+#include "telemetry/metrics.h"
+#include "telemetry/span.h"
+#include "telemetry/span_store.h"
+
+namespace poplarmoor {
+namespace {
+
+using nlohmann::json;
+
+// Logs to a file of its own and returns the lines.
+std::vector<std::string> CaptureLog(LogSettings settings, const std::function<void()>& work) {
+  const auto path =
+      std::filesystem::temp_directory_path() / ("poplarmoor-log-" + std::to_string(getpid()));
+  std::filesystem::remove(path);
+  settings.file = path.string();
+  SetUpLog(settings, "entry-1");
+  work();
+  ShutDownLog();
+  std::vector<std::string> lines;
+  std::ifstream stream(path);
+  for (std::string line; std::getline(stream, line);) {
+    lines.push_back(line);
+  }
+  std::filesystem::remove(path);
+  return lines;
+}
+
+TEST_CASE("a JSON log line keeps its fields apart, whatever their text contains") {
+  const auto lines = CaptureLog({}, [] {
+    Log(LogLevel::kWarn, "endpoint is slow",
+        {{"endpoint", "a\"b\nc\xff"}, {"millis", 12}, {"leaving", false}, {"share", 0.5}});
+    Log(LogLevel::kDebug, "not written");
+  });
+  REQUIRE(lines.size() == 1);
+  const json line = json::parse(lines[0]);
+  CHECK(line["SeverityText"] == "warn");
+  CHECK(line["Body"] == "endpoint is slow");
+  CHECK(line["Resource"]["service.instance.id"] == "entry-1");
+  CHECK(line["Attributes"]["millis"] == 12);
+  CHECK(line["Attributes"]["leaving"] == false);
+  CHECK(line["Attributes"]["share"] == 0.5);
+}
+
+TEST_CASE("a value with a line break cannot forge a second line of text") {
+  LogSettings settings;
+  settings.format = LogFormat::kText;
+  const auto lines = CaptureLog(settings, [] {
+    Log(LogLevel::kInfo, "request refused", {{"site", "x\n2026 error forged"}, {"rank", "urgent"}});
+  });
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].find("rank=urgent") != std::string::npos);
+}
+
+TEST_CASE("an unusable log file is reported at the start instead of losing all lines") {
+  LogSettings settings;
+  settings.file = "/nonexistent/poplarmoor.log";
+  CHECK_THROWS_WITH(SetUpLog(settings, ""), Catch::Contains("/nonexistent/poplarmoor.log"));
+  ShutDownLog();
+}
+
+TEST_CASE("a span is logged and stored with the field names of OpenTelemetry") {
+  SpanStore store(16);
+  std::string trace_id;
+  const auto lines = CaptureLog({}, [&] {
+    Span parent(&store, "entry.statement", "", "");
+    Span child(&store, "owner.execute", parent.trace_id(), parent.span_id());
+    child.SetAttribute("pm.endpoint", "orders-a");
+    child.SetFailed("timeout");
+    trace_id = parent.trace_id();
+  });
+  REQUIRE(lines.size() == 2);
+  const json child = json::parse(lines[0]);
+  const json parent = json::parse(lines[1]);
+  CHECK(child["traceId"] == trace_id);
+  CHECK(child["parentSpanId"] == parent["spanId"]);
+  CHECK(child["status"]["code"] == "STATUS_CODE_ERROR");
+  CHECK(trace_id.size() == 32);
+  const json stored = json::parse(store.FindJson(trace_id));
+  CHECK(stored["spans"].size() == 2);
+  CHECK(store.FindJson("unknown").empty());
+}
+
+TEST_CASE("the span store stays within its bounds") {
+  SpanStore store(16);
+  for (int i = 0; i < 1000; ++i) {
+    Span span(&store, "test", "trace-" + std::to_string(i), "");
+  }
+  size_t kept = 0;
+  for (int i = 0; i < 1000; ++i) {
+    kept += store.Find("trace-" + std::to_string(i)).size();
+  }
+  CHECK(kept <= 16);
+  for (int i = 0; i < 1000; ++i) {
+    Span span(&store, "test", "long", "");
+  }
+  CHECK(store.Find("long").size() == 64);
+}
+
+TEST_CASE("the metric table is in the order of the enum, as lookups assume") {
+  for (size_t i = 0; i < kMetricCount; ++i) {
+    CHECK(static_cast<size_t>(kMetricTable[i].metric) == i);
+  }
+  CHECK(static_cast<size_t>(Metric::kUptime) + 1 == kMetricCount);
+}
+
+TEST_CASE("counters of several threads lose no increments") {
+  Metrics metrics;
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 4; ++i) {
+    threads.emplace_back([&metrics] {
+      for (int j = 0; j < 1000; ++j) {
+        metrics.Add(Metric::kReads, {"orders", "replica"});
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK(metrics.Value(Metric::kReads, {"orders", "replica"}) == 4000.0);
+}
+
+TEST_CASE("metrics are written as Prometheus text with escaped labels") {
+  Metrics metrics;
+  metrics.Set(Metric::kGroupTerm, {"a\"b\nc"}, 7);
+  const std::string text = metrics.ToPrometheus();
+  CHECK(text.find("# TYPE poplarmoor_group_term gauge\n") != std::string::npos);
+  CHECK(text.find("poplarmoor_group_term{service=\"a\\\"b\\nc\"} 7\n") != std::string::npos);
+  metrics.Remove(Metric::kGroupTerm, {"a\"b\nc"});
+  CHECK(metrics.ToPrometheus().empty());
+}
+
+TEST_CASE("a summary reports quantiles near the truth, sum and count") {
+  Metrics metrics;
+  for (int i = 1; i <= 1000; ++i) {
+    metrics.Observe(Metric::kConfigSeconds, {}, std::chrono::milliseconds(i * 7919 % 1000 + 1));
+  }
+  const auto quantile = [&metrics](const std::string& name) {
+    const std::string text = metrics.ToPrometheus();
+    const std::string key = "poplarmoor_config_seconds{quantile=\"" + name + "\"} ";
+    const size_t at = text.find(key);
+    return at == std::string::npos ? -1.0 : std::stod(text.substr(at + key.size()));
+  };
+  CHECK(quantile("0.5") == Approx(0.5).margin(0.05));
+  CHECK(quantile("0.99") == Approx(0.99).margin(0.02));
+  CHECK(metrics.ToPrometheus().find("poplarmoor_config_seconds_count 1000\n") != std::string::npos);
+  metrics.StartWindow();
+  CHECK(quantile("0.5") == Approx(0.5).margin(0.05));  // Of the window before.
+  for (int i = 0; i < 100; ++i) {
+    metrics.Observe(Metric::kConfigSeconds, {}, std::chrono::milliseconds(5));
+  }
+  CHECK(quantile("0.5") == Approx(0.005));
+  metrics.StartWindow();
+  metrics.StartWindow();
+  CHECK(quantile("0.5") == -1.0);  // No recent observations: no quantile to report.
+}
+
+}  // namespace
+}  // namespace poplarmoor
