--- a/config/daemon_settings.cc
+++ b/config/daemon_settings.cc
@@ -127,7 +127,7 @@
 
 DaemonSettings ParseDaemonSettings(const std::string& text, const std::string& file) {
   const json document = ParseJson(text, file);
-  std::vector<ConfigProblem> problems = CheckSchema(document, kDaemonSettingsSchema, file);
+  std::vector<ConfigProblem> problems = CheckSchema(document, DaemonSettingsSchema(), file);
   if (problems.empty()) {
     problems = CheckSettings(document, file);
   }
@@ -212,7 +212,7 @@
   const std::string text = ReadTextFile(path);
   const size_t first = text.find_first_not_of(" \t\r\n");
   const size_t last = text.find_last_not_of(" \t\r\n");
-  const std::string token = first == std::string::npos ? "" : text.substr(first, last - first + 1);
+  std::string token = first == std::string::npos ? "" : text.substr(first, last - first + 1);
   if (token.size() < kMinSecret) {
     throw ConfigError({{path, "", "", "the operator token is too short",
                         "at least " + std::to_string(kMinSecret) + " characters"}});
--- a/config/daemon_settings_schema.cc
+++ b/config/daemon_settings_schema.cc
@@ -2,7 +2,8 @@
 
 namespace poplarmoor {
 
-const char* const kDaemonSettingsSchema = R"json({
+const char* DaemonSettingsSchema() {
+  return R"json({
   "$schema": "http://json-schema.org/draft-07/schema#",
   "title": "Settings of one poplarmoor daemon",
   "definitions": {
@@ -98,5 +99,6 @@
     }
   }
 })json";
+}
 
 }  // namespace poplarmoor
--- a/config/schemas.h
+++ b/config/schemas.h
@@ -2,13 +2,13 @@
 
 namespace poplarmoor {
 
-/// JSON Schema of a daemon's settings file.
-extern const char* const kDaemonSettingsSchema;
+/// @returns The JSON Schema of a daemon's settings file.
+const char* DaemonSettingsSchema();
 
-/// JSON Schema of the base file of a deployment.
-extern const char* const kBaseSchema;
+/// @returns The JSON Schema of the base file of a deployment.
+const char* BaseSchema();
 
-/// JSON Schema of a site's overlay.
-extern const char* const kOverlaySchema;
+/// @returns The JSON Schema of a site's overlay.
+const char* OverlaySchema();
 
 }  // namespace poplarmoor
--- a/telemetry/metrics.cc
+++ b/telemetry/metrics.cc
@@ -79,6 +79,16 @@
   return labels.empty() ? "" : "{" + labels + "}";
 }
 
+std::string FormatQuantile(const std::string& name,
+                           const std::string& labels,
+                           double quantile,
+                           double value) {
+  std::ostringstream line;
+  line << name << "{" << labels << (labels.empty() ? "" : ",") << "quantile=\"" << quantile
+       << "\"} " << FormatNumber(value) << "\n";
+  return line.str();
+}
+
 }  // namespace
 
 struct Metrics::Series {
@@ -97,9 +107,7 @@
       if (window->has_value() && accumulators::count(**window) >= kMinObservations) {
         const auto estimates = accumulators::extended_p_square(**window);
         for (size_t i = 0; i < kQuantiles.size(); ++i) {
-          const std::string quantile = "quantile=\"" + FormatNumber(kQuantiles[i]) + "\"";
-          text += name + Braced(labels.empty() ? quantile : labels + "," + quantile) + " " +
-                  FormatNumber(estimates[i]) + "\n";
+          text += FormatQuantile(name, labels, kQuantiles[i], estimates[i]);
         }
         break;
       }
--- a/telemetry/span.cc
+++ b/telemetry/span.cc
@@ -98,7 +98,7 @@
   }
 }
 
-std::string Span::traceparent() const {
+std::string Span::Traceparent() const {
   return "00-" + this->record.trace_id + "-" + this->record.span_id + "-01";
 }
 
--- a/telemetry/span.h
+++ b/telemetry/span.h
@@ -41,11 +41,11 @@
   /// Ends the span before it is destroyed. Later calls do nothing.
   void End();
 
-  const std::string& trace_id() const { return this->record.trace_id; }
-  const std::string& span_id() const { return this->record.span_id; }
+  const std::string& TraceId() const { return this->record.trace_id; }
+  const std::string& SpanId() const { return this->record.span_id; }
 
   /// @returns The value of a W3C traceparent header for work that this span causes.
-  std::string traceparent() const;
+  std::string Traceparent() const;
 
  private:
   SpanStore* store;
--- a/tests/telemetry/telemetry_test.cc
+++ b/tests/telemetry/telemetry_test.cc
@@ -72,10 +72,10 @@
   std::string trace_id;
   const auto lines = CaptureLog({}, [&] {
     Span parent(&store, "entry.statement", "", "");
-    Span child(&store, "owner.execute", parent.trace_id(), parent.span_id());
+    Span child(&store, "owner.execute", parent.TraceId(), parent.SpanId());
     child.SetAttribute("pm.endpoint", "orders-a");
     child.SetFailed("timeout");
-    trace_id = parent.trace_id();
+    trace_id = parent.TraceId();
   });
   REQUIRE(lines.size() == 2);
   const json child = json::parse(lines[0]);
