--- /dev/null
+++ b/kernel/member.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "kernel/name_table.h"
+
+namespace poplarmoor {
+
+/// State of a daemon in the member table. At one incarnation, a later state overrides an earlier.
+enum class MemberState {
+  kAlive,
+  kLeaving,  // Alive, but stops soon and owns nothing.
+  kSuspect,  // Did not answer; counts as alive until the suspicion period ends.
+  kDead,
+};
+
+inline constexpr NameTable<MemberState, 4> kMemberStateNames{{{
+    {MemberState::kAlive, "alive"},
+    {MemberState::kLeaving, "leaving"},
+    {MemberState::kSuspect, "suspect"},
+    {MemberState::kDead, "dead"},
+}}};
+
+/// One daemon, as the member table and membership updates describe it.
+struct Member {
+  std::string daemon;
+  std::string address;  // Of its peer listener, "IP:port".
+  std::string failure_domain;
+  uint64_t incarnation = 0;  // Raised by the daemon itself when it starts or refutes a suspicion.
+  MemberState state = MemberState::kAlive;
+
+  friend bool operator==(const Member&, const Member&) = default;
+};
+
+}  // namespace poplarmoor
