--- a/kernel/config_store.h
+++ b/kernel/config_store.h
@@ -16,6 +16,8 @@
 /// never goes back.
 class ConfigStore {
  public:
+  virtual ~ConfigStore() = default;
+
   /// Number of buckets whose hashes locate the difference between two stores.
   static constexpr size_t kBuckets = 128;
 
@@ -58,6 +60,10 @@
                std::vector<UnitVersion>* missing_there,
                std::vector<UnitVersion>* missing_here) const;
 
+ protected:
+  /// @returns Whether an offered unit replaces the current one. Tests weaken it.
+  virtual bool Accepts(const ConfigUnit& current, const ConfigUnit& offered) const;
+
  private:
   using Key = std::pair<UnitKind, std::string>;
 
--- a/kernel/member_table.h
+++ b/kernel/member_table.h
@@ -43,8 +43,9 @@
   /// @returns Hash of every bucket.
   std::vector<uint64_t> BucketHashes() const;
 
-  /// @returns All members of a bucket, the dead ones included.
-  std::vector<Member> Bucket(uint32_t bucket) const;
+  /// @param wanted For every bucket, whether its members are wanted.
+  /// @returns All members of these buckets, the dead ones included.
+  std::vector<Member> InBuckets(const std::vector<bool>& wanted) const;
 
   /// @returns All members, the dead ones included.
   std::vector<Member> All() const;
--- a/kernel/membership.h
+++ b/kernel/membership.h
@@ -93,16 +93,13 @@
     std::string daemon;
     int sends_left = 0;
   };
-  struct Suspicion {
-    uint64_t incarnation = 0;
-    TimePoint deadline;
-  };
 
   GossipMessage MakeMessage(GossipKind kind, uint64_t sequence);
+  GossipMessage MakeNotice(const Member& accused);
   void Send(const Member& to, GossipMessage message);
-  void Answer(const GossipMessage& message, GossipKind kind, TimePoint now);
+  void Answer(const GossipMessage& message, GossipKind kind);
   void AddUpdates(GossipMessage* message);
-  void StartProbe(const std::string& target, GossipKind kind, TimePoint now, const Member* about);
+  void StartProbe(const Member& target, GossipKind kind, TimePoint now);
   void ProbeNext(TimePoint now);
   void DigestNext(TimePoint now);
   void Rejoin(TimePoint now);
@@ -115,9 +112,11 @@
   bool Store(const Member& update, TimePoint now);
   void Suspect(const std::string& daemon, TimePoint now);
   void Spread(const std::string& daemon);
-  bool HandleDeadSender(const GossipMessage& message, TimePoint now);
+  bool HandleDeadSender(const GossipMessage& message);
+  void ReceiveAck(const GossipMessage& message);
+  void RelayProbe(const GossipMessage& message, TimePoint now);
   void CompareTables(const GossipMessage& message);
-  void AnswerMembers(const GossipMessage& message, const std::vector<Member>& newer);
+  void AnswerMembers(const GossipMessage& message, std::vector<Member> newer);
 
   MembershipOptions options;
   RandomEngine* random;
@@ -128,6 +127,7 @@
   int failed_probes = 0;  // In a row, of any member; stretches this daemon's own suspicions.
   bool started = false;
   bool joined = false;
+  size_t checks = 0;  // Probes started because of the current message.
   TimePoint last_tick;
   TimePoint next_probe;
   TimePoint next_digest;
@@ -136,8 +136,8 @@
   std::vector<std::string> probe_order;  // Members of the failure domain, shuffled.
   std::map<uint64_t, Probe> probes;      // By sequence.
   std::map<uint64_t, Relay> relays;      // By the sequence of the relayed probe.
-  std::unordered_map<std::string, Suspicion> suspicions;
-  std::unordered_map<std::string, TimePoint> deaths;  // When members were declared dead.
+  std::unordered_map<std::string, TimePoint> suspicions;  // Ends of the suspicion periods.
+  std::unordered_map<std::string, TimePoint> deaths;      // When members were declared dead.
   std::vector<Rumour> rumours;
   std::vector<GossipEnvelope> outgoing;
   std::vector<Member> changes;
--- a/kernel/ownership.h
+++ b/kernel/ownership.h
@@ -63,6 +63,10 @@
   };
   using Domain = std::map<std::string, Member>;
 
+  std::vector<Member> TopOf(const std::string& key,
+                            const std::string& failure_domain,
+                            bool inside,
+                            size_t max) const;
   Monitors Compute(const std::string& service) const;
   void UpdateMonitors(const Member& member, bool added);
   const Member* Find(const std::string& daemon) const;
--- a/kernel/platform_budget.h
+++ b/kernel/platform_budget.h
@@ -27,6 +27,7 @@
   Duration backoff_base = 200ms;  // First delay after a failure; doubles up to the cap.
   Duration backoff_cap = 10000ms;
   int breaker_failures = 5;         // Failures in a row that open the circuit breaker.
+  Duration urgent_retry = 1000ms;   // Upper limit of the delay of a promotion's calls.
   Duration trial_timeout = 5000ms;  // After which a trial without an outcome is given up.
 };
 
@@ -64,6 +65,7 @@
   TimePoint refilled;
   int failures = 0;  // In a row.
   TimePoint not_before;
+  TimePoint failed;  // Time of the newest failure.
   TimePoint trial_started;
   BreakerState breaker = BreakerState::kClosed;
 };
