kernel: test the request machine

Cause: the verdict of a request with several attempts is the most delicate rule of the data path. Change: tests of repeats, late answers, failover gaps, budget, lagging replicas and owners.

--- /dev/null
+++ b/tests/kernel/request_machine_test.cc
@@ -0,0 +1,219 @@
+#include "kernel/request_machine.h"
+
+#include <catch2/catch.hpp>
+
+#include "tests/kernel/fixtures.h"
+
+namespace poplarmoor {
+namespace {
+
+using Kind = RequestAction::Kind;
+
+/// One request at an entry, with a group of which "a" is the primary of term 1.
+class MachineFixture {
+ public:
+  explicit MachineFixture(Operation operation,
+                          bool repeatable = true,
+                          bool records_ids = true,
+                          LogPosition required = {})
+      : machine(MakeRequest(operation, repeatable, required), MakeOptions(operation, records_ids)) {
+  }
+
+  RequestContext Context() { return {this->group, *this->policy, this->budget, At(this->now), 0}; }
+
+  RequestAction Start() { return this->machine.Start(this->Context()); }
+  RequestAction Answer(int attempt, Verdict verdict, Reason reason, uint64_t replayed = 0) {
+    StatementResult result;
+    result.verdict = verdict;
+    result.reason = reason;
+    if (replayed > 0) {
+      result.status = MakeStatus("b", 1, replayed);
+    }
+    return this->machine.OnAnswer(attempt, result, this->Context());
+  }
+  RequestAction TimerAt(TimePoint time) {
+    this->now = ToMillis(time.time_since_epoch()) + 1;
+    return this->machine.OnTimer(this->Context());
+  }
+  void ExhaustBudget() {
+    while (this->budget.TryTake()) {
+    }
+  }
+
+  GroupView group{MakeGroup(1, "a")};
+  std::unique_ptr<RoutingPolicy> policy = Registry<RoutingPolicy>::Create("fresh_replicas");
+  RetryBudget budget;
+  int64_t now = 0;
+  RequestMachine machine;
+
+ private:
+  static StatementRequest MakeRequest(Operation operation, bool repeatable, LogPosition required) {
+    StatementRequest request;
+    request.operation = operation;
+    request.repeatable = repeatable;
+    request.required = required;
+    request.deadline = At(1000);
+    return request;
+  }
+  static RequestOptions MakeOptions(Operation operation, bool records_ids) {
+    RequestOptions options;
+    options.records_request_ids = records_ids;
+    if (operation == Operation::kCommit) {
+      options.pinned_endpoint = "a";
+    }
+    return options;
+  }
+};
+
+TEST_CASE("a write that may have run is not repeated unless ids make it exact") {
+  for (const auto& [repeatable, records_ids] :
+       std::vector<std::pair<bool, bool>>{{false, true}, {true, false}, {false, false}}) {
+    MachineFixture fixture(Operation::kWrite, repeatable, records_ids);
+    REQUIRE(fixture.Start().kind == Kind::kSend);
+    const RequestAction action = fixture.Answer(1, Verdict::kMayHaveRun, Reason::kTimeout);
+    CHECK(action.kind == Kind::kAnswer);
+    CHECK(action.result.verdict == Verdict::kMayHaveRun);
+  }
+  MachineFixture commit(Operation::kCommit);
+  REQUIRE(commit.Start().endpoint == "a");
+  CHECK(commit.Answer(1, Verdict::kMayHaveRun, Reason::kTimeout).kind == Kind::kAnswer);
+}
+
+TEST_CASE("a refusal of the second attempt does not hide that the first may have run") {
+  MachineFixture fixture(Operation::kWrite);
+  REQUIRE(fixture.Start().kind == Kind::kSend);
+  RequestAction action = fixture.Answer(1, Verdict::kMayHaveRun, Reason::kConnectionLost);
+  REQUIRE(action.kind == Kind::kWait);
+  action = fixture.TimerAt(action.until);
+  REQUIRE(action.attempt == 2);
+  action = fixture.Answer(2, Verdict::kNotRun, Reason::kNoQuorum);
+  REQUIRE(action.kind == Kind::kWait);
+  action = fixture.TimerAt(At(1000));
+  CHECK(action.result.verdict == Verdict::kMayHaveRun);
+  CHECK(action.result.reason == Reason::kConnectionLost);
+}
+
+TEST_CASE("a late definite answer to the first attempt counts") {
+  MachineFixture fixture(Operation::kWrite);
+  RequestAction action = fixture.Start();
+  CHECK(action.until == At(500));
+  action = fixture.TimerAt(action.until);
+  REQUIRE(action.kind == Kind::kWait);
+  action = fixture.TimerAt(action.until);
+  REQUIRE(action.attempt == 2);
+  SECTION("it ran") {
+    CHECK(fixture.Answer(1, Verdict::kRan, Reason::kNone).result.verdict == Verdict::kRan);
+    // The caller has its answer; a later one changes nothing.
+    CHECK(fixture.Answer(2, Verdict::kMayHaveRun, Reason::kTimeout).result.verdict ==
+          Verdict::kRan);
+  }
+  SECTION("neither ran") {
+    CHECK(fixture.Answer(1, Verdict::kNotRun, Reason::kOverloaded).kind == Kind::kWait);
+    action = fixture.Answer(2, Verdict::kNotRun, Reason::kOverloaded);
+    CHECK(action.result.verdict == Verdict::kNotRun);
+  }
+  SECTION("the id belongs to another statement") {
+    action = fixture.Answer(2, Verdict::kNotRun, Reason::kRequestIdReused);
+    CHECK(action.result.verdict == Verdict::kNotRun);
+  }
+}
+
+TEST_CASE("a write waits through a failover gap and runs at the new primary without a token") {
+  MachineFixture fixture(Operation::kWrite, false);
+  fixture.ExhaustBudget();
+  REQUIRE(fixture.Start().endpoint == "a");
+  RequestAction action = fixture.Answer(1, Verdict::kNotRun, Reason::kFenced);
+  REQUIRE(action.kind == Kind::kWait);
+  fixture.group.SetState(MakeGroup(2, ""));
+  action = fixture.TimerAt(action.until);
+  REQUIRE(action.kind == Kind::kWait);
+  fixture.group.SetState(MakeGroup(2, "b"));
+  action = fixture.TimerAt(At(200));
+  CHECK(action.endpoint == "b");
+  CHECK(action.term == 2);
+}
+
+TEST_CASE("without a primary until the deadline the answer is not_run") {
+  MachineFixture fixture(Operation::kWrite);
+  fixture.group.SetState(MakeGroup(2, ""));
+  RequestAction action = fixture.Start();
+  while (action.kind == Kind::kWait) {
+    action = fixture.TimerAt(action.until);
+  }
+  CHECK(fixture.machine.Attempts() == 0);
+  CHECK(action.result.verdict == Verdict::kNotRun);
+  CHECK(action.result.reason == Reason::kNoPrimary);
+}
+
+TEST_CASE("retries stop when the budget is used up") {
+  MachineFixture fixture(Operation::kRead);
+  RequestAction action = fixture.Start();
+  fixture.ExhaustBudget();
+  action = fixture.Answer(1, Verdict::kMayHaveRun, Reason::kConnectionLost);
+  while (action.kind == Kind::kWait) {
+    action = fixture.TimerAt(action.until);
+  }
+  CHECK(fixture.machine.Attempts() == 1);
+  CHECK(action.result.verdict == Verdict::kMayHaveRun);
+}
+
+TEST_CASE("a read waits for a replica that is close and goes to the primary otherwise") {
+  MachineFixture close(Operation::kRead, true, true, {1, 100});
+  REQUIRE(close.Start().endpoint != "a");
+  RequestAction action = close.Answer(1, Verdict::kNotRun, Reason::kBehind, 95);
+  REQUIRE(action.kind == Kind::kWait);
+  action = close.TimerAt(action.until);
+  CHECK(action.endpoint != "a");
+  CHECK(close.Answer(2, Verdict::kNotRun, Reason::kBehind, 95).endpoint == "a");
+  MachineFixture far(Operation::kRead, true, true, {1, 1000});
+  far.ExhaustBudget();
+  far.Start();
+  CHECK(far.Answer(1, Verdict::kNotRun, Reason::kBehind, 95).endpoint == "a");
+}
+
+TEST_CASE("a read of a lost position runs at the primary without the position") {
+  MachineFixture fixture(Operation::kRead, true, true, {1, 100});
+  GroupState state = MakeGroup(2, "b");
+  state.term_starts = {{1, 0}, {2, 50}};
+  fixture.group.SetState(state);
+  const RequestAction action = fixture.Start();
+  CHECK(action.endpoint == "b");
+  CHECK(action.required == LogPosition());
+}
+
+TEST_CASE("a forward that never left goes to the next owner of the endpoint") {
+  MachineFixture fixture(Operation::kWrite, false);
+  fixture.ExhaustBudget();
+  REQUIRE(fixture.Start().owner_choice == 0);
+  RequestAction action = fixture.machine.OnSendFailed(1, false, fixture.Context());
+  CHECK(action.owner_choice == 1);
+  action = fixture.Answer(2, Verdict::kNotRun, Reason::kNotOwner);
+  CHECK(action.owner_choice == 2);
+  action = fixture.machine.OnSendFailed(3, false, fixture.Context());
+  CHECK(action.kind == Kind::kWait);
+}
+
+TEST_CASE("an overloaded endpoint is answered at once when no other can serve the request") {
+  MachineFixture write(Operation::kWrite);
+  write.Start();
+  CHECK(write.Answer(1, Verdict::kNotRun, Reason::kOverloaded).kind == Kind::kAnswer);
+  MachineFixture read(Operation::kRead);
+  read.Start();
+  RequestAction action = read.Answer(1, Verdict::kNotRun, Reason::kOverloaded);
+  REQUIRE(action.kind == Kind::kSend);
+  action = read.Answer(2, Verdict::kNotRun, Reason::kOverloaded);
+  REQUIRE(action.endpoint == "a");
+  CHECK(read.Answer(3, Verdict::kNotRun, Reason::kOverloaded).result.reason == Reason::kOverloaded);
+}
+
+TEST_CASE("a silent endpoint leaves a read half of its time for another one") {
+  MachineFixture fixture(Operation::kRead);
+  RequestAction action = fixture.Start();
+  const std::string first = action.endpoint;
+  action = fixture.TimerAt(action.until);
+  REQUIRE(action.kind == Kind::kSend);
+  CHECK(action.endpoint != first);
+}
+
+}  // namespace
+}  // namespace poplarmoor
