kernel: confirm a write only in the term of the primary that ran it

Cause: an answer of a replaced primary carries a position of its own log. A tracker that had moved to the next term could have confirmed it by the index alone (found while designing the fault matrix). Change: Add() takes the term of the answering endpoint and returns kConfirmed, kWaiting or kReplaced. Conclusion: callers must pass EndpointStatus::term of the answer and answer kReplaced with may_have_run: unconfirmed.

--- a/kernel/confirmation_tracker.cc
+++ b/kernel/confirmation_tracker.cc
@@ -78,16 +78,23 @@
   return delay && now + *delay <= deadline;
 }
 
-bool ConfirmationTracker::Add(uint64_t id,
-                              LogPosition position,
-                              TimePoint deadline,
-                              TimePoint now) {
-  if (this->needed == 0 || (position.term <= this->term && position.index <= this->confirmed)) {
+ConfirmationTracker::Added ConfirmationTracker::Add(uint64_t id,
+                                                    uint64_t answer_term,
+                                                    LogPosition position,
+                                                    TimePoint deadline,
+                                                    TimePoint now) {
+  if (this->needed == 0) {
+    return Added::kConfirmed;
+  }
+  if (answer_term < this->term) {
+    return Added::kReplaced;
+  }
+  if (answer_term == this->term && position.index <= this->confirmed) {
     this->RecordDelay(Duration(0));
-    return true;
+    return Added::kConfirmed;
   }
-  this->waiting.emplace(position.index, Write{id, position.term, deadline, now});
-  return false;
+  this->waiting.emplace(position.index, Write{id, answer_term, deadline, now});
+  return Added::kWaiting;
 }
 
 std::vector<uint64_t> ConfirmationTracker::OnStatus(const EndpointStatus& status, TimePoint now) {
@@ -102,11 +109,15 @@
   }
   found->second.received = std::max(found->second.received, status.received);
   this->UpdateConfirmed();
-  while (!this->waiting.empty() && this->waiting.begin()->first <= this->confirmed) {
-    const Write& write = this->waiting.begin()->second;
-    this->RecordDelay(now - write.added);
-    done.push_back(write.id);
-    this->waiting.erase(this->waiting.begin());
+  auto each = this->waiting.begin();
+  while (each != this->waiting.end() && each->first <= this->confirmed) {
+    if (each->second.term != this->term) {
+      ++each;  // Of a later term that SetTerm() has not started yet.
+      continue;
+    }
+    this->RecordDelay(now - each->second.added);
+    done.push_back(each->second.id);
+    each = this->waiting.erase(each);
   }
   return done;
 }
--- a/kernel/confirmation_tracker.h
+++ b/kernel/confirmation_tracker.h
@@ -23,6 +23,13 @@
 /// term; a primary must therefore append an entry of its own when it is promoted.
 class ConfirmationTracker {
  public:
+  /// What became of a write that was added.
+  enum class Added {
+    kConfirmed,  // Enough replicas have received it; answer kRan.
+    kWaiting,    // OnStatus(), TakeExpired() or SetTerm() will return its id.
+    kReplaced,   // The primary that ran it was replaced; answer kMayHaveRun: unconfirmed.
+  };
+
   /// Starts a term. Writes that wait for an earlier term can no longer be confirmed here.
   /// @param term Term of the primary.
   /// @param replicas Names of its replicas.
@@ -48,11 +55,18 @@
 
   /// Adds a write that ran at the primary.
   /// @param id Id chosen by the owner, unique among waiting writes.
-  /// @param position Position of the write.
+  /// @param answer_term Term of the endpoint when it answered. Only replicas that follow this term
+  ///     hold the log in which the position lies, so that no other term can confirm the write.
+  /// @param position Position of the write; of an earlier term when a repeated request id was
+  /// found.
   /// @param deadline When TakeExpired() gives up.
   /// @param now Current time.
-  /// @returns True when it is confirmed already; it is not added then.
-  bool Add(uint64_t id, LogPosition position, TimePoint deadline, TimePoint now);
+  /// @returns What became of it; it is added only when it is waiting.
+  Added Add(uint64_t id,
+            uint64_t answer_term,
+            LogPosition position,
+            TimePoint deadline,
+            TimePoint now);
 
   /// Takes the status of a replica.
   /// @param status Status; it is ignored when it is of another term.
@@ -84,7 +98,7 @@
 
   struct Write {
     uint64_t id = 0;
-    uint64_t term = 0;  // Of its position.
+    uint64_t term = 0;  // Of the primary that ran it.
     TimePoint deadline;
     TimePoint added;
   };
--- a/tests/kernel/confirmation_tracker_test.cc
+++ b/tests/kernel/confirmation_tracker_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using Ids = std::vector<uint64_t>;
+using Added = ConfirmationTracker::Added;
 
 ConfirmationTracker MakeTracker() {
   ConfirmationTracker tracker;
@@ -18,17 +19,18 @@
 
 TEST_CASE("one replica of the same term confirms, in log order") {
   ConfirmationTracker tracker = MakeTracker();
-  CHECK_FALSE(tracker.Add(8, {2, 11}, At(500), At(0)));
-  CHECK_FALSE(tracker.Add(7, {2, 10}, At(500), At(0)));
+  CHECK(tracker.Add(8, 2, {2, 11}, At(500), At(0)) == Added::kWaiting);
+  CHECK(tracker.Add(7, 2, {2, 10}, At(500), At(0)) == Added::kWaiting);
   CHECK(tracker.WaitIndex() == 10);
   CHECK(tracker.OnStatus(MakeStatus("b", 2, 9), At(5)).empty());
   CHECK(tracker.OnStatus(MakeStatus("c", 2, 11), At(6)) == Ids{7, 8});
-  CHECK(tracker.Add(9, {2, 11}, At(500), At(7)));  // The status was faster than the answer.
+  // The status was faster than the answer.
+  CHECK(tracker.Add(9, 2, {2, 11}, At(500), At(7)) == Added::kConfirmed);
 }
 
 TEST_CASE("a write is not acknowledged by a replica that may hold other entries") {
   ConfirmationTracker tracker = MakeTracker();
-  tracker.Add(1, {2, 10}, At(500), At(0));
+  tracker.Add(1, 2, {2, 10}, At(500), At(0));
   CHECK(tracker.OnStatus(MakeStatus("b", 1, 50), At(1)).empty());  // Of an earlier term.
   CHECK(tracker.OnStatus(MakeStatus("b", 3, 50), At(1)).empty());  // Fenced by a later term.
   EndpointStatus untruncated = MakeStatus("b", 2, 50);
@@ -40,20 +42,30 @@
 
 TEST_CASE("an entry of an earlier term is confirmed only by a later entry of the current term") {
   ConfirmationTracker tracker = MakeTracker();
-  CHECK_FALSE(tracker.Add(1, {1, 10}, At(500), At(0)));
+  CHECK(tracker.Add(1, 2, {1, 10}, At(500), At(0)) == Added::kWaiting);
   EndpointStatus synchronised = MakeStatus("b", 2, 10);
   synchronised.last = {1, 10};
   CHECK(tracker.OnStatus(synchronised, At(1)).empty());
   CHECK(tracker.OnStatus(MakeStatus("b", 2, 11), At(2)) == Ids{1});
 }
 
+TEST_CASE("the replicas of a term do not confirm an answer of the next one") {
+  ConfirmationTracker tracker = MakeTracker();
+  tracker.Add(1, 3, {3, 10}, At(500), At(0));
+  CHECK(tracker.OnStatus(MakeStatus("b", 2, 50), At(1)).empty());
+  CHECK(tracker.SetTerm(3, {"b", "c"}, 1, At(2)).empty());
+  CHECK(tracker.OnStatus(MakeStatus("b", 3, 10), At(3)) == Ids{1});
+}
+
 TEST_CASE("a new term ends the waiting writes of the old one") {
   ConfirmationTracker tracker = MakeTracker();
-  tracker.Add(1, {2, 10}, At(500), At(0));
-  tracker.Add(2, {3, 11}, At(500), At(0));  // The answer came before the new group state.
+  tracker.Add(1, 2, {2, 10}, At(500), At(0));
+  tracker.Add(2, 3, {3, 11}, At(500), At(0));  // The answer came before the new group state.
   CHECK(tracker.SetTerm(3, {"a", "b"}, 1, At(1)) == Ids{1});
   CHECK(tracker.SetTerm(2, {"b", "c"}, 1, At(1)).empty());
   CHECK(tracker.OnStatus(MakeStatus("b", 2, 50), At(2)).empty());
+  // The replaced primary answers late: the position is not one of the new term's log.
+  CHECK(tracker.Add(3, 2, {2, 10}, At(500), At(2)) == Added::kReplaced);
   CHECK(tracker.OnStatus(MakeStatus("b", 3, 11), At(3)) == Ids{2});
 }
 
@@ -61,7 +73,7 @@
   ConfirmationTracker tracker = MakeTracker();
   CHECK(tracker.CanConfirm(At(100), At(0)));
   tracker.OnStatus(MakeStatus("b", 2, 9), At(1));
-  tracker.Add(1, {2, 10}, At(300), At(1));
+  tracker.Add(1, 2, {2, 10}, At(300), At(1));
   CHECK(tracker.CanConfirm(At(300), At(100)));
   CHECK_FALSE(tracker.CanConfirm(At(300), At(200)));  // Replication stalls for 199 ms already.
   CHECK(tracker.NextExpiry() == At(300));
@@ -79,7 +91,7 @@
   ConfirmationTracker tracker;
   tracker.SetTerm(2, {}, 0, At(0));
   CHECK(tracker.CanConfirm(At(1), At(0)));
-  CHECK(tracker.Add(1, {2, 10}, At(500), At(0)));
+  CHECK(tracker.Add(1, 2, {2, 10}, At(500), At(0)) == Added::kConfirmed);
 }
 
 TEST_CASE("each write is reported exactly once, as confirmed, expired or abandoned") {
@@ -99,7 +111,8 @@
       now += step % 16;
       if (step % 4 == 0) {
         ++index;
-        if (!tracker.Add(index, {term, index}, At(now + step % 64), At(now))) {
+        if (tracker.Add(index, term, {term, index}, At(now + step % 64), At(now)) ==
+            Added::kWaiting) {
           waiting.emplace(index, LogPosition{term, index});
         }
       } else if (step % 4 < 3) {
