--- a/load/load_report.cc
+++ b/load/load_report.cc
@@ -108,6 +108,8 @@
           {"failover_gap_ms", gaps},
           {"writes_by_service", this->writes},
           {"config_in_force_ms", changes},
+          {"idle_connections", this->idle_connections},
+          {"idle_connections_lost", this->idle_connections_lost},
           {"log_primaries", this->log_primaries},
           {"unchecked_services", this->unchecked_services},
           {"reasons", this->reasons},
--- a/load/load_report.h
+++ b/load/load_report.h
@@ -24,6 +24,8 @@
   std::map<std::string, std::string> log_primaries;  // Endpoint whose log was compared.
   std::vector<std::string> unchecked_services;       // Whose logs could not be read.
   std::vector<Duration> config_in_force;             // One for each change seen.
+  int idle_connections = 0;                          // Held without requests during the run.
+  int idle_connections_lost = 0;                     // Of these, closed before its end.
   Duration duration{0};
 
   /// Fills the counts of ranks and reasons, and the failover gaps.
--- a/load/load_runner.cc
+++ b/load/load_runner.cc
@@ -7,6 +7,7 @@
 #include "load/config_watch.h"
 #include "load/daemon_target.h"
 #include "load/direct_target.h"
+#include "load/idle_connections.h"
 #include "load/log_reader.h"
 #include "load/service_history.h"
 
@@ -73,6 +74,9 @@
                                                        this->options.operator_token);
     this->config_watch->Start();
   }
+  this->idle_connections = std::make_unique<IdleConnections>(this->context);
+  co_await this->idle_connections->Open(this->options.daemons, this->options.idle_connections);
+  this->start = Clock::now();
   asio::co_spawn(this->context, this->PrintProgress(), asio::detached);
   for (size_t rank = 0; rank < kRankCount; ++rank) {
     asio::co_spawn(this->context, this->OfferRank(static_cast<Rank>(rank)), asio::detached);
@@ -84,6 +88,8 @@
     timer.expires_after(milliseconds(20));
     co_await timer.async_wait(asio::use_awaitable);
   }
+  this->report.idle_connections = this->idle_connections->opened();
+  this->report.idle_connections_lost = this->idle_connections->CountLost();
   std::array<Duration, kRankCount> targets;
   for (size_t rank = 0; rank < kRankCount; ++rank) {
     targets[rank] = milliseconds(this->options.ranks[rank].target_ms);
--- a/load/load_runner.h
+++ b/load/load_runner.h
@@ -22,6 +22,7 @@
 namespace poplarmoor {
 
 class ConfigWatch;
+class IdleConnections;
 class LoadTarget;
 
 /// One run of the load tool: open-loop load with a bounded number of outstanding requests, then
@@ -51,6 +52,7 @@
   boost::asio::io_context context{1};
   std::unique_ptr<LoadTarget> target;
   std::unique_ptr<ConfigWatch> config_watch;
+  std::unique_ptr<IdleConnections> idle_connections;
   Workload workload;
   std::vector<LoadSession> sessions;
   std::vector<size_t> free_sessions;
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -17,12 +17,14 @@
 std::unique_ptr<HttpConnection> HttpClient::TakeIdle(const std::string& address) {
   std::lock_guard lock(this->mutex);
   auto& connections = this->idle[address];
-  if (connections.empty()) {
-    return nullptr;
+  while (!connections.empty()) {
+    auto connection = std::move(connections.back());
+    connections.pop_back();
+    if (connection->IsReusable()) {
+      return connection;
+    }
   }
-  auto connection = std::move(connections.back());
-  connections.pop_back();
-  return connection;
+  return nullptr;
 }
 
 void HttpClient::KeepIdle(const std::string& address, std::unique_ptr<HttpConnection> connection) {
--- a/net/http_connection.cc
+++ b/net/http_connection.cc
@@ -1,8 +1,11 @@
 #include "net/http_connection.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 
 #include "net/address.h"
 #include "net/http_message.h"
@@ -105,6 +108,18 @@
   return this->impl->open;
 }
 
+bool HttpConnection::IsReusable() {
+  if (!this->impl->open) {
+    return false;
+  }
+  // An idle connection has nothing to read: a byte would be an answer that nobody asked for, and
+  // end of stream means that the peer has closed it.
+  char byte = 0;
+  const ssize_t count = ::recv(this->impl->stream.socket().native_handle(), &byte, sizeof(byte),
+                               MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void HttpConnection::Close() {
   this->impl->open = false;
   this->impl->stream.close();
--- a/net/http_connection.h
+++ b/net/http_connection.h
@@ -52,6 +52,10 @@
   /// @returns Whether the connection is open.
   bool is_open() const;
 
+  /// Looks for a close by the peer that has arrived since the last exchange.
+  /// @returns Whether a request may be sent over the connection.
+  bool IsReusable();
+
   void Close();
 
  private:
