standins: append an empty entry when an endpoint is promoted

Cause: a replica confirms a write only when its last entry is of the primary's term. After a promotion without new writes, the answer to a request id repeated from the earlier term stayed unconfirmed until the deadline.

--- a/standins/endpoint_replication.cc
+++ b/standins/endpoint_replication.cc
@@ -76,6 +76,9 @@
   this->synced = true;
   this->can_vote = true;
   this->log->ReplayTo(this->log->received());
+  // Replicas prove that they hold the log of this term by an entry of it; without one, the answer
+  // to a request id repeated from an earlier term could not be confirmed before the next write.
+  this->log->Execute(new_term, "", Json::array(), false);
   this->changed.Notify();
   co_return Json::object();
 }
