--- /dev/null
+++ b/tests/kernel/fake_endpoint.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "kernel/endpoint_status.h"
+#include "kernel/reason.h"
+#include "kernel/statement_request.h"
+
+namespace poplarmoor {
+
+/// Answer of a fake endpoint.
+struct FakeReply {
+  bool ok = false;
+  Reason reason = Reason::kNone;
+  std::string request_id;  // Echo.
+  std::string result;
+  LogPosition position;
+  EndpointStatus status;
+};
+
+/// A database server with a log, terms, recorded request ids and one transaction a connection. It
+/// follows the endpoint protocol of the design without any I/O.
+class FakeEndpoint {
+ public:
+  struct Entry {
+    uint64_t term = 0;
+    std::string id;                       // Empty for the marker of a promotion.
+    std::vector<std::string> statements;  // Ids of the statements that it commits.
+  };
+
+  std::string name;
+  uint64_t term = 1;
+  bool is_primary = false;
+  bool is_alive = true;
+  bool records_ids = true;
+  bool checks_terms = true;  // False in a weakened world.
+  std::vector<Entry> log;
+  size_t replayed = 0;
+  std::map<uint64_t, std::vector<std::string>> transactions;  // Open ones by connection.
+  std::map<std::string, int> executions;                      // By request id.
+
+  /// Runs a request that arrived on a connection.
+  FakeReply Execute(uint64_t connection, const StatementRequest& request, uint64_t request_term);
+
+  /// Grants a term and gives up the role of primary.
+  void Fence(uint64_t new_term);
+
+  /// Becomes the primary of its term and appends the marker entry of the promotion.
+  void Promote();
+
+  /// Makes its log equal to the primary's.
+  void CopyLog(const FakeEndpoint& primary);
+
+  EndpointStatus Status() const;
+  LogPosition Last() const;
+
+ private:
+  Reason Check(uint64_t connection, const StatementRequest& request, uint64_t request_term) const;
+  uint64_t TermAt(uint64_t index) const;
+  void Append(const std::string& id, std::vector<std::string> statements);
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/tests/kernel/fault_world.cc
@@ -0,0 +1,584 @@
+#include "tests/kernel/fault_world.h"
+
+#include <algorithm>
+
+namespace poplarmoor {
+
+namespace {
+
+constexpr uint64_t kMaxConnectionId = 1000;  // Of one generation of an owner.
+constexpr Duration kHop = 1ms;               // Between any two processes.
+constexpr Duration kOwnerTimeout = 150ms;    // Of one exchange with an endpoint.
+constexpr Duration kLate = 300ms;            // Delay of a late answer, beyond that timeout.
+
+bool IsInTransaction(Operation operation) {
+  return operation == Operation::kTransactionRead || operation == Operation::kTransactionWrite ||
+         operation == Operation::kCommit;
+}
+
+bool IsLogged(Operation operation) {
+  return operation == Operation::kWrite || operation == Operation::kCommit;
+}
+
+StatementResult MakeResult(Verdict verdict, Reason reason) {
+  StatementResult result;
+  result.verdict = verdict;
+  result.reason = reason;
+  return result;
+}
+
+}  // namespace
+
+/// A request that the entry drives.
+struct FaultWorld::Drive {
+  std::shared_ptr<Call> call;
+  RequestMachine machine;
+  std::function<void(const Call&)> then;
+  uint64_t timer = 0;
+  bool was_refused = false;
+};
+
+/// One attempt at the owner.
+struct FaultWorld::Forward {
+  DrivePtr drive;
+  int attempt = 0;
+  std::string endpoint;
+  uint64_t term = 0;
+  StatementRequest request;
+  std::string transaction;  // Local to the owner.
+  uint64_t generation = 0;
+  bool exchanging = false;  // Waits for an answer on a connection.
+  bool responded = false;
+  bool late = false;
+  bool late_response = false;
+  bool crossed = false;
+  bool lost_response = false;
+};
+
+FaultWorld::FaultWorld(const Weakness& weakness, bool records_ids)
+    : weakness(weakness), records_ids(records_ids), state(MakeGroup(1, "a")), view(state) {
+  for (size_t i = 0; i < 3; ++i) {
+    this->endpoints[i].name = this->state.endpoints[i].name;
+    this->endpoints[i].records_ids = records_ids;
+    this->endpoints[i].checks_terms = !weakness.no_fence_check;
+    this->SetTerms(&this->owners[i]);
+  }
+  this->endpoints[0].Promote();
+  this->After(Duration(0), [this] { this->Maintain(); });
+}
+
+// --- Clock and caller ---------------------------------------------------------------------------
+
+void FaultWorld::After(Duration delay, std::function<void()> action) {
+  this->events.push({this->now + delay, this->sequence++, std::move(action)});
+}
+
+void FaultWorld::RunUntil(TimePoint end) {
+  while (!this->events.empty() && this->events.top().time <= end) {
+    const Event event = this->events.top();
+    this->events.pop();
+    this->now = event.time;
+    event.action();
+  }
+  this->now = end;
+}
+
+void FaultWorld::Issue(const std::string& session,
+                       StatementRequest request,
+                       std::function<void(const Call&)> then) {
+  const auto call = std::make_shared<Call>();
+  call->session = session;
+  call->own_writes = this->acknowledged[session];
+  RequestOptions options;
+  options.records_request_ids = this->records_ids || this->weakness.retry_after_loss;
+  if (!this->weakness.token_ignored) {
+    request.required = this->sessions[session].Require("orders").position;
+  }
+  if (IsInTransaction(request.operation)) {
+    options.pinned_endpoint = request.transaction.substr(0, request.transaction.find('/'));
+  }
+  call->request = request;
+  request.repeatable = request.repeatable || this->weakness.retry_after_loss;
+  const DrivePtr drive(new Drive{call, RequestMachine(request, options), std::move(then)});
+  this->calls.push_back(call);
+  this->drives.insert(drive);
+  this->Act(drive, drive->machine.Start(this->Context()));
+}
+
+RequestContext FaultWorld::Context() {
+  return {this->view, *this->policy, this->budget, this->now, this->sequence * 0x9e3779b97f4a7c15};
+}
+
+FakeEndpoint& FaultWorld::EndpointOf(const std::string& name) {
+  return this->endpoints.at(static_cast<size_t>(name.at(0) - 'a'));
+}
+
+FaultWorld::Owner& FaultWorld::OwnerOf(const std::string& name) {
+  return this->owners.at(static_cast<size_t>(name.at(0) - 'a'));
+}
+
+// --- Entry --------------------------------------------------------------------------------------
+
+void FaultWorld::Act(const DrivePtr& drive, const RequestAction& action) {
+  if (drive->call->done) {
+    return;
+  }
+  if (action.kind == RequestAction::Kind::kAnswer) {
+    this->Finish(drive, action.result);
+    return;
+  }
+  if (action.kind == RequestAction::Kind::kSend) {
+    const auto forward = std::make_shared<Forward>();
+    forward->drive = drive;
+    forward->attempt = action.attempt;
+    forward->endpoint = action.endpoint;
+    forward->term = action.term;
+    forward->request = drive->machine.Request();
+    forward->request.required = action.required;
+    const std::string& transaction = forward->request.transaction;
+    forward->transaction = transaction.substr(std::min(transaction.size(), size_t{2}));
+    this->view.OnSent(action.endpoint);
+    this->After(kHop, [this, forward] { this->Accept(forward); });
+  }
+  const uint64_t timer = ++drive->timer;
+  this->After(std::max(Duration(0), action.until - this->now), [this, drive, timer] {
+    if (drive->timer == timer) {
+      this->Act(drive, drive->machine.OnTimer(this->Context()));
+    }
+  });
+}
+
+void FaultWorld::Finish(const DrivePtr& drive, StatementResult result) {
+  Call& call = *drive->call;
+  call.done = true;
+  if (this->weakness.last_verdict && drive->was_refused && result.verdict == Verdict::kMayHaveRun) {
+    result.verdict = Verdict::kNotRun;
+  }
+  call.result = result;
+  if (result.verdict == Verdict::kRan && IsLogged(call.request.operation)) {
+    this->sessions[call.session].Record("orders", result.position);
+    this->acknowledged[call.session].push_back(call.request.request_id);
+  }
+  this->drives.erase(drive);
+  drive->then(call);
+}
+
+void FaultWorld::ReturnToEntry(const ForwardPtr& forward, const StatementResult& result) {
+  const DrivePtr& drive = forward->drive;
+  if (result.status) {
+    this->view.OnStatus(*result.status, this->now);
+  }
+  this->view.OnDone(forward->endpoint, result.verdict == Verdict::kMayHaveRun, this->now);
+  drive->was_refused = drive->was_refused || result.verdict == Verdict::kNotRun;
+  this->Act(drive, drive->machine.OnAnswer(forward->attempt, result, this->Context()));
+}
+
+// --- Faults -------------------------------------------------------------------------------------
+
+void FaultWorld::Hook(const ForwardPtr& forward, Step step) {
+  if (forward->request.request_id != "target") {
+    return;
+  }
+  const auto due = std::stable_partition(this->armed.begin(), this->armed.end(),
+                                         [&](const auto& each) { return each.second != step; });
+  const std::vector<std::pair<Fault, Step>> faults(due, this->armed.end());
+  this->armed.erase(due, this->armed.end());
+  for (const auto& [fault, at] : faults) {
+    this->Inject(fault, at, forward);
+  }
+}
+
+void FaultWorld::Inject(Fault fault, Step step, const ForwardPtr& forward) {
+  const bool answered = step == Step::kBeforeConfirmation;
+  Owner& owner = this->OwnerOf(forward->endpoint);
+  switch (fault) {
+    case Fault::kEndpointCrash:
+      this->Crash(forward->endpoint);
+      break;
+    case Fault::kSilentConnection:
+      for (uint64_t id = 0; id < kMaxConnectionId; ++id) {
+        owner.silent.insert(id);
+      }
+      break;
+    case Fault::kLateAnswer:
+      (answered ? forward->late_response : forward->late) = true;
+      break;
+    case Fault::kCrossedAnswer:
+      (answered ? forward->lost_response : forward->crossed) = true;
+      break;
+    case Fault::kFencedTerm:
+      this->Promote(true, 100ms);
+      break;
+    case Fault::kReplicaBehind:
+      this->replicas_stalled_until = this->now + 300ms;
+      break;
+    case Fault::kDaemonDeath:
+      this->KillOwner(forward->endpoint);
+      break;
+    case Fault::kPromotion:
+      this->Promote(false, 5ms);
+      break;
+  }
+}
+
+void FaultWorld::Crash(const std::string& name) {
+  FakeEndpoint& endpoint = this->EndpointOf(name);
+  endpoint.is_alive = false;
+  endpoint.transactions.clear();
+  Owner& owner = this->OwnerOf(name);
+  for (uint64_t id = 0; id < kMaxConnectionId; ++id) {
+    owner.pool.OnClosed(id);
+  }
+  owner.transactions.EndAll(name);
+  owner.pending.clear();
+  for (const ForwardPtr& forward : std::set<ForwardPtr>(owner.forwards)) {
+    this->After(kHop, [this, forward] {
+      this->Respond(forward, MakeResult(Verdict::kMayHaveRun, Reason::kConnectionLost));
+    });
+  }
+  if (this->state.primary == name) {
+    this->After(100ms, [this] { this->Promote(true, 5ms); });
+  }
+  this->After(500ms, [this, &endpoint] {
+    endpoint.is_alive = true;
+    if (endpoint.term < this->state.term) {
+      endpoint.Fence(this->state.term);
+    }
+  });
+}
+
+void FaultWorld::KillOwner(const std::string& name) {
+  Owner& owner = this->OwnerOf(name);
+  for (const ForwardPtr& forward : owner.forwards) {
+    forward->responded = true;
+    this->After(kHop, [this, forward] {
+      this->ReturnToEntry(forward, MakeResult(Verdict::kMayHaveRun, Reason::kConnectionLost));
+    });
+  }
+  const uint64_t generation = owner.generation;
+  owner = Owner();
+  owner.generation = generation + 1;
+  owner.up_since = this->now + 20ms;
+  this->SetTerms(&owner);
+  this->After(kHop, [this, name] { this->EndpointOf(name).transactions.clear(); });
+}
+
+void FaultWorld::Promote(bool old_primary_hears, Duration entry_delay) {
+  const std::string old = this->state.primary;
+  if (!old_primary_hears) {
+    this->cut_off.insert(old);
+  }
+  FakeEndpoint* best = nullptr;
+  std::vector<FakeEndpoint*> electors;
+  for (FakeEndpoint& endpoint : this->endpoints) {
+    if (endpoint.is_alive && !this->cut_off.contains(endpoint.name)) {
+      electors.push_back(&endpoint);
+      // The old primary loses a tie, so that each promotion moves the role where it can.
+      const bool better = best == nullptr || best->Last() < endpoint.Last() ||
+                          (best->Last() == endpoint.Last() && best->name == old);
+      best = better ? &endpoint : best;
+    }
+  }
+  if (electors.size() < 2) {
+    this->After(100ms, [this] { this->Promote(true, 5ms); });
+  } else {
+    ++this->state.term;
+    ++this->state.version;
+    for (FakeEndpoint* elector : electors) {
+      elector->Fence(this->state.term);
+    }
+    this->state.primary = best->name;
+    this->state.term_starts.push_back({this->state.term, best->log.size()});
+    best->Promote();
+    for (Owner& owner : this->owners) {
+      this->SetTerms(&owner);
+    }
+    this->After(entry_delay, [this, published = this->state] {
+      this->view.SetState(published);
+      for (const DrivePtr& drive : std::set<DrivePtr>(this->drives)) {
+        this->Act(drive, drive->machine.OnTimer(this->Context()));
+      }
+    });
+  }
+  if (!old_primary_hears) {
+    this->After(300ms, [this, old] {
+      this->cut_off.erase(old);
+      if (this->EndpointOf(old).term < this->state.term) {
+        this->EndpointOf(old).Fence(this->state.term);
+      }
+    });
+  }
+}
+
+void FaultWorld::SetTerms(Owner* owner) {
+  std::vector<std::string> replicas;
+  for (const EndpointInfo& info : this->state.endpoints) {
+    if (info.name != this->state.primary) {
+      replicas.push_back(info.name);
+    }
+  }
+  for (uint64_t id : owner->tracker.SetTerm(this->state.term, replicas, 1, this->now)) {
+    owner->confirmations.extract(id).mapped()(false);
+  }
+}
+
+// --- Owner --------------------------------------------------------------------------------------
+
+bool FaultWorld::IsCurrent(const ForwardPtr& forward) {
+  return !forward->responded && forward->generation == this->OwnerOf(forward->endpoint).generation;
+}
+
+void FaultWorld::Accept(const ForwardPtr& forward) {
+  Owner& owner = this->OwnerOf(forward->endpoint);
+  if (this->now < owner.up_since) {
+    this->After(kHop, [this, forward] {
+      this->ReturnToEntry(forward, MakeResult(Verdict::kNotRun, Reason::kConnectFailed));
+    });
+    return;
+  }
+  forward->generation = owner.generation;
+  owner.forwards.insert(forward);
+  this->Hook(forward, Step::kBeforeSend);
+  this->Assign(forward);
+}
+
+void FaultWorld::Assign(const ForwardPtr& forward) {
+  if (!this->IsCurrent(forward)) {
+    return;
+  }
+  Owner& owner = this->OwnerOf(forward->endpoint);
+  const Operation operation = forward->request.operation;
+  if (this->now >= forward->request.deadline) {
+    this->Refuse(forward, Reason::kDeadlineExceeded);
+  } else if (!this->EndpointOf(forward->endpoint).is_alive) {
+    this->Refuse(forward, Reason::kConnectFailed);
+  } else if (IsLogged(operation) && !this->weakness.ack_at_primary &&
+             !owner.tracker.CanConfirm(forward->request.deadline, this->now)) {
+    this->Refuse(forward, Reason::kNoQuorum);
+  } else if (IsInTransaction(operation)) {
+    const auto decision =
+        owner.transactions.Admit(forward->transaction, forward->request.sequence, this->now);
+    if (decision.transaction == nullptr) {
+      this->Refuse(forward, decision.reason);
+      return;
+    }
+    forward->term = decision.transaction->term;
+    this->SendOn(forward, decision.transaction->connection);
+  } else if (const auto id = owner.pool.Acquire(operation == Operation::kBegin, this->now)) {
+    this->SendOn(forward, *id);
+  } else {
+    this->OpenConnections(forward->endpoint, 1);
+    this->After(3ms, [this, forward] { this->Assign(forward); });
+  }
+}
+
+void FaultWorld::OpenConnections(const std::string& name, size_t waiting) {
+  Owner& owner = this->OwnerOf(name);
+  const ConnectionPool::Plan plan = owner.pool.Tick(waiting, this->now);
+  for (uint64_t id : plan.close) {
+    this->Close(name, id);
+  }
+  for (uint64_t id : plan.open) {
+    this->After(2 * kHop, [this, name, id, generation = owner.generation] {
+      Owner& current = this->OwnerOf(name);
+      if (current.generation != generation) {
+        return;
+      }
+      current.silent.erase(id);
+      this->EndpointOf(name).is_alive ? current.pool.OnOpened(id, this->now)
+                                      : current.pool.OnOpenFailed(id, this->now, 0);
+    });
+  }
+}
+
+void FaultWorld::SendOn(const ForwardPtr& forward, uint64_t id) {
+  Owner& owner = this->OwnerOf(forward->endpoint);
+  forward->exchanging = true;
+  owner.pending[id] = [this, forward, id](const FakeReply& reply) {
+    this->OnReply(forward, id, reply);
+  };
+  this->After(kHop, [this, forward, id] { this->Deliver(forward, id); });
+  this->After(std::min<Duration>(kOwnerTimeout, forward->request.deadline - this->now),
+              [this, forward, id] {
+                if (this->IsCurrent(forward) && forward->exchanging) {
+                  this->OnLost(forward, id, Reason::kTimeout);
+                }
+              });
+}
+
+void FaultWorld::Deliver(const ForwardPtr& forward, uint64_t id) {
+  Owner& owner = this->OwnerOf(forward->endpoint);
+  FakeEndpoint& endpoint = this->EndpointOf(forward->endpoint);
+  this->Hook(forward, Step::kBeforeRun);
+  if (!endpoint.is_alive || owner.silent.contains(id)) {
+    return;
+  }
+  FakeReply reply = endpoint.Execute(forward->generation * kMaxConnectionId + id, forward->request,
+                                     forward->term);
+  this->Hook(forward, Step::kBeforeAnswer);
+  if (forward->crossed) {
+    reply = this->foreign_reply;
+  } else if (forward->request.request_id != "target") {
+    this->foreign_reply = reply;
+  }
+  this->After(forward->late ? kLate : kHop, [this, forward, id, reply] {
+    Owner& receiver = this->OwnerOf(forward->endpoint);
+    const auto found = receiver.pending.find(id);
+    if (receiver.generation == forward->generation && !receiver.silent.contains(id) &&
+        found != receiver.pending.end()) {
+      // The connection delivers the answer to whichever request waits on it now.
+      const auto handler = found->second;
+      receiver.pending.erase(found);
+      handler(reply);
+    }
+  });
+}
+
+void FaultWorld::Close(const std::string& name, uint64_t id) {
+  Owner& owner = this->OwnerOf(name);
+  owner.pending.erase(id);
+  this->EndpointOf(name).transactions.erase(owner.generation * kMaxConnectionId + id);
+}
+
+void FaultWorld::OnReply(const ForwardPtr& forward, uint64_t id, const FakeReply& reply) {
+  if (!this->IsCurrent(forward)) {
+    return;
+  }
+  forward->exchanging = false;
+  const StatementRequest& request = forward->request;
+  if (reply.request_id != request.request_id && !this->weakness.no_echo_check) {
+    this->OnLost(forward, id, Reason::kConnectionLost);
+    return;
+  }
+  Owner& owner = this->OwnerOf(forward->endpoint);
+  StatementResult result = MakeResult(reply.ok ? Verdict::kRan : Verdict::kNotRun, reply.reason);
+  result.result = reply.result;
+  result.position = reply.position;
+  result.status = reply.status;
+  if (request.operation == Operation::kBegin && reply.ok) {
+    result.transaction =
+        forward->endpoint + "/" +
+        owner.transactions.Begin(forward->endpoint, id, forward->term, this->now, this->sequence);
+    owner.pool.OnAnswer(id, this->now);
+  } else if (IsInTransaction(request.operation) && reply.ok &&
+             request.operation != Operation::kCommit) {
+    owner.transactions.Finished(forward->transaction, true, this->now);
+    owner.pool.OnAnswer(id, this->now);
+  } else {
+    owner.transactions.End(forward->transaction);
+    const bool clean = reply.ok || !IsInTransaction(request.operation);
+    if (owner.pool.Release(id, clean, this->now)) {
+      this->Close(forward->endpoint, id);
+    }
+  }
+  this->Hook(forward, Step::kBeforeConfirmation);
+  if (reply.ok && IsLogged(request.operation) && !this->weakness.ack_at_primary) {
+    this->Confirm(forward, reply, result);
+  } else {
+    this->Respond(forward, result);
+  }
+}
+
+void FaultWorld::OnLost(const ForwardPtr& forward, uint64_t id, Reason reason) {
+  Owner& owner = this->OwnerOf(forward->endpoint);
+  forward->exchanging = false;
+  owner.pending.erase(id);
+  owner.transactions.End(forward->transaction);
+  if (this->weakness.dirty_connection) {
+    owner.pool.Release(id, true, this->now);
+  } else if (reason == Reason::kTimeout) {
+    for (uint64_t each : owner.pool.OnTimeout(id, kOwnerTimeout, this->now)) {
+      this->Close(forward->endpoint, each);
+    }
+  } else {
+    owner.pool.OnClosed(id);
+    this->Close(forward->endpoint, id);
+  }
+  this->Respond(forward, MakeResult(Verdict::kMayHaveRun, reason));
+}
+
+void FaultWorld::Confirm(const ForwardPtr& forward,
+                         const FakeReply& reply,
+                         const StatementResult& result) {
+  if (!this->IsCurrent(forward)) {
+    return;
+  }
+  Owner& owner = this->OwnerOf(forward->endpoint);
+  const uint64_t id = this->sequence++;
+  const auto done = [this, forward, result](bool confirmed) {
+    this->Respond(forward,
+                  confirmed ? result : MakeResult(Verdict::kMayHaveRun, Reason::kUnconfirmed));
+  };
+  const uint64_t term = this->weakness.no_fence_check ? this->state.term : reply.status.term;
+  switch (owner.tracker.Add(id, term, reply.position, forward->request.deadline, this->now)) {
+    case ConfirmationTracker::Added::kConfirmed:
+      return done(true);
+    case ConfirmationTracker::Added::kReplaced:
+      return done(false);
+    case ConfirmationTracker::Added::kWaiting:
+      owner.confirmations.emplace(id, done);
+  }
+}
+
+void FaultWorld::Refuse(const ForwardPtr& forward, Reason reason) {
+  this->Respond(forward, MakeResult(Verdict::kNotRun, reason));
+}
+
+void FaultWorld::Respond(const ForwardPtr& forward, const StatementResult& result) {
+  if (!this->IsCurrent(forward)) {
+    return;
+  }
+  forward->responded = true;
+  this->OwnerOf(forward->endpoint).forwards.erase(forward);
+  const StatementResult received =
+      forward->lost_response ? MakeResult(Verdict::kMayHaveRun, Reason::kConnectionLost) : result;
+  this->After(forward->late_response ? kLate : kHop,
+              [this, forward, received] { this->ReturnToEntry(forward, received); });
+}
+
+// --- Maintenance --------------------------------------------------------------------------------
+
+void FaultWorld::Maintain() {
+  this->Replicate();
+  for (const EndpointInfo& info : this->state.endpoints) {
+    Owner& owner = this->OwnerOf(info.name);
+    for (const FakeEndpoint& endpoint : this->endpoints) {
+      // An endpoint that is down or cut off does not answer the status long poll.
+      if (!endpoint.is_alive || this->cut_off.contains(endpoint.name)) {
+        continue;
+      }
+      for (uint64_t id : owner.tracker.OnStatus(endpoint.Status(), this->now)) {
+        owner.confirmations.extract(id).mapped()(true);
+      }
+    }
+    for (uint64_t id : owner.tracker.TakeExpired(this->now)) {
+      owner.confirmations.extract(id).mapped()(false);
+    }
+    for (const auto& transaction : owner.transactions.Expire(this->now)) {
+      owner.pool.Release(transaction.connection, false, this->now);
+      this->Close(info.name, transaction.connection);
+    }
+    this->OpenConnections(info.name, 0);
+  }
+  this->After(10ms, [this] { this->Maintain(); });
+}
+
+void FaultWorld::Replicate() {
+  if (this->now < this->replicas_stalled_until) {
+    return;
+  }
+  for (FakeEndpoint& replica : this->endpoints) {
+    if (replica.is_primary || !replica.is_alive || this->cut_off.contains(replica.name)) {
+      continue;
+    }
+    for (const FakeEndpoint& primary : this->endpoints) {
+      if (primary.is_primary && primary.is_alive && !this->cut_off.contains(primary.name) &&
+          primary.term == replica.term) {
+        replica.replayed = replica.log.size();  // Replay trails receipt by one round.
+        replica.CopyLog(primary);
+      }
+    }
+  }
+}
+
+}  // namespace poplarmoor
