--- /dev/null
+++ b/config/deployment.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "config/config_problem.h"
+
+namespace poplarmoor {
+
+/// Text of a configuration file.
+struct ConfigFile {
+  std::string path;  // For problems.
+  std::string text;
+};
+
+/// Checked configuration of one deployment, split into platform objects.
+struct Deployment {
+  std::string name;
+  std::map<std::string, std::string> units;   // JSON text by unit name.
+  std::map<std::string, std::string> groups;  // Initial group object (JSON text) by service.
+};
+
+/// Checks a base file and its overlays and splits them.
+/// @param base Base file.
+/// @param overlays Overlays, at most one for each site.
+/// @returns The deployment.
+/// @throws ConfigError with all problems of all files.
+Deployment ParseDeployment(const ConfigFile& base, const std::vector<ConfigFile>& overlays);
+
+/// @param base_path Path of a base file.
+/// @param overlay_paths Paths of overlays.
+/// @returns The deployment.
+/// @throws ConfigError with all problems of all files.
+Deployment ReadDeployment(const std::string& base_path,
+                          const std::vector<std::string>& overlay_paths);
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/config/effective_settings.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/units.h"
+
+namespace poplarmoor {
+
+/// Effective settings of every service at every site, from the configuration units. Not
+/// thread-safe.
+class EffectiveSettings {
+ public:
+  /// Takes over one unit. A malformed unit leaves the settings unchanged, so that one bad unit
+  /// never stops the others.
+  /// @param name Name of the platform object: "common", "service.NAME" or "site.SITE".
+  /// @param content Its value as JSON text.
+  /// @throws ConfigError when the content is malformed or the name is of no known form.
+  void Update(const std::string& name, const std::string& content);
+
+  /// @param service Exact name of a service.
+  /// @param site Site whose overlay applies; empty: none.
+  /// @returns The effective settings; nothing when the service, its pool or the unit "common" is
+  ///     unknown, or the service does not list the site.
+  std::optional<ServiceSettings> Find(const std::string& service, const std::string& site) const;
+
+  /// @returns Names of all services, sorted.
+  std::vector<std::string> ServiceNames() const;
+
+  /// @returns The failure domain of each site.
+  const std::map<std::string, std::string>& SiteDomains() const { return this->common.sites; }
+
+ private:
+  CommonUnit common;
+  std::map<std::string, ServiceUnit> services;
+  std::map<std::string, SiteUnit> sites;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/config/settings_override.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <array>
+#include <optional>
+#include <string>
+
+#include "kernel/rank.h"
+#include "kernel/service_settings.h"
+#include "kernel/time.h"
+
+namespace poplarmoor {
+
+/// Settings of one rank that a service or a site changes.
+struct RankOverride {
+  std::optional<double> floor_share;  // 0 to 1.
+  std::optional<Duration> target;
+  std::optional<double> worth;
+  std::optional<size_t> max_queue;
+
+  /// Changes the given settings.
+  void ApplyTo(RankSettings* settings) const;
+};
+
+/// Settings that a service or a site changes.
+struct SettingsOverride {
+  std::array<RankOverride, kRankCount> ranks;  // Indexed by Rank.
+  std::optional<Duration> deadline;
+  std::optional<std::string> routing;
+
+  /// Changes the given settings.
+  void ApplyTo(ServiceSettings* settings) const;
+};
+
+}  // namespace poplarmoor
