--- /dev/null
+++ b/net/peer_connection.cc
@@ -0,0 +1,263 @@
+#include "net/peer_connection.h"
+
+#include <boost/asio.hpp>
+#include <openssl/rand.h>
+
+#include "net/address.h"
+#include "net/key_ring.h"
+#include "net/now.h"
+#include "wire/msgpack_fields.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds kHandshakeTimeout{2000};
+constexpr size_t kMaxHandshake = 4 << 10;  // Bytes of a handshake message.
+constexpr size_t kMaxOutput = 64 << 20;    // Bytes queued for a peer that does not read.
+constexpr size_t kReadSize = 64 << 10;     // Bytes of free space before a read.
+constexpr size_t kNonceSize = 16;          // Bytes.
+
+std::string MakeNonce() {
+  std::string nonce(kNonceSize, '\0');
+  if (RAND_bytes(reinterpret_cast<unsigned char*>(nonce.data()), kNonceSize) != 1) {
+    throw std::runtime_error("cannot get random bytes");
+  }
+  return nonce;
+}
+
+/// Both sides of a handshake, in the order client, server.
+struct Handshake {
+  std::string key_id;
+  std::string client;
+  std::string client_nonce;
+  std::string server;
+  std::string server_nonce;
+
+  /// The role keeps a MAC from being reflected to its sender; the lengths keep two different
+  /// handshakes from having the same bytes.
+  std::string Mac(const KeyRing& keys, const std::string& role) const {
+    return keys.Mac(this->key_id, this->Bytes(role));
+  }
+
+  bool Verify(const KeyRing& keys, const std::string& role, const std::string& mac) const {
+    return keys.Verify(this->key_id, this->Bytes(role), mac);
+  }
+
+  std::string Bytes(const std::string& role) const {
+    std::string bytes;
+    for (const std::string* part :
+         {&role, &this->client, &this->client_nonce, &this->server, &this->server_nonce}) {
+      bytes += std::to_string(part->size()) + ":" + *part;
+    }
+    return bytes;
+  }
+};
+
+std::string PackHello(const char* type,
+                      const std::string& daemon,
+                      const std::string& key_id,
+                      const std::string& nonce,
+                      const std::string& mac) {
+  MsgpackWriter writer(6);
+  writer.Field("v", 1);
+  writer.Field("type", type);
+  writer.Field("daemon", std::string_view(daemon));
+  writer.Field("key_id", std::string_view(key_id));
+  writer.Bytes("nonce", nonce);
+  writer.Bytes("mac", mac);
+  return AddPeerLength(writer.Take());
+}
+
+std::string ReadField(const MsgpackFields& fields, const char* name) {
+  std::string value(fields.String(name));
+  if (value.empty()) {
+    throw CodecError(name, "is missing from the handshake");
+  }
+  return value;
+}
+
+void CheckType(const MsgpackFields& fields, std::string_view type) {
+  if (fields.String("type") != type) {
+    throw CodecError("type", "expected " + std::string(type) + " in the handshake");
+  }
+}
+
+}  // namespace
+
+PeerConnection::PeerConnection(asio::ip::tcp::socket socket, std::shared_ptr<PeerTraffic> traffic)
+    : socket(std::move(socket)),
+      handshake_timer(this->socket.get_executor()),
+      traffic(std::move(traffic)) {}
+
+void PeerConnection::LimitHandshake() {
+  this->handshake_timer.expires_after(kHandshakeTimeout);
+  this->handshake_timer.async_wait([weak = this->weak_from_this()](const auto& error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->Close();
+    }
+  });
+}
+
+asio::awaitable<void> PeerConnection::Connect(std::string address,
+                                              std::string daemon,
+                                              const KeyRing* keys) {
+  this->LimitHandshake();
+  this->remote_address = address;
+  co_await this->socket.async_connect(ParseAddress(address), asio::use_awaitable);
+  this->socket.set_option(asio::ip::tcp::no_delay(true));
+
+  Handshake handshake{keys->current(), daemon, MakeNonce(), {}, {}};
+  this->Send(PackHello("hello", daemon, handshake.key_id, handshake.client_nonce, ""));
+  {
+    const MsgpackFields fields(co_await this->ReadFrame(kMaxHandshake));
+    CheckType(fields, "hello_ack");
+    handshake.server = ReadField(fields, "daemon");
+    handshake.server_nonce = ReadField(fields, "nonce");
+    if (!handshake.Verify(*keys, "server", ReadField(fields, "mac"))) {
+      throw std::runtime_error("handshake: the MAC of daemon '" + handshake.server +
+                               "' is not valid");
+    }
+  }
+  this->Send(PackHello("hello_done", daemon, handshake.key_id, handshake.client_nonce,
+                       handshake.Mac(*keys, "client")));
+  this->peer_name = handshake.server;
+  this->handshake_timer.cancel();
+}
+
+asio::awaitable<void> PeerConnection::Accept(std::string daemon, const KeyRing* keys) {
+  this->LimitHandshake();
+  boost::system::error_code error;
+  const auto endpoint = this->socket.remote_endpoint(error);
+  this->remote_address = error ? "closed connection" : FormatAddress(endpoint);
+  this->socket.set_option(asio::ip::tcp::no_delay(true), error);
+
+  Handshake handshake{{}, {}, {}, daemon, MakeNonce()};
+  {
+    const MsgpackFields fields(co_await this->ReadFrame(kMaxHandshake));
+    CheckType(fields, "hello");
+    handshake.client = ReadField(fields, "daemon");
+    handshake.client_nonce = ReadField(fields, "nonce");
+    handshake.key_id = ReadField(fields, "key_id");
+  }
+  const std::string mac = handshake.Mac(*keys, "server");
+  if (mac.empty()) {
+    throw std::runtime_error("handshake: daemon '" + handshake.client + "' uses unknown key id '" +
+                             handshake.key_id + "'");
+  }
+  this->Send(PackHello("hello_ack", daemon, handshake.key_id, handshake.server_nonce, mac));
+  {
+    const MsgpackFields fields(co_await this->ReadFrame(kMaxHandshake));
+    CheckType(fields, "hello_done");
+    if (!handshake.Verify(*keys, "client", ReadField(fields, "mac"))) {
+      throw std::runtime_error("handshake: the MAC of daemon '" + handshake.client +
+                               "' is not valid");
+    }
+  }
+  this->peer_name = handshake.client;
+  this->handshake_timer.cancel();
+}
+
+asio::awaitable<std::string_view> PeerConnection::ReadFrame(size_t max_size) {
+  while (true) {
+    const size_t available = this->input.size() - this->consumed;
+    if (available >= kPeerLengthSize) {
+      const uint32_t length =
+          ReadPeerLength(std::string_view(this->input).substr(this->consumed, kPeerLengthSize));
+      if (length > max_size) {
+        throw CodecError("", "message of " + std::to_string(length) +
+                                 " bytes exceeds the limit of " + std::to_string(max_size));
+      }
+      if (available >= kPeerLengthSize + length) {
+        const std::string_view frame(this->input.data() + this->consumed + kPeerLengthSize, length);
+        this->consumed += kPeerLengthSize + length;
+        co_return frame;
+      }
+    }
+    this->input.erase(0, this->consumed);
+    this->consumed = 0;
+    const size_t size = this->input.size();
+    this->input.resize(size + kReadSize);
+    boost::system::error_code error;
+    const size_t count =
+        co_await this->socket.async_read_some(asio::buffer(this->input.data() + size, kReadSize),
+                                              asio::redirect_error(asio::use_awaitable, error));
+    this->input.resize(size + count);
+    if (error) {
+      throw boost::system::system_error(error);
+    }
+    this->traffic->received += count;
+    this->received_at = Now().time_since_epoch().count();
+  }
+}
+
+asio::awaitable<PeerFrame> PeerConnection::Receive() {
+  co_return DecodePeerFrame(co_await this->ReadFrame(kMaxPeerFrame));
+}
+
+void PeerConnection::Send(std::string bytes) {
+  {
+    std::lock_guard lock(this->mutex);
+    if (this->closed) {
+      return;
+    }
+    if (this->output.size() + bytes.size() <= kMaxOutput) {
+      this->output += bytes;
+      if (this->writing) {
+        return;
+      }
+      this->writing = true;
+      bytes.clear();
+    }
+  }
+  if (!bytes.empty()) {
+    this->Close();
+    return;
+  }
+  asio::co_spawn(
+      this->socket.get_executor(),
+      [self = this->shared_from_this()] { return self->WriteQueue(); }, asio::detached);
+}
+
+asio::awaitable<void> PeerConnection::WriteQueue() {
+  std::string batch;
+  while (true) {
+    batch.clear();
+    {
+      std::lock_guard lock(this->mutex);
+      if (this->output.empty() || this->closed) {
+        this->writing = false;
+        co_return;
+      }
+      batch.swap(this->output);
+    }
+    boost::system::error_code error;
+    co_await asio::async_write(this->socket, asio::buffer(batch),
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      this->Close();
+    }
+    this->traffic->sent += batch.size();
+  }
+}
+
+void PeerConnection::Close() {
+  {
+    std::lock_guard lock(this->mutex);
+    if (this->closed) {
+      return;
+    }
+    this->closed = true;
+    this->output.clear();
+  }
+  asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+    boost::system::error_code ignored;
+    self->handshake_timer.cancel();
+    self->socket.close(ignored);
+  });
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/net/peer_connection.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <utility>
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+#include "kernel/time.h"
+#include "net/peer_frame.h"
+
+namespace poplarmoor {
+
+class KeyRing;
+
+/// Byte counters that all connections of a network share.
+struct PeerTraffic {
+  std::atomic<uint64_t> sent{0};      // Bytes.
+  std::atomic<uint64_t> received{0};  // Bytes.
+};
+
+/// One TCP connection between two daemons: handshake, reading of frames, and a write queue. Runs on
+/// the strand of its socket; Send() and Close() may be called from any thread.
+class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
+ public:
+  /// @param socket Socket on a strand; connected or to be connected by Connect().
+  /// @param traffic Counters.
+  PeerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<PeerTraffic> traffic);
+
+  /// Connects and authenticates both sides.
+  /// @param address "IP:port".
+  /// @param daemon Name of this daemon.
+  /// @param keys Shared keys.
+  /// @throws std::exception that says what failed.
+  boost::asio::awaitable<void> Connect(std::string address,
+                                       std::string daemon,
+                                       const KeyRing* keys);
+
+  /// Authenticates both sides of an accepted connection.
+  /// @throws std::exception that says what failed.
+  boost::asio::awaitable<void> Accept(std::string daemon, const KeyRing* keys);
+
+  /// @returns The next frame.
+  /// @throws std::exception when the connection ended or the frame is malformed.
+  boost::asio::awaitable<PeerFrame> Receive();
+
+  /// Queues a frame; frames queued together leave in one write.
+  /// @param bytes Encoded frame with its length.
+  void Send(std::string bytes);
+
+  /// Closes the connection; a pending Receive() fails.
+  void Close();
+
+  /// @returns Name of the authenticated peer.
+  const std::string& peer() const { return this->peer_name; }
+
+  /// @returns Remote "IP:port", for logs.
+  const std::string& remote() const { return this->remote_address; }
+
+  /// @returns Time at which the last bytes arrived.
+  TimePoint last_received() const { return TimePoint(Duration(this->received_at.load())); }
+
+  boost::asio::any_io_executor executor() { return this->socket.get_executor(); }
+
+ private:
+  boost::asio::awaitable<std::string_view> ReadFrame(size_t max_size);
+  boost::asio::awaitable<void> WriteQueue();
+  void LimitHandshake();
+
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer handshake_timer;
+  std::shared_ptr<PeerTraffic> traffic;
+  std::string peer_name;
+  std::string remote_address;
+  std::string input;     // Bytes read; the first `consumed` belong to earlier frames.
+  size_t consumed = 0;   // Bytes.
+  std::atomic<int64_t> received_at{0};  // Microseconds of Now().
+
+  std::mutex mutex;
+  std::string output;    // Frames that wait for the writer.
+  bool writing = false;  // A writer runs.
+  bool closed = false;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/wire/caller_codec.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <string>
+
+#include "kernel/reason.h"
+#include "kernel/verdict.h"
+#include "wire/caller_answer.h"
+#include "wire/caller_request.h"
+
+namespace poplarmoor {
+
+/// Longest deadline that a caller may ask for.
+inline constexpr Duration kMaxDeadline = 600'000ms;
+
+/// Decodes the body of POST /v1/statements.
+/// @param body JSON text.
+/// @returns The request, with operation kRead or kWrite.
+/// @throws CodecError that names the field.
+CallerRequest DecodeStatement(const std::string& body);
+
+/// Decodes the body of POST /v1/transactions.
+/// @throws CodecError that names the field.
+CallerRequest DecodeBegin(const std::string& body);
+
+/// Decodes the body of POST /v1/transactions/statements.
+/// @throws CodecError that names the field.
+CallerRequest DecodeTransactionStatement(const std::string& body);
+
+/// Decodes the body of POST /v1/transactions/commit or /rollback.
+/// @param operation kCommit or kRollback.
+/// @throws CodecError that names the field.
+CallerRequest DecodeTransactionEnd(const std::string& body, Operation operation);
+
+/// @returns The JSON body of an answer.
+std::string EncodeAnswer(const CallerAnswer& answer);
+
+/// @param found Whether the request ran.
+/// @returns The JSON body of an answer to GET /v1/requests/SERVICE/ID.
+std::string EncodeOutcome(bool found);
+
+/// @param field Offending field; may be empty.
+/// @returns The JSON body {"error":{...}}.
+std::string EncodeError(Reason reason, const std::string& field, const std::string& message);
+
+/// @returns The HTTP status for a verdict and its reason.
+unsigned HttpStatusOf(Verdict verdict, Reason reason);
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/wire/json_fields.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "kernel/log_position.h"
+#include "kernel/name_table.h"
+#include "wire/codec_error.h"
+
+namespace poplarmoor {
+
+/// Reads the fields of one JSON object and checks their types and limits. Every failure is a
+/// CodecError that names the field.
+class JsonFields {
+ public:
+  /// Parses a message.
+  /// @param text JSON text.
+  /// @throws CodecError when the text is not a JSON object.
+  explicit JsonFields(const std::string& text);
+
+  /// Reads a nested object.
+  /// @param object Object to copy.
+  /// @param prefix Name of the object, for error messages.
+  JsonFields(nlohmann::json object, const std::string& prefix);
+
+  /// @returns Whether the field is present and not null.
+  bool Has(const char* name) const;
+
+  /// @param name Name of a required string field.
+  /// @param max_size Longest allowed value in bytes.
+  /// @returns Its value, which is not empty.
+  std::string RequiredString(const char* name, size_t max_size) const;
+
+  /// @returns The string, or an empty one when the field is absent.
+  std::string OptionalString(const char* name, size_t max_size) const;
+
+  /// @returns The boolean, or the fallback when the field is absent.
+  bool OptionalBool(const char* name, bool fallback) const;
+
+  /// @param max Largest allowed value.
+  /// @returns The number, or the fallback when the field is absent.
+  uint64_t OptionalUint(const char* name, uint64_t fallback, uint64_t max = UINT64_MAX) const;
+
+  /// @returns The number of a required field from 1 to max.
+  uint64_t RequiredUint(const char* name, uint64_t max) const;
+
+  /// @returns The nested object; empty when the field is absent.
+  JsonFields OptionalObject(const char* name) const;
+
+  /// @returns The position {term, index}; {0, 0} when the field is absent.
+  LogPosition OptionalPosition(const char* name) const;
+
+  /// @returns The field's value as JSON text.
+  /// @throws CodecError when the field is absent.
+  std::string RequiredText(const char* name) const;
+
+  /// @returns The field's value as JSON text, or "" when it is absent.
+  std::string OptionalText(const char* name) const;
+
+  /// Reads the name of an enum value.
+  /// @param names Names of the enum.
+  /// @returns The value.
+  template <typename Enum, size_t N>
+  Enum RequiredName(const char* name, const NameTable<Enum, N>& names) const {
+    const std::string text = this->RequiredString(name, kMaxName);
+    const auto found = names.Find(text);
+    if (!found) {
+      std::string known;
+      for (const auto& row : names.rows) {
+        known += (known.empty() ? "" : ", ") + std::string(row.second);
+      }
+      this->Fail(name, "unknown value '" + text + "'; allowed: " + known);
+    }
+    return *found;
+  }
+
+  /// @throws CodecError for the field, always.
+  [[noreturn]] void Fail(const char* name, const std::string& message) const;
+
+  static constexpr size_t kMaxName = 256;  // Bytes of a name or an id.
+
+ private:
+  const nlohmann::json* Find(const char* name) const;
+
+  nlohmann::json object;
+  std::string prefix;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/wire/msgpack_fields.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+
+#include "kernel/log_position.h"
+#include "kernel/name_table.h"
+#include "wire/codec_error.h"
+
+namespace poplarmoor {
+
+/// Reads the fields of one msgpack map by name. Every failure is a CodecError that names the
+/// field; absent fields read as zero or empty, and unknown fields are ignored.
+class MsgpackFields {
+ public:
+  /// @param body Bytes of the map; must outlive this object, which refers to them.
+  /// @throws CodecError when the bytes are not one msgpack map.
+  explicit MsgpackFields(std::string_view body);
+
+  /// @returns The string or binary value.
+  std::string_view String(std::string_view name) const;
+
+  uint64_t Uint(std::string_view name) const;
+  int64_t Int(std::string_view name) const;
+  bool Bool(std::string_view name) const;
+
+  /// @returns Whether the field is present and not nil.
+  bool Has(std::string_view name) const;
+
+  /// @returns A position packed as the array [term, index].
+  LogPosition Position(std::string_view name) const;
+
+  /// @returns The value of an enum packed as its name.
+  template <typename Enum, size_t N>
+  Enum Name(std::string_view name, const NameTable<Enum, N>& names) const {
+    const std::string_view text = this->String(name);
+    const auto found = names.Find(text);
+    if (!found) {
+      throw CodecError(std::string(name), "unknown value '" + std::string(text) + "'");
+    }
+    return *found;
+  }
+
+ private:
+  const msgpack::object* Find(std::string_view name) const;
+
+  msgpack::object_handle handle;
+};
+
+/// Packs one map of named fields.
+class MsgpackWriter {
+ public:
+  /// @param count Number of fields that follow.
+  explicit MsgpackWriter(uint32_t count) : packer(this->buffer) { this->packer.pack_map(count); }
+
+  /// Packs a field with a number or boolean.
+  template <typename Value>
+  void Field(std::string_view name, Value value) {
+    this->packer.pack(name);
+    this->packer.pack(value);
+  }
+
+  /// Packs a field with bytes, which need not be UTF-8.
+  void Bytes(std::string_view name, std::string_view bytes);
+
+  void Position(std::string_view name, LogPosition position);
+
+  /// @returns The packed map.
+  std::string Take() const { return {this->buffer.data(), this->buffer.size()}; }
+
+ private:
+  msgpack::sbuffer buffer;
+  msgpack::packer<msgpack::sbuffer> packer;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/wire/peer_codec.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+
+#include "kernel/statement_result.h"
+#include "kernel/time.h"
+#include "wire/forward_request.h"
+
+namespace poplarmoor {
+
+/// Packs the body of a forward message.
+/// @param forward Request.
+/// @param now Present time: the deadline travels as the time that remains, because the clocks of
+///     two daemons are not comparable.
+/// @returns One msgpack map.
+std::string PackForward(const ForwardRequest& forward, TimePoint now);
+
+/// Unpacks the body of a forward message.
+/// @param body One msgpack map.
+/// @param now Present time of the receiver.
+/// @throws CodecError that names the field.
+ForwardRequest UnpackForward(const std::string& body, TimePoint now);
+
+/// Packs the body of the answer to a forward message.
+/// @returns One msgpack map.
+std::string PackResult(const StatementResult& result);
+
+/// Unpacks the body of the answer to a forward message.
+/// @throws CodecError that names the field.
+StatementResult UnpackResult(const std::string& body);
+
+}  // namespace poplarmoor
