--- /dev/null
+++ b/net/base64url.cc
@@ -0,0 +1,69 @@
+#include "net/base64url.h"
+
+#include <array>
+#include <cstdint>
+
+namespace poplarmoor {
+
+namespace {
+
+constexpr std::string_view kAlphabet =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+
+constexpr std::array<int8_t, 256> MakeValues() {
+  std::array<int8_t, 256> values{};
+  values.fill(-1);
+  for (size_t i = 0; i < kAlphabet.size(); ++i) {
+    values[static_cast<unsigned char>(kAlphabet[i])] = static_cast<int8_t>(i);
+  }
+  return values;
+}
+
+constexpr std::array<int8_t, 256> kValues = MakeValues();
+
+}  // namespace
+
+std::string EncodeBase64Url(std::string_view bytes) {
+  std::string text;
+  text.reserve((bytes.size() * 4 + 2) / 3);
+  uint32_t bits = 0;
+  int count = 0;
+  for (const char byte : bytes) {
+    bits = bits << 8 | static_cast<unsigned char>(byte);
+    count += 8;
+    while (count >= 6) {
+      count -= 6;
+      text += kAlphabet[bits >> count & 63];
+    }
+  }
+  if (count > 0) {
+    text += kAlphabet[bits << (6 - count) & 63];
+  }
+  return text;
+}
+
+std::optional<std::string> DecodeBase64Url(std::string_view text) {
+  std::string bytes;
+  bytes.reserve(text.size() * 3 / 4);
+  uint32_t bits = 0;
+  int count = 0;
+  for (const char letter : text) {
+    const int value = kValues[static_cast<unsigned char>(letter)];
+    if (value < 0) {
+      return std::nullopt;
+    }
+    bits = bits << 6 | static_cast<uint32_t>(value);
+    count += 6;
+    if (count >= 8) {
+      count -= 8;
+      bytes += static_cast<char>(bits >> count & 0xFF);
+    }
+  }
+  // Left-over bits must be fewer than a letter's and zero, so that each value has one text only.
+  if (count >= 6 || (bits & ((1U << count) - 1)) != 0) {
+    return std::nullopt;
+  }
+  return bytes;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/net/base64url.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace poplarmoor {
+
+/// @param bytes Any bytes.
+/// @returns Their base64url text (RFC 4648, section 5) without padding.
+std::string EncodeBase64Url(std::string_view bytes);
+
+/// @param text base64url text without padding.
+/// @returns The bytes, or nothing when the text is malformed or not canonical.
+std::optional<std::string> DecodeBase64Url(std::string_view text);
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/net/endpoint_driver.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <memory>
+#include <string>
+
+#include "kernel/registry.h"
+
+namespace poplarmoor {
+
+class EndpointConnection;
+
+/// Protocol towards the database servers. Plug-ins are registered in Registry<EndpointDriver>; the
+/// settings select one by name.
+class EndpointDriver {
+ public:
+  virtual ~EndpointDriver() = default;
+
+  /// @param executor Executor of the I/O threads; the connection makes its own strand.
+  /// @param address Address of the endpoint, "IP:port".
+  /// @returns A connection that is not open yet.
+  virtual std::shared_ptr<EndpointConnection> MakeConnection(boost::asio::any_io_executor executor,
+                                                             std::string address) = 0;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/net/endpoint_reply.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "kernel/statement_result.h"
+
+namespace poplarmoor {
+
+/// Outcome of one operation on an endpoint connection.
+struct EndpointReply {
+  StatementResult result;
+  bool usable = false;     // The connection may be used again.
+  bool timed_out = false;  // No answer came in time; the connection is closed.
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/net/http_endpoint_driver.cc
@@ -0,0 +1,20 @@
+#include "net/http_endpoint_driver.h"
+
+#include <boost/asio/strand.hpp>
+
+#include "net/http_endpoint_connection.h"
+
+namespace poplarmoor {
+
+namespace {
+const Registry<EndpointDriver>::Entry kEntry("http",
+                                             [] { return std::make_unique<HttpEndpointDriver>(); });
+}
+
+std::shared_ptr<EndpointConnection> HttpEndpointDriver::MakeConnection(
+    boost::asio::any_io_executor executor,
+    std::string address) {
+  return std::make_shared<HttpEndpointConnection>(boost::asio::make_strand(executor), address);
+}
+
+}  // namespace poplarmoor
--- a/net/now.h
+++ b/net/now.h
@@ -8,8 +8,8 @@
 
 /// @returns The monotonic time of this process, as the kernel takes it.
 inline TimePoint Now() {
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+  return TimePoint(
+      std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
 /// @param time Time of Now().
--- a/net/peer_connection.cc
+++ b/net/peer_connection.cc
@@ -1,7 +1,8 @@
 #include "net/peer_connection.h"
 
-#include <boost/asio.hpp>
 #include <openssl/rand.h>
+#include <boost/asio.hpp>
+#include <cstring>
 
 #include "net/address.h"
 #include "net/key_ring.h"
@@ -163,7 +164,7 @@
 
 asio::awaitable<std::string_view> PeerConnection::ReadFrame(size_t max_size) {
   while (true) {
-    const size_t available = this->input.size() - this->consumed;
+    const size_t available = this->filled - this->consumed;
     if (available >= kPeerLengthSize) {
       const uint32_t length =
           ReadPeerLength(std::string_view(this->input).substr(this->consumed, kPeerLengthSize));
@@ -177,15 +178,19 @@
         co_return frame;
       }
     }
-    this->input.erase(0, this->consumed);
-    this->consumed = 0;
-    const size_t size = this->input.size();
-    this->input.resize(size + kReadSize);
+    if (this->consumed > 0) {
+      std::memmove(this->input.data(), this->input.data() + this->consumed, available);
+      this->consumed = 0;
+      this->filled = available;
+    }
+    if (this->input.size() - this->filled < kReadSize / 2) {
+      this->input.resize(this->filled + kReadSize);
+    }
     boost::system::error_code error;
-    const size_t count =
-        co_await this->socket.async_read_some(asio::buffer(this->input.data() + size, kReadSize),
-                                              asio::redirect_error(asio::use_awaitable, error));
-    this->input.resize(size + count);
+    const size_t count = co_await this->socket.async_read_some(
+        asio::buffer(this->input.data() + this->filled, this->input.size() - this->filled),
+        asio::redirect_error(asio::use_awaitable, error));
+    this->filled += count;
     if (error) {
       throw boost::system::system_error(error);
     }
@@ -218,8 +223,8 @@
     return;
   }
   asio::co_spawn(
-      this->socket.get_executor(),
-      [self = this->shared_from_this()] { return self->WriteQueue(); }, asio::detached);
+      this->socket.get_executor(), [self = this->shared_from_this()] { return self->WriteQueue(); },
+      asio::detached);
 }
 
 asio::awaitable<void> PeerConnection::WriteQueue() {
--- a/net/peer_connection.h
+++ b/net/peer_connection.h
@@ -77,8 +77,9 @@
   std::shared_ptr<PeerTraffic> traffic;
   std::string peer_name;
   std::string remote_address;
-  std::string input;     // Bytes read; the first `consumed` belong to earlier frames.
-  size_t consumed = 0;   // Bytes.
+  std::string input;    // Read buffer; bytes from `consumed` to `filled` are not used yet.
+  size_t consumed = 0;  // Bytes of earlier frames.
+  size_t filled = 0;    // Bytes that were read.
   std::atomic<int64_t> received_at{0};  // Microseconds of Now().
 
   std::mutex mutex;
--- a/net/peer_frame.cc
+++ b/net/peer_frame.cc
@@ -42,8 +42,8 @@
 PeerFrame DecodePeerFrame(std::string_view bytes) {
   const MsgpackFields fields(bytes);
   if (fields.Uint("v") != kVersion) {
-    throw CodecError("v", "protocol version " + std::to_string(fields.Uint("v")) +
-                              " is not supported");
+    throw CodecError("v",
+                     "protocol version " + std::to_string(fields.Uint("v")) + " is not supported");
   }
   PeerFrame frame;
   frame.id = fields.Uint("id");
--- /dev/null
+++ b/net/peer_network.cc
@@ -0,0 +1,442 @@
+#include "net/peer_network.h"
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <map>
+#include <mutex>
+#include <set>
+
+#include "net/address.h"
+#include "net/key_ring.h"
+#include "net/now.h"
+#include "net/one_shot.h"
+#include "net/peer_connection.h"
+#include "net/peer_frame.h"
+#include "telemetry/log.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr Duration kIdleLimit = 60s;              // Outgoing connections without calls are closed.
+constexpr Duration kAcceptedIdleLimit = 300s;     // Longer, so that the calling side closes first.
+constexpr Duration kIdleCheck = 5s;               // Time between two checks for idle connections.
+constexpr int kMaxCalls = 8192;                   // Calls of one peer that are not answered yet.
+constexpr size_t kMaxAccepted = 16384;            // Accepted connections.
+constexpr std::string_view kRefused = "refused";  // Type of an answer: the call did not run.
+constexpr std::string_view kFailed = "failed";    // Type of an answer: the handler failed.
+
+/// Outcome of one call.
+struct CallOutcome {
+  PeerMessage answer;
+  std::string error;  // Empty when there is an answer.
+  bool sent = false;  // With an error: whether the call may have reached the peer.
+};
+
+using CallSlot = OneShot<CallOutcome>;
+
+}  // namespace
+
+/// Connection that this daemon opened, with the calls that wait for answers.
+struct OutgoingPeer {
+  struct Call {
+    std::shared_ptr<CallSlot> slot;
+    std::string frame;  // Until the connection is open.
+    bool sent = false;
+    TimePoint started;
+  };
+
+  std::string address;
+  std::shared_ptr<PeerConnection> connection;
+  std::mutex mutex;
+  std::map<uint64_t, Call> calls;
+  uint64_t next_id = 1;
+  bool open = false;
+  bool closed = false;
+  bool retired = false;  // Out of the cache; closed after its last call.
+  TimePoint last_used;
+};
+
+struct PeerNetwork::Impl : std::enable_shared_from_this<PeerNetwork::Impl> {
+  Impl(asio::any_io_executor executor, std::string daemon, const KeyRing* keys)
+      : executor(executor),
+        daemon(std::move(daemon)),
+        keys(keys),
+        acceptor(asio::make_strand(executor)),
+        idle_timer(this->acceptor.get_executor()) {}
+
+  asio::awaitable<void> AcceptLoop();
+  asio::awaitable<void> Serve(std::shared_ptr<PeerConnection> connection);
+  asio::awaitable<void> Answer(std::shared_ptr<PeerConnection> connection,
+                               PeerFrame frame,
+                               std::shared_ptr<std::atomic<int>> active);
+  asio::awaitable<void> RunOutgoing(std::shared_ptr<OutgoingPeer> peer);
+  asio::awaitable<void> CloseIdle();
+
+  std::shared_ptr<OutgoingPeer> FindOrConnect(const std::string& address);
+  void Open(OutgoingPeer& peer);
+  void Deliver(OutgoingPeer& peer, PeerFrame frame);
+  void Fail(const std::shared_ptr<OutgoingPeer>& peer, const std::string& error);
+  CallOutcome EndCall(const std::shared_ptr<OutgoingPeer>& peer, uint64_t id);
+  void Forget(const std::shared_ptr<OutgoingPeer>& peer);
+  std::vector<std::shared_ptr<OutgoingPeer>> Outgoing();
+
+  asio::any_io_executor executor;
+  std::string daemon;
+  const KeyRing* keys;
+  tcp::acceptor acceptor;
+  asio::steady_timer idle_timer;
+  std::map<std::string, Handler> handlers;
+  std::shared_ptr<PeerTraffic> traffic = std::make_shared<PeerTraffic>();
+  std::atomic<bool> stopping{false};
+  std::atomic<bool> checks_idle{false};
+  std::mutex mutex;
+  std::map<std::string, std::shared_ptr<OutgoingPeer>> outgoing;  // By address.
+  std::set<std::shared_ptr<PeerConnection>> accepted;
+};
+
+PeerNetwork::PeerNetwork(asio::any_io_executor executor, std::string daemon, const KeyRing* keys)
+    : impl(std::make_shared<Impl>(executor, std::move(daemon), keys)) {}
+
+PeerNetwork::~PeerNetwork() {
+  this->Stop();
+}
+
+void PeerNetwork::SetHandler(const std::string& type, Handler handler) {
+  this->impl->handlers[type] = std::move(handler);
+}
+
+void PeerNetwork::Listen(const std::string& address) {
+  const tcp::endpoint endpoint = ParseAddress(address);
+  try {
+    this->impl->acceptor.open(endpoint.protocol());
+    this->impl->acceptor.set_option(tcp::acceptor::reuse_address(true));
+    this->impl->acceptor.bind(endpoint);
+    this->impl->acceptor.listen(1024);
+  } catch (const boost::system::system_error& error) {
+    throw std::runtime_error("cannot listen on " + address + ": " + error.code().message());
+  }
+  asio::co_spawn(
+      this->impl->acceptor.get_executor(), [impl = this->impl] { return impl->AcceptLoop(); },
+      asio::detached);
+}
+
+std::string PeerNetwork::address() const {
+  return FormatAddress(this->impl->acceptor.local_endpoint());
+}
+
+std::pair<uint64_t, uint64_t> PeerNetwork::traffic() const {
+  return {this->impl->traffic->sent.load(), this->impl->traffic->received.load()};
+}
+
+void PeerNetwork::Stop() {
+  if (this->impl->stopping.exchange(true)) {
+    return;
+  }
+  asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
+    boost::system::error_code ignored;
+    impl->acceptor.close(ignored);
+    impl->idle_timer.cancel();
+  });
+  for (const auto& peer : this->impl->Outgoing()) {
+    this->impl->Fail(peer, "the daemon is stopping");
+  }
+  std::lock_guard lock(this->impl->mutex);
+  for (const auto& connection : this->impl->accepted) {
+    connection->Close();
+  }
+}
+
+asio::awaitable<void> PeerNetwork::Impl::AcceptLoop() {
+  while (!this->stopping) {
+    boost::system::error_code error;
+    tcp::socket socket(asio::make_strand(this->executor));
+    co_await this->acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+    if (this->stopping || error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      // Out of file descriptors, most likely: wait instead of spinning.
+      asio::steady_timer timer(this->acceptor.get_executor(), 20ms);
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    const auto connection = std::make_shared<PeerConnection>(std::move(socket), this->traffic);
+    {
+      std::lock_guard lock(this->mutex);
+      if (this->accepted.size() >= kMaxAccepted) {
+        continue;
+      }
+      this->accepted.insert(connection);
+    }
+    asio::co_spawn(
+        connection->executor(),
+        [self = this->shared_from_this(), connection] { return self->Serve(connection); },
+        asio::detached);
+  }
+}
+
+asio::awaitable<void> PeerNetwork::Impl::Serve(std::shared_ptr<PeerConnection> connection) {
+  const auto active = std::make_shared<std::atomic<int>>(0);
+  try {
+    co_await connection->Accept(this->daemon, this->keys);
+    while (!this->stopping) {
+      PeerFrame frame = co_await connection->Receive();
+      ++*active;
+      asio::co_spawn(
+          connection->executor(),
+          [self = this->shared_from_this(), connection, active,
+           frame = std::move(frame)]() mutable {
+            return self->Answer(connection, std::move(frame), active);
+          },
+          asio::detached);
+    }
+  } catch (const boost::system::system_error&) {
+    // The peer closed the connection, or Stop() did.
+  } catch (const std::exception& error) {
+    LogWarning("net",
+               "closing the connection from peer " + connection->remote() + ": " + error.what());
+  }
+  connection->Close();
+  std::lock_guard lock(this->mutex);
+  this->accepted.erase(connection);
+}
+
+asio::awaitable<void> PeerNetwork::Impl::Answer(std::shared_ptr<PeerConnection> connection,
+                                                PeerFrame frame,
+                                                std::shared_ptr<std::atomic<int>> active) {
+  PeerFrame answer{frame.id, {}};
+  const auto found = this->handlers.find(frame.message.type);
+  if (found == this->handlers.end()) {
+    answer.message = {std::string(kRefused), "unknown message type " + frame.message.type};
+  } else if (active->load() > kMaxCalls) {
+    answer.message = {std::string(kRefused), "too many unanswered calls"};
+  } else {
+    try {
+      answer.message = co_await found->second(connection->peer(), std::move(frame.message));
+    } catch (const std::exception& error) {
+      answer.message = {std::string(kFailed), error.what()};
+    }
+  }
+  --*active;
+  std::string bytes;
+  try {
+    bytes = EncodePeerFrame(answer);
+  } catch (const std::exception& error) {
+    bytes = EncodePeerFrame({answer.id, {std::string(kFailed), error.what()}});
+  }
+  connection->Send(std::move(bytes));
+}
+
+std::shared_ptr<OutgoingPeer> PeerNetwork::Impl::FindOrConnect(const std::string& address) {
+  std::shared_ptr<OutgoingPeer> peer;
+  {
+    std::lock_guard lock(this->mutex);
+    auto& cached = this->outgoing[address];
+    if (cached != nullptr) {
+      return cached;
+    }
+    peer = cached = std::make_shared<OutgoingPeer>();
+    peer->address = address;
+    peer->last_used = Now();
+    peer->connection = std::make_shared<PeerConnection>(
+        tcp::socket(asio::make_strand(this->executor)), this->traffic);
+  }
+  asio::co_spawn(
+      peer->connection->executor(),
+      [self = this->shared_from_this(), peer] { return self->RunOutgoing(peer); }, asio::detached);
+  if (!this->checks_idle.exchange(true)) {
+    asio::co_spawn(
+        this->acceptor.get_executor(),
+        [self = this->shared_from_this()] { return self->CloseIdle(); }, asio::detached);
+  }
+  return peer;
+}
+
+asio::awaitable<void> PeerNetwork::Impl::RunOutgoing(std::shared_ptr<OutgoingPeer> peer) {
+  std::string failure;
+  try {
+    co_await peer->connection->Connect(peer->address, this->daemon, this->keys);
+    this->Open(*peer);
+    while (true) {
+      this->Deliver(*peer, co_await peer->connection->Receive());
+    }
+  } catch (const boost::system::system_error& error) {
+    failure = error.code().message();
+  } catch (const std::exception& error) {
+    failure = error.what();
+    LogWarning("net", "closing the connection to peer " + peer->address + ": " + failure);
+  }
+  this->Fail(peer, failure);
+}
+
+void PeerNetwork::Impl::Open(OutgoingPeer& peer) {
+  std::lock_guard lock(peer.mutex);
+  peer.open = true;
+  for (auto& [id, call] : peer.calls) {
+    call.sent = true;
+    peer.connection->Send(std::move(call.frame));
+  }
+}
+
+void PeerNetwork::Impl::Deliver(OutgoingPeer& peer, PeerFrame frame) {
+  std::shared_ptr<CallSlot> slot;
+  bool done = false;
+  {
+    std::lock_guard lock(peer.mutex);
+    const auto found = peer.calls.find(frame.id);
+    if (found == peer.calls.end()) {
+      return;  // The call timed out.
+    }
+    slot = std::move(found->second.slot);
+    peer.calls.erase(found);
+    done = peer.retired && peer.calls.empty();
+  }
+  CallOutcome outcome;
+  if (frame.message.type == kRefused || frame.message.type == kFailed) {
+    outcome.error = "peer " + peer.address + ": " + frame.message.body;
+    outcome.sent = frame.message.type == kFailed;
+  } else {
+    outcome.answer = std::move(frame.message);
+  }
+  slot->Set(std::move(outcome));
+  if (done) {
+    peer.connection->Close();
+  }
+}
+
+void PeerNetwork::Impl::Fail(const std::shared_ptr<OutgoingPeer>& peer, const std::string& error) {
+  this->Forget(peer);
+  std::map<uint64_t, OutgoingPeer::Call> calls;
+  {
+    std::lock_guard lock(peer->mutex);
+    peer->closed = true;
+    calls.swap(peer->calls);
+  }
+  for (auto& [id, call] : calls) {
+    call.slot->Set({{}, "connection to peer " + peer->address + " failed: " + error, call.sent});
+  }
+  peer->connection->Close();
+}
+
+void PeerNetwork::Impl::Forget(const std::shared_ptr<OutgoingPeer>& peer) {
+  std::lock_guard lock(this->mutex);
+  const auto found = this->outgoing.find(peer->address);
+  if (found != this->outgoing.end() && found->second == peer) {
+    this->outgoing.erase(found);
+  }
+}
+
+std::vector<std::shared_ptr<OutgoingPeer>> PeerNetwork::Impl::Outgoing() {
+  std::lock_guard lock(this->mutex);
+  std::vector<std::shared_ptr<OutgoingPeer>> peers;
+  for (const auto& entry : this->outgoing) {
+    peers.push_back(entry.second);
+  }
+  return peers;
+}
+
+CallOutcome PeerNetwork::Impl::EndCall(const std::shared_ptr<OutgoingPeer>& peer, uint64_t id) {
+  CallOutcome outcome;
+  outcome.error = "no answer from peer " + peer->address + " in time";
+  bool silent = false;
+  bool done = false;
+  {
+    std::lock_guard lock(peer->mutex);
+    const auto found = peer->calls.find(id);
+    if (found == peer->calls.end()) {
+      outcome.sent = true;  // The answer came at the last moment.
+      return outcome;
+    }
+    outcome.sent = found->second.sent;
+    silent = peer->connection->last_received() <= found->second.started;
+    peer->calls.erase(found);
+    peer->retired = peer->retired || silent;
+    done = peer->retired && peer->calls.empty();
+  }
+  if (silent) {
+    // Nothing arrived since the call: the connection may have gone silent. New calls use a new
+    // connection; the calls that wait on this one keep their chance of an answer.
+    this->Forget(peer);
+  }
+  if (done) {
+    peer->connection->Close();
+  }
+  return outcome;
+}
+
+asio::awaitable<void> PeerNetwork::Impl::CloseIdle() {
+  while (!this->stopping) {
+    boost::system::error_code ignored;
+    this->idle_timer.expires_after(kIdleCheck);
+    co_await this->idle_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    const TimePoint now = Now();
+    for (const auto& peer : this->Outgoing()) {
+      bool idle = false;
+      {
+        std::lock_guard lock(peer->mutex);
+        idle = peer->calls.empty() && now - peer->last_used > kIdleLimit;
+        peer->closed = peer->closed || idle;
+      }
+      if (idle) {
+        this->Fail(peer, "it was idle");
+      }
+    }
+    std::lock_guard lock(this->mutex);
+    for (const auto& connection : this->accepted) {
+      if (connection->last_received() != TimePoint() &&
+          now - connection->last_received() > kAcceptedIdleLimit) {
+        connection->Close();
+      }
+    }
+  }
+}
+
+asio::awaitable<PeerMessage> PeerNetwork::Call(std::string address,
+                                               PeerMessage message,
+                                               std::chrono::milliseconds timeout) {
+  const std::shared_ptr<Impl> impl = this->impl;
+  const TimePoint deadline = Now() + timeout;
+  const auto slot = std::make_shared<CallSlot>(co_await asio::this_coro::executor);
+  std::shared_ptr<OutgoingPeer> peer;
+  uint64_t id = 0;
+  while (true) {
+    if (impl->stopping) {
+      throw PeerError("the daemon is stopping", false);
+    }
+    peer = impl->FindOrConnect(address);
+    std::lock_guard lock(peer->mutex);
+    if (peer->closed) {
+      continue;  // It failed or was idle a moment ago, and leaves the cache now.
+    }
+    id = peer->next_id++;
+    std::string frame;
+    try {
+      frame = EncodePeerFrame({id, message});
+    } catch (const std::exception& error) {
+      throw PeerError(error.what(), false);
+    }
+    peer->last_used = Now();
+    OutgoingPeer::Call call{slot, {}, peer->open, peer->last_used};
+    if (peer->open) {
+      peer->connection->Send(std::move(frame));
+    } else {
+      call.frame = std::move(frame);
+    }
+    peer->calls.emplace(id, std::move(call));
+    break;
+  }
+  std::optional<CallOutcome> outcome = co_await slot->Wait(deadline);
+  if (!outcome) {
+    outcome = impl->EndCall(peer, id);
+  }
+  if (!outcome->error.empty()) {
+    throw PeerError(outcome->error, outcome->sent);
+  }
+  co_return std::move(outcome->answer);
+}
+
+}  // namespace poplarmoor
