--- /dev/null
+++ b/daemon/owner_service.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <utility>
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "daemon/endpoint_load.h"
+#include "daemon/sharded.h"
+#include "kernel/statement_result.h"
+#include "wire/forward_request.h"
+
+namespace poplarmoor {
+
+class ClusterView;
+class EndpointDriver;
+class EndpointOwner;
+class WriteConfirmer;
+struct EndpointInfo;
+struct GroupState;
+struct ServiceSettings;
+
+/// Owner role of a daemon: runs requests at the endpoints that it owns and confirms writes.
+/// Thread-safe.
+class OwnerService : public std::enable_shared_from_this<OwnerService> {
+ public:
+  /// @param executor Executor of the I/O threads.
+  /// @param view The control plane; must outlive this object.
+  /// @param driver Driver of the endpoints.
+  OwnerService(boost::asio::any_io_executor executor,
+               ClusterView* view,
+               std::unique_ptr<EndpointDriver> driver);
+  ~OwnerService();
+
+  /// Starts the periodic maintenance.
+  void Start();
+
+  /// Runs a request.
+  /// @param forward Request from an entry.
+  /// @returns The outcome, at the deadline at the latest.
+  boost::asio::awaitable<StatementResult> Run(ForwardRequest forward);
+
+  /// Refuses new work from now on; requests and transactions in progress continue.
+  void Drain() { this->draining = true; }
+
+  /// Closes all connections.
+  void Stop();
+
+  /// @returns The load of each endpoint, sorted by name.
+  std::vector<EndpointLoad> Loads();
+
+  /// @returns Open transactions.
+  size_t Transactions();
+
+  /// @returns Requests in progress.
+  int InFlight() const { return this->in_flight.load(); }
+
+ private:
+  using Owners = std::map<std::string, std::shared_ptr<EndpointOwner>>;
+  using Confirmers = std::map<std::string, std::shared_ptr<WriteConfirmer>>;
+
+  boost::asio::awaitable<StatementResult> RunAtEndpoint(ForwardRequest forward);
+  boost::asio::awaitable<void> Maintain();
+  std::shared_ptr<EndpointOwner> FindOwner(const EndpointInfo& endpoint,
+                                           const ServiceSettings& settings);
+  std::shared_ptr<WriteConfirmer> FindConfirmer(const std::string& service);
+  std::vector<std::shared_ptr<EndpointOwner>> AllOwners();
+
+  boost::asio::any_io_executor executor;
+  ClusterView* view;
+  std::unique_ptr<EndpointDriver> driver;
+  std::atomic<bool> draining{false};
+  std::atomic<bool> stopped{false};
+  std::atomic<int> in_flight{0};
+  Sharded<Owners> owners;          // By name of the endpoint.
+  Sharded<Confirmers> confirmers;  // By service.
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/daemon/statement_router.cc
@@ -0,0 +1,216 @@
+#include "daemon/statement_router.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "daemon/cluster_view.h"
+#include "daemon/owner_service.h"
+#include "daemon/service_state.h"
+#include "net/now.h"
+#include "net/peer_network.h"
+#include "net/random_bits.h"
+#include "wire/codec_error.h"
+#include "wire/peer_codec.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration kRefresh = 5ms;      // Between two looks at the control plane, for each service.
+constexpr Duration kGroupCheck = 10ms;  // A waiting request notices a promotion within this time.
+constexpr Duration kAnswerGrace = 50ms;  // The owner answers at the deadline; its answer travels.
+
+/// Whether a result says that the endpoint itself could not be reached.
+bool IsEndpointFailure(const StatementResult& result) {
+  return result.reason == Reason::kConnectFailed || result.reason == Reason::kConnectionLost ||
+         result.reason == Reason::kTimeout;
+}
+
+}  // namespace
+
+StatementRouter::StatementRouter(std::string daemon,
+                                 ClusterView* view,
+                                 std::shared_ptr<OwnerService> owner,
+                                 PeerNetwork* peers)
+    : daemon(std::move(daemon)), view(view), owner(std::move(owner)), peers(peers) {}
+
+std::shared_ptr<ServiceState> StatementRouter::FindState(const ServiceSettings& settings) {
+  auto state = this->states.With(settings.service, [&](States& known) {
+    auto& entry = known[settings.service];
+    if (entry == nullptr) {
+      entry = std::make_shared<ServiceState>();
+    }
+    return entry;
+  });
+  std::lock_guard lock(state->mutex);
+  if (state->policy == nullptr || state->routing != settings.routing) {
+    state->policy = Registry<RoutingPolicy>::Create(settings.routing);
+    state->routing = settings.routing;
+  }
+  this->Refresh(state.get(), settings.service, Now());
+  return state;
+}
+
+bool StatementRouter::Refresh(ServiceState* state, const std::string& service, TimePoint now) {
+  if (now - state->refreshed_at < kRefresh) {
+    return false;
+  }
+  state->refreshed_at = now;
+  const std::optional<GroupState> group = this->view->FindGroup(service);
+  return group && *group != state->group.State() && state->group.SetState(*group);
+}
+
+template <typename Function>
+RequestAction StatementRouter::Step(ServiceState* state, Function function) {
+  std::lock_guard lock(state->mutex);
+  const RequestContext context{state->group, *state->policy, state->budget, Now(), RandomBits()};
+  return function(context);
+}
+
+asio::awaitable<RoutedResult> StatementRouter::Run(StatementRequest request,
+                                                   ServiceSettings settings,
+                                                   bool primary_required) {
+  const auto self = this->shared_from_this();
+  const auto executor = co_await asio::this_coro::executor;
+  const auto state = this->FindState(settings);
+  const auto events = std::make_shared<Mailbox<Event>>(executor);
+  RequestOptions options;
+  options.records_request_ids = settings.records_request_ids;
+  options.primary_required = primary_required;
+  RequestMachine machine(request, options);
+  RoutedResult routed;
+
+  RequestAction action =
+      this->Step(state.get(), [&](const auto& context) { return machine.Start(context); });
+  while (action.kind != RequestAction::Kind::kAnswer) {
+    if (action.kind == RequestAction::Kind::kSend) {
+      asio::co_spawn(executor, this->RunAttempt(events, state, request, action), asio::detached);
+    }
+    const std::optional<Event> event = co_await this->NextEvent(events, state, action.until);
+    action = this->Step(state.get(), [&](const auto& context) {
+      if (!event) {
+        return machine.OnTimer(context);
+      }
+      if (!event->answered) {
+        return machine.OnSendFailed(event->attempt, event->sent, context);
+      }
+      routed.owner = event->routed.owner;
+      routed.owner_address = event->routed.owner_address;
+      return machine.OnAnswer(event->attempt, event->routed.result, context);
+    });
+  }
+  routed.result = std::move(action.result);
+  co_return routed;
+}
+
+asio::awaitable<std::optional<StatementRouter::Event>> StatementRouter::NextEvent(
+    Events events,
+    std::shared_ptr<ServiceState> state,
+    TimePoint until) {
+  while (true) {
+    std::optional<Event> event =
+        co_await events->Pop(std::min<TimePoint>(until, Now() + kGroupCheck));
+    if (event) {
+      co_return event;
+    }
+    const TimePoint now = Now();
+    std::lock_guard lock(state->mutex);
+    if (now >= until || this->Refresh(state.get(), state->group.State().service, now)) {
+      co_return std::nullopt;
+    }
+  }
+}
+
+asio::awaitable<void> StatementRouter::RunAttempt(Events events,
+                                                  std::shared_ptr<ServiceState> state,
+                                                  StatementRequest request,
+                                                  RequestAction action) {
+  const auto self = this->shared_from_this();
+  Event event;
+  event.attempt = action.attempt;
+  std::optional<EndpointInfo> info;
+  {
+    std::lock_guard lock(state->mutex);
+    const GroupView::Endpoint* endpoint = state->group.Find(action.endpoint);
+    if (endpoint != nullptr) {
+      info = endpoint->info;
+      state->group.OnSent(action.endpoint);
+    }
+  }
+  if (!info) {
+    events->Push(std::move(event));
+    co_return;
+  }
+  const std::vector<PeerInfo> owners = this->view->OwnersOf(*info);
+  const std::string service = request.service;
+  bool failed = false;
+  if (action.owner_choice < owners.size()) {
+    const PeerInfo& chosen = owners[action.owner_choice];
+    event.routed.owner = chosen.daemon;
+    event.routed.owner_address = chosen.address;
+    request.required = action.required;
+    try {
+      event.routed.result =
+          co_await this->Forward(chosen, std::move(request), action.endpoint, action.term);
+      event.answered = true;
+      failed = IsEndpointFailure(event.routed.result);
+    } catch (const PeerError& error) {
+      event.sent = error.sent;
+    }
+  }
+  bool higher_term = false;
+  {
+    std::lock_guard lock(state->mutex);
+    state->group.OnDone(action.endpoint, failed, Now());
+    if (event.routed.result.status) {
+      higher_term = state->group.OnStatus(*event.routed.result.status, Now());
+    }
+  }
+  if (higher_term) {
+    this->view->ReportHigherTerm(service, event.routed.result.status->term);
+  }
+  events->Push(std::move(event));
+}
+
+asio::awaitable<StatementResult> StatementRouter::Forward(const PeerInfo& to,
+                                                          StatementRequest request,
+                                                          const std::string& endpoint,
+                                                          uint64_t term) {
+  ForwardRequest forward{std::move(request), endpoint, term};
+  if (to.daemon == this->daemon) {
+    co_return co_await this->owner->Run(std::move(forward));
+  }
+  const TimePoint now = Now();
+  const auto timeout =
+      std::chrono::ceil<std::chrono::milliseconds>(forward.statement.deadline - now + kAnswerGrace);
+  const PeerMessage answer =
+      co_await this->peers->Call(to.address, {"forward", PackForward(forward, now)}, timeout);
+  try {
+    co_return UnpackResult(answer.body);
+  } catch (const CodecError& error) {
+    throw PeerError("malformed answer of daemon " + to.daemon + ": " + error.what(), true);
+  }
+}
+
+asio::awaitable<RoutedResult> StatementRouter::RunInTransaction(StatementRequest request,
+                                                                TransactionToken transaction) {
+  const auto self = this->shared_from_this();
+  RoutedResult routed;
+  routed.owner = transaction.daemon;
+  routed.owner_address = transaction.address;
+  const PeerInfo to{transaction.daemon, transaction.address, {}};
+  try {
+    // The owner knows the term in which the transaction began.
+    routed.result = co_await this->Forward(to, std::move(request), transaction.endpoint, 0);
+  } catch (const PeerError& error) {
+    routed.result.verdict = error.sent ? Verdict::kMayHaveRun : Verdict::kNotRun;
+    routed.result.reason = error.sent ? Reason::kConnectionLost : Reason::kTransactionGone;
+    routed.result.message =
+        "the owner of the transaction cannot be reached: " + std::string(error.what());
+  }
+  co_return routed;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/daemon/write_confirmer.cc
@@ -0,0 +1,170 @@
+#include "daemon/write_confirmer.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "net/endpoint_connection.h"
+#include "net/endpoint_driver.h"
+#include "net/now.h"
+#include "telemetry/log.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration kPollWait = 500ms;      // Longest wait of one status poll at the replica.
+constexpr Duration kPollTimeout = 1000ms;  // Of the exchange, its wait included.
+constexpr Duration kPollBackoff = 50ms;    // After a failed poll.
+
+asio::awaitable<void> Pause(Duration duration) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace
+
+WriteConfirmer::WriteConfirmer(asio::any_io_executor executor, EndpointDriver* driver)
+    : executor(executor), driver(driver) {}
+
+void WriteConfirmer::SetTerm(const GroupState& group, uint64_t new_term, const std::string& primary) {
+  std::vector<EndpointInfo> new_replicas;
+  std::vector<std::string> names;
+  for (const EndpointInfo& endpoint : group.endpoints) {
+    if (endpoint.name != primary) {
+      new_replicas.push_back(endpoint);
+      new_replicas.back().leaving = false;  // A leaving replica still confirms.
+      names.push_back(endpoint.name);
+    }
+  }
+  std::vector<uint64_t> abandoned;
+  uint64_t current = 0;
+  {
+    std::lock_guard lock(this->mutex);
+    if (new_term < this->term || (new_term == this->term && new_replicas == this->replicas)) {
+      return;
+    }
+    this->term = new_term;
+    this->replicas = new_replicas;
+    current = ++this->generation;
+    // With the primary, these replicas are a majority of the group.
+    const size_t needed = group.endpoints.size() / 2;
+    abandoned = this->tracker.SetTerm(new_term, std::move(names), needed, Now());
+  }
+  this->Finish(abandoned, false);
+  for (const EndpointInfo& replica : new_replicas) {
+    asio::co_spawn(
+        asio::make_strand(this->executor),
+        [self = this->shared_from_this(), replica, current] { return self->Poll(replica, current); },
+        asio::detached);
+  }
+}
+
+bool WriteConfirmer::CanConfirm(TimePoint deadline) {
+  std::lock_guard lock(this->mutex);
+  return this->tracker.CanConfirm(deadline, Now());
+}
+
+asio::awaitable<bool> WriteConfirmer::Confirm(LogPosition position, TimePoint deadline) {
+  const auto self = this->shared_from_this();
+  const auto slot = std::make_shared<Slot>(co_await asio::this_coro::executor);
+  uint64_t id = 0;
+  {
+    std::lock_guard lock(this->mutex);
+    id = this->next_id++;
+    if (this->tracker.Add(id, position, deadline, Now())) {
+      co_return true;
+    }
+    this->waiting.emplace(id, slot);
+  }
+  const std::optional<bool> confirmed = co_await slot->Wait(deadline);
+  if (confirmed) {
+    co_return *confirmed;
+  }
+  std::vector<uint64_t> expired;
+  {
+    std::lock_guard lock(this->mutex);
+    this->waiting.erase(id);
+    expired = this->tracker.TakeExpired(Now());
+  }
+  this->Finish(expired, false);
+  co_return false;
+}
+
+void WriteConfirmer::Finish(const std::vector<uint64_t>& ids, bool confirmed) {
+  std::vector<std::shared_ptr<Slot>> slots;
+  {
+    std::lock_guard lock(this->mutex);
+    for (const uint64_t id : ids) {
+      const auto found = this->waiting.find(id);
+      if (found != this->waiting.end()) {
+        slots.push_back(std::move(found->second));
+        this->waiting.erase(found);
+      }
+    }
+  }
+  for (const auto& slot : slots) {
+    slot->Set(confirmed);
+  }
+}
+
+bool WriteConfirmer::IsCurrent(uint64_t poll_generation) {
+  std::lock_guard lock(this->mutex);
+  return this->generation == poll_generation;
+}
+
+uint64_t WriteConfirmer::NextIndex(uint64_t received) {
+  std::lock_guard lock(this->mutex);
+  // An index that the replica has already would be answered at once, again and again.
+  return std::max(this->tracker.WaitIndex().value_or(0), received + 1);
+}
+
+asio::awaitable<void> WriteConfirmer::Poll(EndpointInfo replica, uint64_t poll_generation) {
+  std::shared_ptr<EndpointConnection> connection;
+  uint64_t received = 0;
+  bool failed = false;  // So that a failure is logged once, not at each poll.
+  while (this->IsCurrent(poll_generation)) {
+    std::string failure;
+    try {
+      if (connection == nullptr) {
+        connection = this->driver->MakeConnection(this->executor, replica.address);
+        const StatementResult opened = co_await connection->OpenControl(kPollTimeout);
+        if (opened.verdict != Verdict::kRan) {
+          throw std::runtime_error(opened.message);
+        }
+      }
+      const uint64_t wait_index = this->NextIndex(received);
+      const EndpointAnswer answer = co_await connection->Status(wait_index, kPollWait, kPollTimeout);
+      received = answer.endpoint.received;
+      std::vector<uint64_t> confirmed;
+      {
+        std::lock_guard lock(this->mutex);
+        EndpointStatus status = answer.endpoint;
+        status.endpoint = replica.name;
+        confirmed = this->tracker.OnStatus(status, Now());
+      }
+      this->Finish(confirmed, true);
+      failed = false;
+    } catch (const std::exception& error) {
+      failure = error.what();
+    }
+    if (!failure.empty()) {
+      if (!failed) {
+        LogWarning("confirmer", "no status from replica " + replica.name + ": " + failure);
+      }
+      failed = true;
+      connection = nullptr;
+      received = 0;
+      co_await Pause(kPollBackoff);
+    }
+  }
+}
+
+void WriteConfirmer::Stop() {
+  std::lock_guard lock(this->mutex);
+  ++this->generation;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/net/mailbox.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <deque>
+#include <optional>
+
+#include "net/now.h"
+
+namespace poplarmoor {
+
+/// Queue of events of one coroutine. All calls are made on its strand, so there is no lock.
+template <typename Event>
+class Mailbox {
+ public:
+  /// @param executor Strand of the coroutine.
+  explicit Mailbox(boost::asio::any_io_executor executor) : timer(executor) {}
+
+  /// Adds an event and wakes the coroutine.
+  void Push(Event event) {
+    this->events.push_back(std::move(event));
+    this->timer.cancel();
+  }
+
+  /// @param deadline Latest time.
+  /// @returns The oldest event, or nothing when the deadline passed.
+  boost::asio::awaitable<std::optional<Event>> Pop(TimePoint deadline) {
+    if (this->events.empty()) {
+      boost::system::error_code ignored;
+      this->timer.expires_at(ToSteady(deadline));
+      co_await this->timer.async_wait(
+          boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+    if (this->events.empty()) {
+      co_return std::nullopt;
+    }
+    Event event = std::move(this->events.front());
+    this->events.pop_front();
+    co_return event;
+  }
+
+ private:
+  boost::asio::steady_timer timer;
+  std::deque<Event> events;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/net/random_bits.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace poplarmoor {
+
+/// @returns 64 uniformly distributed random bits, for jitter, ids of traces and requests; not for
+///     secrets.
+uint64_t RandomBits();
+
+/// @returns 32 random hex digits, unique in practice.
+std::string MakeRandomId();
+
+}  // namespace poplarmoor
