--- /dev/null
+++ b/daemon/daemon.cc
@@ -0,0 +1,162 @@
+#include "daemon/daemon.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "daemon/entry_service.h"
+#include "daemon/owner_service.h"
+#include "daemon/polling_cluster_view.h"
+#include "daemon/statement_router.h"
+#include "net/endpoint_driver.h"
+#include "net/http_message.h"
+#include "net/http_server.h"
+#include "net/now.h"
+#include "telemetry/log.h"
+#include "wire/peer_codec.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::chrono::milliseconds kUnreadyTime{1000};  // For the load balancer to notice.
+constexpr std::chrono::milliseconds kStopCheck{10};      // Between looks at what is in progress.
+
+int CountThreads(const DaemonSettings& settings) {
+  return settings.threads > 0 ? settings.threads
+                              : std::max(1, static_cast<int>(std::thread::hardware_concurrency()));
+}
+
+std::vector<PeerInfo> MakePeers(const DaemonSettings& settings) {
+  std::vector<PeerInfo> peers{{settings.daemon, settings.listen.peers, settings.failure_domain}};
+  for (const SeedPeer& seed : settings.seed_peers) {
+    if (seed.daemon != settings.daemon) {
+      peers.push_back({seed.daemon, seed.address, seed.failure_domain});
+    }
+  }
+  return peers;
+}
+
+}  // namespace
+
+Daemon::Daemon(DaemonSettings settings, const KeySet& keys, std::string operator_token)
+    : settings(std::move(settings)),
+      operator_token(std::move(operator_token)),
+      threads_count(CountThreads(this->settings)),
+      keys(keys.current, keys.keys),
+      observers(this->settings.limits.trace_store),
+      context(this->threads_count),
+      guard(this->context.get_executor()),
+      http(this->context.get_executor()),
+      platform(&this->http, this->settings.platform, this->settings.control.platform_timeout),
+      peers(this->context.get_executor(), this->settings.daemon, &this->keys) {
+  const asio::any_io_executor executor = this->context.get_executor();
+  this->cluster =
+      std::make_shared<PollingClusterView>(executor, &this->platform, MakePeers(this->settings));
+  this->owner = std::make_shared<OwnerService>(executor, this->cluster.get(),
+                                               Registry<EndpointDriver>::Create("http"));
+  this->router = std::make_shared<StatementRouter>(this->settings.daemon, this->cluster.get(),
+                                                   this->owner, &this->peers);
+  const EntryLimits limits{this->settings.limits.max_deadline,
+                           static_cast<int>(this->settings.limits.max_in_flight)};
+  this->entry =
+      std::make_shared<EntryService>(this->cluster.get(), &this->keys, this->router, limits);
+  HttpServerOptions options;
+  options.max_body = this->settings.limits.max_body;
+  options.idle_timeout = this->settings.limits.idle_timeout;
+  options.read_timeout = this->settings.limits.read_timeout;
+  this->callers = std::make_shared<HttpServer>(
+      executor,
+      [entry = this->entry](HttpRequest request, ConnectionId) {
+        return entry->Handle(std::move(request));
+      },
+      options);
+}
+
+Daemon::~Daemon() {
+  this->hurry = true;
+  this->Stop();
+}
+
+void Daemon::ServePeers() {
+  this->peers.SetHandler(
+      "forward",
+      [owner = this->owner](std::string, PeerMessage message) -> asio::awaitable<PeerMessage> {
+        ForwardRequest forward = UnpackForward(message.body, Now());
+        const StatementResult result = co_await owner->Run(std::move(forward));
+        co_return PeerMessage{"answer", PackResult(result)};
+      });
+}
+
+void Daemon::Start() {
+  this->ServePeers();
+  this->peers.Listen(this->settings.listen.peers);
+  this->callers->Listen(this->settings.listen.callers);
+  this->cluster->Start();
+  this->owner->Start();
+  this->running = true;
+  for (int i = 0; i < this->threads_count; ++i) {
+    this->threads.emplace_back([this] { this->context.run(); });
+  }
+  Log(LogLevel::kInfo, "daemon serves",
+      {{"callers", this->callers_address()},
+       {"peers", this->peers.address()},
+       {"threads", this->threads_count},
+       {"version", POPLARMOOR_VERSION}});
+}
+
+std::string Daemon::callers_address() const {
+  return this->callers->address();
+}
+
+std::string Daemon::operators_address() const {
+  return this->operators->address();
+}
+
+bool Daemon::IsIdle() const {
+  return this->entry->InFlight() == 0 && this->owner->InFlight() == 0;
+}
+
+void Daemon::WaitUntilIdle(bool with_transactions, Clock::time_point limit) {
+  while (!this->hurry && Clock::now() < limit &&
+         !(this->IsIdle() && (!with_transactions || this->owner->Transactions() == 0))) {
+    std::this_thread::sleep_for(kStopCheck);
+  }
+}
+
+void Daemon::Stop() {
+  if (!this->running) {
+    return;
+  }
+  this->running = false;
+  const auto limit = Clock::now() + this->settings.limits.stop_limit;
+  Log(LogLevel::kInfo, "daemon is stopping", {{"in_flight", this->entry->InFlight()}});
+  this->entry->Drain();
+  this->owner->Drain();
+  const auto unready = std::min(Clock::now() + kUnreadyTime, limit);
+  while (!this->hurry && Clock::now() < unready) {
+    std::this_thread::sleep_for(kStopCheck);
+  }
+  // Statements of open transactions arrive as new requests, so the listener stays open for them.
+  this->WaitUntilIdle(/*with_transactions=*/true, limit);
+  this->callers->Stop();
+  this->WaitUntilIdle(/*with_transactions=*/false, limit);
+  if (!this->IsIdle()) {
+    Log(LogLevel::kWarn, "stop limit passed with requests in progress",
+        {{"in_flight", this->entry->InFlight()}});
+  }
+  this->cluster->Stop();
+  this->owner->Stop();
+  this->peers.Stop();
+  this->guard.reset();
+  this->context.stop();
+  for (std::thread& thread : this->threads) {
+    thread.join();
+  }
+  this->threads.clear();
+  Log(LogLevel::kInfo, "daemon has stopped");
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/daemon/daemon.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <utility>
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "config/daemon_settings.h"
+#include "daemon/cluster_view.h"
+#include "daemon/observers.h"
+#include "net/http_client.h"
+#include "net/key_ring.h"
+#include "net/peer_network.h"
+#include "net/platform_client.h"
+
+namespace poplarmoor {
+
+class EntryService;
+class HttpServer;
+class OwnerService;
+class PollingClusterView;
+class StatementRouter;
+
+/// One daemon: its threads, listeners and roles.
+class Daemon {
+ public:
+  /// @param settings Settings.
+  /// @param keys Shared keys.
+  /// @param operator_token Token of the operators' API.
+  Daemon(DaemonSettings settings, const KeySet& keys, std::string operator_token);
+
+  /// Stops at once if it still runs.
+  ~Daemon();
+
+  /// Starts the listeners and the threads.
+  /// @throws std::runtime_error when a listener cannot start.
+  void Start();
+
+  /// Stops gracefully: reports unready, finishes requests and transactions for at most the stop
+  /// limit, leaves, and ends the threads. Blocks until then.
+  void Stop();
+
+  /// Makes a Stop() that is under way, or a later one, end without waiting for requests.
+  void StopAtOnce() { this->hurry = true; }
+
+  /// @returns "IP:port" of the callers' listener.
+  std::string callers_address() const;
+
+  /// @returns "IP:port" of the operators' listener.
+  std::string operators_address() const;
+
+  /// @returns The control plane.
+  PollingClusterView& view() { return *this->cluster; }
+
+ private:
+  bool IsIdle() const;
+  void WaitUntilIdle(bool with_transactions, std::chrono::steady_clock::time_point limit);
+  void ServePeers();
+
+  DaemonSettings settings;
+  std::string operator_token;
+  int threads_count;
+  KeyRing keys;
+  Observers observers;
+  std::atomic<bool> hurry{false};
+  bool running = false;
+
+  boost::asio::io_context context;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard;
+  std::vector<std::thread> threads;
+
+  HttpClient http;
+  PlatformClient platform;
+  PeerNetwork peers;
+  std::shared_ptr<PollingClusterView> cluster;
+  std::shared_ptr<OwnerService> owner;
+  std::shared_ptr<StatementRouter> router;
+  std::shared_ptr<EntryService> entry;
+  std::shared_ptr<HttpServer> callers;
+  std::shared_ptr<HttpServer> operators;
+};
+
+}  // namespace poplarmoor
--- a/daemon/endpoint_owner.cc
+++ b/daemon/endpoint_owner.cc
@@ -132,9 +132,10 @@
       // from other endpoints.
       this->Pump(now, &work);
       Grant refusal{this->open_failure.reason, this->open_failure.message};
-      asio::post(this->executor, [self = this->shared_from_this(), work = std::move(work)]() mutable {
-        self->Perform(std::move(work));
-      });
+      asio::post(this->executor,
+                 [self = this->shared_from_this(), work = std::move(work)]() mutable {
+                   self->Perform(std::move(work));
+                 });
       co_return refusal;
     }
     item.id = this->next_item++;
@@ -277,10 +278,10 @@
       this->RecordSlot(request.rank, reply, now - sent_at, now);
     }
     // A statement that the endpoint could not run leaves the transaction as it was.
-    const bool stays = !EndsTransaction(request.operation) && reply.usable &&
-                       (reply.result.verdict == Verdict::kRan ||
-                        reply.result.reason == Reason::kNoSlot ||
-                        reply.result.reason == Reason::kBadRequest);
+    const bool stays =
+        !EndsTransaction(request.operation) && reply.usable &&
+        (reply.result.verdict == Verdict::kRan || reply.result.reason == Reason::kNoSlot ||
+         reply.result.reason == Reason::kBadRequest);
     if (stays) {
       this->pool.OnAnswer(connection_id, now);
       this->transactions.Finished(id, reply.result.verdict == Verdict::kRan, now);
@@ -431,8 +432,7 @@
 
 asio::awaitable<void> EndpointOwner::OpenConnection(ConnectionId id) {
   const auto self = this->shared_from_this();
-  const Connection connection =
-      this->driver->MakeConnection(this->executor, this->info.address);
+  const Connection connection = this->driver->MakeConnection(this->executor, this->info.address);
   Duration timeout = kOpenTimeout;
   {
     std::lock_guard lock(this->mutex);
--- a/daemon/entry_service.cc
+++ b/daemon/entry_service.cc
@@ -69,8 +69,8 @@
   if (!settings) {
     throw UnknownService(service, view);
   }
-  if (!settings->sites.empty() && std::find(settings->sites.begin(), settings->sites.end(), site) ==
-                                      settings->sites.end()) {
+  if (!settings->sites.empty() &&
+      std::find(settings->sites.begin(), settings->sites.end(), site) == settings->sites.end()) {
     throw Rejection{400, Reason::kBadRequest, "site",
                     "site '" + site + "' may not reach service " + service};
   }
@@ -175,9 +175,9 @@
                                const std::string& service,
                                SessionPositions* positions) const {
   for (const std::string& dropped : positions->Record(service, result.position)) {
-    LogWarning("entry", "a session wrote to more than " +
-                            std::to_string(SessionPositions::kMaxServices) +
-                            " services; its reads of " + dropped + " go to the primary from now on");
+    Log(LogLevel::kWarn, "a session wrote to too many services; its reads go to the primary",
+        {{"service", dropped}});
+    its reads of " + dropped + " go to the primary from now on ");
   }
 }
 
@@ -248,8 +248,7 @@
   statement.rank = transaction.rank;
   statement.transaction = transaction.id;
   const bool is_commit = statement.operation == Operation::kCommit;
-  RoutedResult routed =
-      co_await this->router->RunInTransaction(std::move(statement), transaction);
+  RoutedResult routed = co_await this->router->RunInTransaction(std::move(statement), transaction);
   answer->result = std::move(routed.result);
   answer->session = std::move(request.session);
   if (is_commit && answer->result.verdict == Verdict::kRan) {
@@ -270,8 +269,7 @@
   request.statement.service = rest.substr(0, slash);
   request.statement.request_id = rest.substr(slash + 1);
   request.statement.operation = Operation::kOutcome;
-  std::optional<ServiceSettings> settings =
-      this->view->FindSettings(request.statement.service, "");
+  std::optional<ServiceSettings> settings = this->view->FindSettings(request.statement.service, "");
   if (!settings) {
     throw UnknownService(request.statement.service, *this->view);
   }
--- a/daemon/owner_service.cc
+++ b/daemon/owner_service.cc
@@ -59,8 +59,8 @@
 
 void OwnerService::Start() {
   asio::co_spawn(
-      asio::make_strand(this->executor), [self = this->shared_from_this()] { return self->Maintain(); },
-      asio::detached);
+      asio::make_strand(this->executor),
+      [self = this->shared_from_this()] { return self->Maintain(); }, asio::detached);
 }
 
 asio::awaitable<void> OwnerService::Maintain() {
@@ -89,8 +89,9 @@
   if (!group || !settings) {
     co_return MakeRefusal(Reason::kNotOwner, "the owner does not know service " + request.service);
   }
-  const auto endpoint = std::find_if(group->endpoints.begin(), group->endpoints.end(),
-                                     [&](const auto& each) { return each.name == forward.endpoint; });
+  const auto endpoint =
+      std::find_if(group->endpoints.begin(), group->endpoints.end(),
+                   [&](const auto& each) { return each.name == forward.endpoint; });
   if (endpoint == group->endpoints.end()) {
     co_return MakeRefusal(Reason::kNotOwner,
                           "the owner does not know endpoint " + forward.endpoint);
--- /dev/null
+++ b/daemon/polling_cluster_view.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <utility>
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "daemon/cluster_view.h"
+#include "kernel/group_state.h"
+#include "kernel/ownership.h"
+#include "kernel/service_settings.h"
+
+namespace poplarmoor {
+
+class PlatformClient;
+
+/// ClusterView without membership: a fixed list of daemons, and the groups read from the platform
+/// every 500 ms. It serves tests and a fleet of one daemon. Thread-safe.
+class PollingClusterView : public ClusterView,
+                           public std::enable_shared_from_this<PollingClusterView> {
+ public:
+  /// @param executor Executor of the I/O threads.
+  /// @param platform Client of the platform; must outlive this object.
+  /// @param daemons All daemons, this one included.
+  PollingClusterView(boost::asio::any_io_executor executor,
+                     PlatformClient* platform,
+                     const std::vector<PeerInfo>& daemons);
+
+  /// Starts to poll.
+  void Start();
+
+  /// Ends polling after the present round.
+  void Stop() { this->stopped = true; }
+
+  /// Sets the settings of a service in place of the defaults.
+  void SetSettings(const ServiceSettings& settings);
+
+  std::vector<PeerInfo> OwnersOf(const EndpointInfo& endpoint) const override;
+  std::optional<GroupState> FindGroup(const std::string& service) const override;
+  std::optional<ServiceSettings> FindSettings(const std::string& service,
+                                              const std::string& site) const override;
+  std::vector<std::string> ServiceNames() const override;
+  void ReportSuspicion(const std::string& service, const std::string& endpoint) override;
+  void ReportHigherTerm(const std::string& service, uint64_t term) override;
+
+ private:
+  boost::asio::awaitable<void> Poll();
+  boost::asio::awaitable<void> ReadGroups();
+
+  boost::asio::any_io_executor executor;
+  PlatformClient* platform;
+  std::atomic<bool> stopped{false};
+  std::atomic<bool> read_now{false};
+
+  mutable std::mutex mutex;  // Guards everything below.
+  Ownership ownership;
+  std::map<std::string, GroupState> groups;
+  std::map<std::string, ServiceSettings> settings;
+};
+
+}  // namespace poplarmoor
--- a/daemon/statement_router.cc
+++ b/daemon/statement_router.cc
@@ -105,10 +105,8 @@
   co_return routed;
 }
 
-asio::awaitable<std::optional<StatementRouter::Event>> StatementRouter::NextEvent(
-    Events events,
-    std::shared_ptr<ServiceState> state,
-    TimePoint until) {
+asio::awaitable<std::optional<StatementRouter::Event>>
+StatementRouter::NextEvent(Events events, std::shared_ptr<ServiceState> state, TimePoint until) {
   while (true) {
     std::optional<Event> event =
         co_await events->Pop(std::min<TimePoint>(until, Now() + kGroupCheck));
--- a/daemon/write_confirmer.cc
+++ b/daemon/write_confirmer.cc
@@ -29,7 +29,9 @@
 WriteConfirmer::WriteConfirmer(asio::any_io_executor executor, EndpointDriver* driver)
     : executor(executor), driver(driver) {}
 
-void WriteConfirmer::SetTerm(const GroupState& group, uint64_t new_term, const std::string& primary) {
+void WriteConfirmer::SetTerm(const GroupState& group,
+                             uint64_t new_term,
+                             const std::string& primary) {
   std::vector<EndpointInfo> new_replicas;
   std::vector<std::string> names;
   for (const EndpointInfo& endpoint : group.endpoints) {
@@ -57,7 +59,9 @@
   for (const EndpointInfo& replica : new_replicas) {
     asio::co_spawn(
         asio::make_strand(this->executor),
-        [self = this->shared_from_this(), replica, current] { return self->Poll(replica, current); },
+        [self = this->shared_from_this(), replica, current] {
+          return self->Poll(replica, current);
+        },
         asio::detached);
   }
 }
@@ -136,7 +140,8 @@
         }
       }
       const uint64_t wait_index = this->NextIndex(received);
-      const EndpointAnswer answer = co_await connection->Status(wait_index, kPollWait, kPollTimeout);
+      const EndpointAnswer answer =
+          co_await connection->Status(wait_index, kPollWait, kPollTimeout);
       received = answer.endpoint.received;
       std::vector<uint64_t> confirmed;
       {
@@ -152,7 +157,8 @@
     }
     if (!failure.empty()) {
       if (!failed) {
-        LogWarning("confirmer", "no status from replica " + replica.name + ": " + failure);
+        Log(LogLevel::kWarn, "no status from a replica",
+            {{"endpoint", replica.name}, {"error", failure}});
       }
       failed = true;
       connection = nullptr;
--- a/net/peer_network.cc
+++ b/net/peer_network.cc
@@ -197,8 +197,8 @@
   } catch (const boost::system::system_error&) {
     // The peer closed the connection, or Stop() did.
   } catch (const std::exception& error) {
-    LogWarning("net",
-               "closing the connection from peer " + connection->remote() + ": " + error.what());
+    Log(LogLevel::kWarn, "closing the connection from a peer",
+        {{"peer", connection->remote()}, {"error", error.what()}});
   }
   connection->Close();
   std::lock_guard lock(this->mutex);
@@ -268,7 +268,8 @@
     failure = error.code().message();
   } catch (const std::exception& error) {
     failure = error.what();
-    LogWarning("net", "closing the connection to peer " + peer->address + ": " + failure);
+    Log(LogLevel::kWarn, "closing the connection to a peer",
+        {{"peer", peer->address}, {"error", failure}});
   }
   this->Fail(peer, failure);
 }
