--- a/daemon/endpoint_owner.cc
+++ b/daemon/endpoint_owner.cc
@@ -99,6 +99,16 @@
   return this->transactions.size();
 }
 
+EndpointOwner::Grant EndpointOwner::MakeGrantRefusal(Reason reason,
+                                                     std::string message,
+                                                     Duration retry_after) {
+  Grant grant;
+  grant.reason = reason;
+  grant.message = std::move(message);
+  grant.retry_after = retry_after;
+  return grant;
+}
+
 // --- Requests -----------------------------------------------------------------------------------
 
 asio::awaitable<StatementResult> EndpointOwner::Run(StatementRequest request, uint64_t term) {
@@ -124,14 +134,14 @@
   {
     std::lock_guard lock(this->mutex);
     if (this->stopped) {
-      co_return Grant{Reason::kStopping, "the daemon is stopping"};
+      co_return MakeGrantRefusal(Reason::kStopping, "the daemon is stopping");
     }
     if (waiter.needs_connection && this->open_failure.reason != Reason::kNone &&
         this->connections.empty()) {
       // The endpoint cannot be reached; waiting for the next attempt would hold the request back
       // from other endpoints.
       this->Pump(now, &work);
-      Grant refusal{this->open_failure.reason, this->open_failure.message};
+      Grant refusal = MakeGrantRefusal(this->open_failure.reason, this->open_failure.message);
       asio::post(this->executor,
                  [self = this->shared_from_this(), work = std::move(work)]() mutable {
                    self->Perform(std::move(work));
@@ -141,8 +151,9 @@
     item.id = this->next_item++;
     const AdmissionDecision decision = this->queue->Offer(item, now);
     if (!decision.queued) {
-      co_return Grant{decision.reason, "the queue of endpoint " + this->info.name + " is too long",
-                      decision.retry_after};
+      co_return MakeGrantRefusal(decision.reason,
+                                 "the queue of endpoint " + this->info.name + " is too long",
+                                 decision.retry_after);
     }
     this->waiters.emplace(item.id, std::move(waiter));
     this->Pump(now, &work);
@@ -169,8 +180,8 @@
     this->Pump(Now(), &after);
   }
   this->Perform(std::move(after));
-  co_return Grant{Reason::kDeadlineExceeded,
-                  "the deadline passed in the queue of endpoint " + this->info.name};
+  co_return MakeGrantRefusal(Reason::kDeadlineExceeded,
+                             "the deadline passed in the queue of endpoint " + this->info.name);
 }
 
 asio::awaitable<StatementResult> EndpointOwner::RunAdmitted(StatementRequest request,
@@ -391,10 +402,8 @@
     } else {
       this->queue->Cancel(each->first);
     }
-    Grant grant;
-    grant.reason = reason.reason;
-    grant.message = reason.message;
-    work->grants.emplace_back(std::move(each->second), std::move(grant));
+    work->grants.emplace_back(std::move(each->second),
+                              MakeGrantRefusal(reason.reason, reason.message));
     each = this->waiters.erase(each);
   }
 }
--- a/daemon/endpoint_owner.h
+++ b/daemon/endpoint_owner.h
@@ -94,6 +94,9 @@
     std::vector<Connection> close;
   };
 
+  static Grant MakeGrantRefusal(Reason reason,
+                                std::string message,
+                                Duration retry_after = Duration::zero());
   boost::asio::awaitable<Grant> Admit(const StatementRequest& request);
   boost::asio::awaitable<StatementResult> RunAdmitted(StatementRequest request, uint64_t term);
   boost::asio::awaitable<StatementResult> RunInTransaction(StatementRequest request);
--- a/daemon/entry_service.cc
+++ b/daemon/entry_service.cc
@@ -177,7 +177,6 @@
   for (const std::string& dropped : positions->Record(service, result.position)) {
     Log(LogLevel::kWarn, "a session wrote to too many services; its reads go to the primary",
         {{"service", dropped}});
-    its reads of " + dropped + " go to the primary from now on ");
   }
 }
 
--- a/net/peer_network.h
+++ b/net/peer_network.h
@@ -15,6 +15,11 @@
 
 /// One message between daemons. The body is one msgpack value, packed by the codec of its type.
 struct PeerMessage {
+  PeerMessage() = default;
+  // A constructor, because g++ 12 destroys an aggregate that is built from braces within a co_await
+  // expression twice.
+  PeerMessage(std::string type, std::string body) : type(std::move(type)), body(std::move(body)) {}
+
   std::string type;  // For example "forward" or "gossip".
   std::string body;
 };
