--- a/kernel/failover.cc
+++ b/kernel/failover.cc
@@ -61,13 +61,13 @@
     return;
   }
   if (!this->IsMine(group)) {
-    this->Finish(now);  // Another proposer has a later term.
+    this->Finish();  // Another proposer has a later term.
   } else if (group.phase == GroupPhase::kServing) {
     this->Announce();
     for (const EndpointInfo& endpoint : this->known.endpoints) {
       this->Establish(endpoint, now);
     }
-    this->Finish(now);
+    this->Finish();
   } else if (this->current_step == FailoverStep::kClaiming) {
     this->Announce();
     this->EnterFencing(now);
@@ -108,7 +108,7 @@
   return true;
 }
 
-void Failover::Finish(TimePoint /*now*/) {
+void Failover::Finish() {
   this->current_step = FailoverStep::kIdle;
   this->platform = PlatformCall();
   this->grants.clear();
@@ -207,7 +207,7 @@
       break;
     case UpdateOutcome::kNotSent:
       if (this->current_step == FailoverStep::kClaiming && this->primary_answered) {
-        this->Finish(now);  // The primary came back before anything was changed.
+        this->Finish();  // The primary came back before anything was changed.
       } else {
         this->RepeatLater(/*read=*/false, now);
       }
--- a/kernel/failover.h
+++ b/kernel/failover.h
@@ -130,7 +130,7 @@
   void Adopt(const GroupState& group, TimePoint now);
   void EnterFencing(TimePoint now);
   void EnterRecording(TimePoint now);
-  void Finish(TimePoint now);
+  void Finish();
   void SendUpdate(TimePoint now);
   void SendRead(TimePoint now);
   void RepeatLater(bool read, TimePoint now);
--- a/kernel/failure_detector.h
+++ b/kernel/failure_detector.h
@@ -113,7 +113,7 @@
   void Conclude(const std::string& endpoint, Evidence* evidence, TimePoint now);
   void CheckReplication(TimePoint now);
   void CheckLeaving(TimePoint now);
-  uint64_t ConfirmedIndex(TimePoint now, bool* all_answer) const;
+  std::optional<uint64_t> ConfirmedIndex(TimePoint now) const;
   void Add(DetectorActionKind kind, const std::string& endpoint);
   void Declare(FailoverCause cause, TimePoint now);
 
--- a/kernel/member.h
+++ b/kernel/member.h
@@ -33,4 +33,18 @@
   friend bool operator==(const Member&, const Member&) = default;
 };
 
+/// @param update Update about a member.
+/// @param current Current entry of the same member.
+/// @returns Whether the update overrides the entry.
+inline bool IsNewer(const Member& update, const Member& current) {
+  return update.incarnation != current.incarnation ? update.incarnation > current.incarnation
+                                                   : update.state > current.state;
+}
+
+/// @param state State of a member.
+/// @returns Whether the member has to refute it if it is alive.
+constexpr bool IsAccusation(MemberState state) {
+  return state == MemberState::kSuspect || state == MemberState::kDead;
+}
+
 }  // namespace poplarmoor
--- a/kernel/membership.h
+++ b/kernel/membership.h
@@ -43,6 +43,10 @@
   /// @param addresses Peer addresses ("IP:port") from the settings and the platform's VM list.
   void SetSeeds(std::vector<std::string> addresses);
 
+  /// Takes over a member table without spreading it, for a start with a known table.
+  /// @param members Members; an entry for this daemon is ignored.
+  void LoadTable(const std::vector<Member>& members);
+
   /// Advances probes, suspicions and digests. Call every 100 ms or so.
   void Tick(TimePoint now);
 
--- /dev/null
+++ b/kernel/membership_receive.cc
@@ -0,0 +1,202 @@
+#include <unordered_set>
+#include <utility>
+
+#include "kernel/membership.h"
+
+namespace poplarmoor {
+
+namespace {
+
+// Members that are checked because of one message of another failure domain.
+constexpr size_t kMaxChecks = 32;
+
+}  // namespace
+
+void Membership::ApplyToSelf(const Member& update) {
+  const bool accused =
+      IsAccusation(update.state) && update.incarnation >= this->self_info.incarnation;
+  if (!accused && update.incarnation <= this->self_info.incarnation) {
+    return;
+  }
+  if (this->self_info.state == MemberState::kDead) {
+    return;  // This daemon stops and has said so.
+  }
+  // Also covers an earlier start of this daemon name with a higher incarnation.
+  this->self_info.incarnation = update.incarnation + 1;
+  this->members.Put(this->self_info);
+  this->changes.push_back(this->self_info);
+  this->Spread(this->self_info.daemon);
+}
+
+void Membership::Apply(const Member& update, const Member& from, TimePoint now) {
+  if (update.daemon == this->self_info.daemon) {
+    this->ApplyToSelf(update);
+    return;
+  }
+  const Member* current = this->members.Find(update.daemon);
+  const std::string& domain = this->self_info.failure_domain;
+  if (current != nullptr && IsAccusation(update.state) && !IsAccusation(current->state) &&
+      current->failure_domain == domain && from.failure_domain != domain &&
+      from.daemon != update.daemon && IsNewer(update, *current)) {
+    // After a cut, the other domains hold every member of this one dead. The members of a failure
+    // domain judge each other better than others do, so that the accused is asked first.
+    if (this->checks++ < kMaxChecks) {
+      this->StartProbe(update, GossipKind::kProbe, now);
+    }
+    return;
+  }
+  this->Store(update, now);
+}
+
+bool Membership::HandleDeadSender(const GossipMessage& message) {
+  const Member* known = this->members.Find(message.sender.daemon);
+  if (known == nullptr || known->state != MemberState::kDead ||
+      message.sender.incarnation > known->incarnation) {
+    return false;
+  }
+  // The sender does not know yet that it was declared dead. It refutes this in its answer; until
+  // then its view of the others is not trusted.
+  if (message.sender.state != MemberState::kDead) {
+    this->outgoing.push_back(
+        {message.sender.daemon, message.sender.address, this->MakeNotice(*known)});
+  }
+  return true;
+}
+
+void Membership::Receive(const GossipMessage& message, TimePoint now) {
+  if (message.sender.daemon == this->self_info.daemon) {
+    if (message.sender.incarnation > this->self_info.incarnation) {
+      this->ApplyToSelf(message.sender);
+    }
+    return;
+  }
+  for (const Member& update : message.updates) {
+    if (update.daemon == this->self_info.daemon) {
+      this->ApplyToSelf(update);
+    }
+  }
+  if (this->HandleDeadSender(message)) {
+    return;
+  }
+  this->checks = 0;
+  this->Store(message.sender, now);
+  std::vector<Member> newer;  // Entries that are newer here, for kMembersAnswer.
+  for (const Member& update : message.updates) {
+    const Member* current = this->members.Find(update.daemon);
+    if (message.kind == GossipKind::kMembers && current != nullptr && IsNewer(*current, update)) {
+      newer.push_back(*current);
+    }
+    this->Apply(update, message.sender, now);
+  }
+  switch (message.kind) {
+    case GossipKind::kProbe:
+      this->Answer(message, GossipKind::kAck);
+      break;
+    case GossipKind::kAck:
+      this->ReceiveAck(message);
+      break;
+    case GossipKind::kIndirectProbe:
+      this->RelayProbe(message, now);
+      break;
+    case GossipKind::kDigest: {
+      GossipMessage answer = this->MakeMessage(GossipKind::kDigestAnswer, message.sequence);
+      if (message.member_hash != this->members.hash()) {
+        answer.bucket_hashes = this->members.BucketHashes();
+      }
+      this->Send(message.sender, std::move(answer));
+      break;
+    }
+    case GossipKind::kDigestAnswer:
+      this->ReceiveAck(message);
+      this->CompareTables(message);
+      break;
+    case GossipKind::kMembers:
+      this->AnswerMembers(message, std::move(newer));
+      break;
+    case GossipKind::kMembersAnswer:
+      this->joined = true;
+      break;
+    case GossipKind::kJoin: {
+      GossipMessage answer = this->MakeMessage(GossipKind::kMembersAnswer, message.sequence);
+      answer.updates = this->members.All();
+      this->outgoing.push_back({message.sender.daemon, message.sender.address, std::move(answer)});
+      break;
+    }
+  }
+}
+
+void Membership::ReceiveAck(const GossipMessage& message) {
+  const auto relay = this->relays.find(message.sequence);
+  if (relay != this->relays.end()) {
+    // The sequence is the requester's own, so that it ends the requester's probe.
+    const Member requester{relay->second.daemon, relay->second.address, "", 0, MemberState::kAlive};
+    GossipMessage ack = this->MakeMessage(GossipKind::kAck, relay->second.sequence);
+    ack.updates.push_back(message.sender);
+    this->relays.erase(relay);
+    this->Send(requester, std::move(ack));
+    return;
+  }
+  if (this->probes.erase(message.sequence) > 0) {
+    this->failed_probes = 0;
+  }
+}
+
+void Membership::RelayProbe(const GossipMessage& message, TimePoint now) {
+  const Member* target = this->members.Find(message.target);
+  if (target == nullptr) {
+    return;
+  }
+  const uint64_t sequence = this->next_sequence++;
+  this->relays[sequence] = {message.sender.daemon, message.sender.address, message.sequence,
+                            now + this->options.indirect_timeout * 2};
+  GossipMessage probe = this->MakeMessage(GossipKind::kProbe, sequence);
+  if (IsAccusation(target->state)) {
+    probe.updates.push_back(*target);
+  }
+  this->Send(*target, std::move(probe));
+}
+
+void Membership::CompareTables(const GossipMessage& message) {
+  if (message.bucket_hashes.size() != MemberTable::kBuckets) {
+    return;
+  }
+  GossipMessage answer = this->MakeMessage(GossipKind::kMembers, 0);
+  const std::vector<uint64_t> own = this->members.BucketHashes();
+  std::vector<bool> differs(MemberTable::kBuckets);
+  for (uint32_t bucket = 0; bucket < MemberTable::kBuckets; ++bucket) {
+    if (own[bucket] != message.bucket_hashes[bucket]) {
+      answer.differing.push_back(bucket);
+      differs[bucket] = true;
+    }
+  }
+  if (answer.differing.empty()) {
+    return;
+  }
+  answer.updates = this->members.InBuckets(differs);
+  this->outgoing.push_back({message.sender.daemon, message.sender.address, std::move(answer)});
+}
+
+void Membership::AnswerMembers(const GossipMessage& message, std::vector<Member> newer) {
+  std::vector<bool> differs(MemberTable::kBuckets);
+  for (uint32_t bucket : message.differing) {
+    if (bucket < MemberTable::kBuckets) {
+      differs[bucket] = true;
+    }
+  }
+  std::unordered_set<std::string> sent;
+  for (const Member& update : message.updates) {
+    sent.insert(update.daemon);
+  }
+  for (Member& member : this->members.InBuckets(differs)) {
+    if (!sent.contains(member.daemon)) {
+      newer.push_back(std::move(member));
+    }
+  }
+  if (!newer.empty()) {
+    GossipMessage answer = this->MakeMessage(GossipKind::kMembersAnswer, 0);
+    answer.updates = std::move(newer);
+    this->outgoing.push_back({message.sender.daemon, message.sender.address, std::move(answer)});
+  }
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/tests/kernel/config_spread_test.cc
@@ -0,0 +1,112 @@
+#include "kernel/config_spread.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "kernel/virtual_cluster.h"
+
+namespace poplarmoor {
+namespace {
+
+ConfigUnit MakeUnit(const std::string& name, uint64_t version) {
+  return {UnitKind::kConfig, name, version, version * 10, "content " + std::to_string(version)};
+}
+
+/// Store without the check of the version; the checks below must reject it.
+class UncheckedStore : public ConfigStore {
+ protected:
+  bool Accepts(const ConfigUnit& current, const ConfigUnit& offered) const override {
+    return !(current == offered);
+  }
+};
+
+/// Publishes rising versions at random daemons, old ones among them, while messages are lost.
+/// @returns Number of times that a unit went back to a lower version at any daemon.
+size_t CountReversals(const VirtualCluster::MakeStore& make_store) {
+  VirtualClusterOptions options;
+  options.members = 24;
+  options.loss = 0.2;
+  options.seed = 3;
+  VirtualCluster cluster(options, make_store);
+  RandomEngine random(5);
+  std::map<std::pair<size_t, std::string>, uint64_t> seen;
+  size_t reversals = 0;
+  for (uint64_t version = 1; version <= 60; ++version) {
+    const std::string name = "service." + std::to_string(version % 3);
+    cluster.Publish(RandomBelow(&random, cluster.size()), {MakeUnit(name, version)});
+    if (version > 6) {
+      // A watcher with a late answer of the platform offers an old version.
+      cluster.Publish(RandomBelow(&random, cluster.size()), {MakeUnit(name, version - 6)});
+    }
+    cluster.Run(300ms);
+    for (size_t i = 0; i < cluster.size(); ++i) {
+      for (const ConfigUnit& unit : cluster.node(i).store->UnitsOf(UnitKind::kConfig)) {
+        uint64_t& highest = seen[{i, unit.name}];
+        reversals += unit.version < highest ? 1 : 0;
+        highest = std::max(highest, unit.version);
+      }
+    }
+  }
+  return reversals;
+}
+
+TEST_CASE("configuration never goes back, whatever arrives late") {
+  CHECK(CountReversals([] { return std::make_unique<ConfigStore>(); }) == 0);
+}
+
+TEST_CASE("the check for reversals detects a store without the version check") {
+  CHECK(CountReversals([] { return std::make_unique<UncheckedStore>(); }) > 0);
+}
+
+TEST_CASE("a unit reaches every daemon within the target although messages are lost") {
+  for (const double loss : {0.0, 0.1, 0.3}) {
+    VirtualClusterOptions options;
+    options.members = 100;
+    options.failure_domains = 13;
+    options.loss = loss;
+    VirtualCluster cluster(options);
+    cluster.Run(3s);
+    cluster.Publish(17, {MakeUnit("common", 1)});
+    const Duration taken = cluster.RunUntil(
+        [&] { return cluster.ConfigConverged() && cluster.node(0).store->size() == 1; }, 30s);
+    INFO("loss " << loss << ", everywhere after ms " << ToMillis(taken));
+    CHECK(taken < 6s);
+  }
+}
+
+TEST_CASE(
+    "a daemon that starts while the platform is down gets everything from peers, even when "
+    "it exceeds one message") {
+  VirtualClusterOptions options;
+  options.members = 9;
+  options.spread.max_bytes = 4000;
+  VirtualCluster cluster(options);
+  std::vector<ConfigUnit> units;
+  for (int i = 0; i < 300; ++i) {
+    units.push_back(MakeUnit("service." + std::to_string(i), 1));
+  }
+  cluster.Publish(2, units);
+  CHECK(cluster.RunUntil([&] { return cluster.ConfigConverged(); }, 60s) < 30s);
+  cluster.Restart(4);
+  CHECK(cluster.node(4).store->size() == 0);
+  CHECK(cluster.RunUntil([&] { return cluster.ConfigConverged(); }, 60s) < 20s);
+  CHECK(cluster.node(4).store->size() == 300);
+}
+
+TEST_CASE("a cut failure domain catches up after the cut") {
+  VirtualClusterOptions options;
+  options.members = 30;
+  VirtualCluster cluster(options);
+  cluster.SetCut([](size_t from, size_t to) { return (from % 3 == 0) != (to % 3 == 0); });
+  cluster.Run(20s);
+  cluster.Publish(1, {MakeUnit("common", 2), MakeUnit("site.biella", 4)});
+  cluster.Publish(0, {MakeUnit("common", 1)});
+  cluster.Run(10s);
+  CHECK(cluster.node(3).store->Find(UnitKind::kConfig, "common")->version == 1);
+  cluster.SetCut(nullptr);
+  CHECK(cluster.RunUntil([&] { return cluster.ConfigConverged(); }, 60s) < 30s);
+  CHECK(cluster.node(3).store->Find(UnitKind::kConfig, "common")->version == 2);
+}
+
+}  // namespace
+}  // namespace poplarmoor
--- /dev/null
+++ b/tests/kernel/platform_budget_test.cc
@@ -0,0 +1,72 @@
+#include "kernel/platform_budget.h"
+
+#include <catch2/catch.hpp>
+
+namespace poplarmoor {
+namespace {
+
+TEST_CASE("a daemon stays within its budget, or the fleet exceeds the platform's rate") {
+  RandomEngine random(1);
+  PlatformBudget budget({}, &random);
+  int calls = 0;
+  int urgent = 0;
+  for (TimePoint now; now < TimePoint(100s); now += 10ms) {
+    if (budget.TryTake(now, false)) {
+      ++calls;
+      budget.OnSuccess();
+    }
+  }
+  CHECK(calls <= 4 * 100 + 20);
+  CHECK(calls >= 4 * 100 - 20);
+  while (budget.TryTake(TimePoint(100s), true)) {
+    ++urgent;
+  }
+  CHECK(urgent >= 8);  // Other calls leave the reserve to a promotion.
+}
+
+TEST_CASE(
+    "failures delay calls up to the cap and open the circuit breaker, or a platform that "
+    "comes back is overrun") {
+  RandomEngine random(2);
+  PlatformBudget budget({}, &random);
+  std::vector<TimePoint> attempts;
+  for (TimePoint now; now < TimePoint(120s); now += 10ms) {
+    if (budget.TryTake(now, false)) {
+      attempts.push_back(now);
+      budget.OnFailure(now);
+    }
+  }
+  CHECK(budget.state() == BreakerState::kOpen);
+  CHECK(attempts.size() >= 12);
+  CHECK(attempts.size() <= 40);
+  for (size_t i = 8; i < attempts.size(); ++i) {
+    CHECK(attempts[i] - attempts[i - 1] >= 5s);
+    CHECK(attempts[i] - attempts[i - 1] <= 10s + 10ms);
+  }
+  const TimePoint trial = budget.next_call();
+  CHECK(budget.TryTake(trial, false));
+  CHECK(budget.state() == BreakerState::kHalfOpen);
+  CHECK_FALSE(budget.TryTake(trial, true));  // One trial at a time.
+  budget.OnSuccess();
+  CHECK(budget.state() == BreakerState::kClosed);
+  CHECK(budget.TryTake(trial, false));
+}
+
+TEST_CASE(
+    "a promotion waits at most a second for an open circuit breaker, or the failover gap "
+    "grows by the backoff") {
+  RandomEngine random(3);
+  PlatformBudget budget({}, &random);
+  TimePoint now;
+  for (int i = 0; i < 12; ++i) {
+    now = std::max(now, budget.next_call());
+    REQUIRE(budget.TryTake(now, false));
+    budget.OnFailure(now);
+  }
+  CHECK_FALSE(budget.TryTake(now + 900ms, true));
+  CHECK_FALSE(budget.TryTake(now + 1000ms, false));
+  CHECK(budget.TryTake(now + 1000ms, true));
+}
+
+}  // namespace
+}  // namespace poplarmoor
