kernel: admit what a flood leaves time for, and satisfy the linter

Cause: a simulated flood expired 6% of the admitted background work, all of it in the first two seconds, because the arrival rate of higher ranks was underestimated at the start. Conclusion: admitted work seldom expires, and no capacity is lost by the margin.

--- a/kernel/bench_main.cc
+++ b/kernel/bench_main.cc
@@ -1,6 +1,3 @@
-// Measures the time of data-path decisions. Prints one JSON object; each section is a list of rows.
-// Sections: admission, routing, request.
-
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
@@ -30,7 +27,7 @@
   std::string members;
 };
 
-/// A section of the report. Further sections are added to kSections.
+/// A section of the printed JSON object. Further sections are added to kSections.
 struct Section {
   const char* name;
   std::vector<Row> (*run)();
@@ -41,6 +38,7 @@
 /// @returns Nanoseconds for each decision.
 Measurement Measure(const std::function<double()>& run, uint64_t decisions) {
   std::vector<double> samples;
+  samples.reserve(kRepetitions);
   run();  // Warms the caches and the allocator.
   for (int i = 0; i < kRepetitions; ++i) {
     samples.push_back(run() / static_cast<double>(decisions));
--- a/kernel/group_view.cc
+++ b/kernel/group_view.cc
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-GroupView::GroupView(GroupState state) {
+GroupView::GroupView(const GroupState& state) {
   this->SetState(state);
 }
 
--- a/kernel/group_view.h
+++ b/kernel/group_view.h
@@ -28,7 +28,7 @@
   };
 
   GroupView() = default;
-  explicit GroupView(GroupState state);
+  explicit GroupView(const GroupState& state);
 
   /// Takes over a newer group state. Statuses of endpoints that stay in the group are kept.
   /// @param state State from the configuration store.
--- a/kernel/log_position.h
+++ b/kernel/log_position.h
@@ -7,9 +7,11 @@
 
 /// Position in a group's log. The pair identifies a prefix of the log.
 struct LogPosition {
-  uint64_t term = 0;   // Number of the primary's reign; 0 means no position.
+  uint64_t term = 0;   // Number of the primary's period of office; 0 means no position.
   uint64_t index = 0;  // Entries are numbered from 1.
 
+  // clang-tidy 14 takes a defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const LogPosition&, const LogPosition&) = default;
 };
 
--- a/kernel/ranked_admission.cc
+++ b/kernel/ranked_admission.cc
@@ -11,9 +11,13 @@
 
 constexpr double kSmoothing = 0.1;          // Part of a new service time in the mean.
 constexpr double kArrivalWindow = 500'000;  // Time constant of the arrival rate, microseconds.
+constexpr Duration kFirstArrivals = 20ms;   // Shortest time that an arrival rate is taken over.
 constexpr double kUnmeasured = 1'000;       // Cost of an item before any measurement, microseconds.
 constexpr double kMinShare = 0.01;          // Keeps predictions finite for a starved rank.
 constexpr double kMinWeight = 0.01;         // Smallest weight of a site.
+// Part of the predicted wait that is added before the comparison with the deadline. In a flood the
+// queue settles where both are equal, and then any error of the prediction expires admitted work.
+constexpr int kMarginPart = 10;
 constexpr Duration kMinRetryAfter = 10ms;
 constexpr Duration kMaxRetryAfter = 5000ms;
 
@@ -66,7 +70,7 @@
   decision.predicted_wait = this->PredictWait(index, site, now);
   Duration needed = decision.predicted_wait;
   if (needed > Duration(0)) {
-    needed += FromMicros(this->ServiceOf(queue));
+    needed += needed / kMarginPart + FromMicros(this->ServiceOf(queue));
   }
   const bool full = queue.queues.SizeOf(site) >= queue.max_queue;
   if (full || now + needed > item.deadline) {
@@ -171,8 +175,7 @@
     const Class& other = this->classes[each];
     if (each < class_index) {
       higher_work += static_cast<double>(other.queues.size()) * this->ServiceOf(other);
-      const auto age = static_cast<double>((now - other.last_arrival).count());
-      higher_load += other.arrival_rate * std::exp(-age / kArrivalWindow) * this->ServiceOf(other);
+      higher_load += ArrivalRate(other, now) * this->ServiceOf(other);
     } else if (each > class_index && !other.queues.empty()) {
       lower_floors += other.floor_share;
     }
@@ -239,11 +242,25 @@
   return service > 0.0 ? service : kUnmeasured;
 }
 
+double RankedAdmission::ArrivalRate(const Class& queue, TimePoint now) {
+  if (!queue.first_arrival) {
+    return 0.0;
+  }
+  // Soon after the first arrival the decayed count covers less than its window. Without the
+  // correction, a queue that starts in a flood admits far more than it can serve in time.
+  const auto age = static_cast<double>((now - queue.last_arrival).count());
+  const Duration elapsed = std::max<Duration>(now - *queue.first_arrival, kFirstArrivals);
+  const double covered = 1.0 - std::exp(-static_cast<double>(elapsed.count()) / kArrivalWindow);
+  return queue.arrivals * std::exp(-age / kArrivalWindow) / covered;
+}
+
 void RankedAdmission::CountArrival(Class* queue, TimePoint now) {
   const auto age = static_cast<double>((now - queue->last_arrival).count());
-  queue->arrival_rate =
-      queue->arrival_rate * std::exp(-age / kArrivalWindow) + 1.0 / kArrivalWindow;
+  queue->arrivals = queue->arrivals * std::exp(-age / kArrivalWindow) + 1.0 / kArrivalWindow;
   queue->last_arrival = now;
+  if (!queue->first_arrival) {
+    queue->first_arrival = now;
+  }
 }
 
 void RankedAdmission::MoveExpired(TimePoint now) {
--- a/kernel/ranked_admission.h
+++ b/kernel/ranked_admission.h
@@ -40,11 +40,12 @@
   struct Class {
     SiteQueues queues;
     double floor_share = 0.0;
-    size_t max_queue = 256;   // For each site.
-    double service = 0.0;     // Smoothed service time, microseconds; 0: not measured.
-    double credit = 0.0;      // Slot time that its floor has earned, microseconds.
-    double arrival_rate = 0;  // Queued items a microsecond, with exponential decay.
+    size_t max_queue = 256;  // For each site.
+    double service = 0.0;    // Smoothed service time, microseconds; 0: not measured.
+    double credit = 0.0;     // Slot time that its floor has earned, microseconds.
+    double arrivals = 0.0;   // Queued items a microsecond, with exponential decay.
     TimePoint last_arrival;
+    std::optional<TimePoint> first_arrival;
   };
 
   struct Waiter {
@@ -59,7 +60,8 @@
   Duration PredictWait(size_t class_index, const std::string& site, TimePoint now) const;
   size_t ChooseClass() const;
   void Charge(size_t class_index);
-  void CountArrival(Class* queue, TimePoint now);
+  static double ArrivalRate(const Class& queue, TimePoint now);
+  static void CountArrival(Class* queue, TimePoint now);
   double CostOf(const Class& queue) const;
   void MoveExpired(TimePoint now);
   void Forget(const AdmissionItem& item);
--- a/kernel/request_machine.cc
+++ b/kernel/request_machine.cc
@@ -237,7 +237,7 @@
     return this->options.pinned_endpoint;
   }
   if (!this->next_endpoint.empty()) {
-    const std::string preferred = std::exchange(this->next_endpoint, {});
+    std::string preferred = std::exchange(this->next_endpoint, {});
     const GroupView::Endpoint* endpoint = context.group.Find(preferred);
     const bool fits = endpoint != nullptr && !endpoint->info.leaving &&
                       (endpoint->is_primary || !NeedsPrimary(this->request.operation));
--- a/kernel/time.h
+++ b/kernel/time.h
@@ -13,7 +13,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<KernelClock>;
-  static constexpr bool is_steady = true;
+  // The standard requires this name of a clock.
+  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming)
 };
 
 using TimePoint = KernelClock::time_point;
--- a/tests/kernel/admission_test.cc
+++ b/tests/kernel/admission_test.cc
@@ -122,6 +122,63 @@
   CHECK(queue->TakeExpired(At(40)).empty());
 }
 
+/// Counts of one rank in a simulated flood.
+struct FloodCount {
+  int offered = 0;
+  int admitted = 0;
+  int served = 0;
+  int expired = 0;
+};
+
+/// Three slots of 10 ms statements for 20 s: capacity 300/s. Urgent work arrives at 150/s, standard
+/// at 60/s and background at `background` a second, with deadlines of 500 ms.
+std::array<FloodCount, kRankCount> SimulateFlood(const std::string& policy, int background) {
+  const auto queue = Registry<AdmissionQueue>::Create(policy);
+  AdmissionSettings settings;
+  settings.ranks[1].floor_share = 0.2;
+  settings.ranks[2].floor_share = 0.1;
+  queue->Configure(settings);
+  queue->SetSlots(3);
+  std::array<FloodCount, kRankCount> counts{};
+  const std::array<int, kRankCount> rates{150, 60, background};
+  std::array<int64_t, kRankCount> due{};
+  std::multimap<int64_t, Rank> running;  // By the time of the answer, in units of 0.1 ms.
+  uint64_t id = 0;
+  for (int64_t tick = 0; tick < 200'000; ++tick) {
+    const TimePoint now(Duration(tick * 100));
+    while (!running.empty() && running.begin()->first <= tick) {
+      queue->Finished(running.begin()->second, 10ms);
+      running.erase(running.begin());
+    }
+    for (size_t rank = 0; rank < kRankCount; ++rank) {
+      for (due[rank] += rates[rank]; due[rank] >= 10'000; due[rank] -= 10'000) {
+        ++counts[rank].offered;
+        const AdmissionItem item{++id, static_cast<Rank>(rank), "s", now + 500ms};
+        counts[rank].admitted += queue->Offer(item, now).queued ? 1 : 0;
+      }
+    }
+    while (const auto item = queue->Next(now)) {
+      ++counts[static_cast<size_t>(item->rank)].served;
+      running.emplace(tick + 100, item->rank);
+    }
+    for (const AdmissionItem& item : queue->TakeExpired(now)) {
+      ++counts[static_cast<size_t>(item.rank)].expired;
+    }
+  }
+  return counts;
+}
+
+TEST_CASE("in a flood of background work the rest is served and admitted work seldom expires") {
+  const auto counts = SimulateFlood("floors", 900);
+  CHECK(counts[0].served >= counts[0].offered * 99 / 100);
+  CHECK(counts[1].served >= counts[1].offered * 99 / 100);
+  CHECK(counts[2].served >= 20 * 80);  // Capacity that the others leave: 90/s.
+  CHECK(counts[2].expired <= counts[2].admitted / 50);
+  CHECK(counts[0].served + counts[1].served + counts[2].served >= 20 * 290);
+  const auto baseline = SimulateFlood("fcfs", 900);
+  CHECK(baseline[0].served < baseline[0].offered / 2);
+}
+
 TEST_CASE("the queue never runs more than its slots and loses or repeats no item") {
   for (const std::string& policy : Registry<AdmissionQueue>::Names()) {
     CHECK(rc::check(policy, [&](const std::vector<uint32_t>& steps) {
--- a/tests/kernel/fault_world.h
+++ b/tests/kernel/fault_world.h
@@ -69,6 +69,9 @@
 /// the kernel objects follows the daemon's: it performs what they decide and injects faults.
 class FaultWorld {
  public:
+  static constexpr uint64_t kMaxConnectionId = 1000;  // Of one generation of an owner.
+  static constexpr Duration kHop = 1ms;               // Between any two processes.
+
   /// A request as the caller sees it.
   struct Call {
     StatementRequest request;
@@ -98,9 +101,34 @@
   const std::array<FakeEndpoint, 3>& Endpoints() const { return this->endpoints; }
 
  private:
-  struct Drive;
-  struct Forward;
+  /// A request that the entry drives.
+  struct Drive {
+    std::shared_ptr<Call> call;
+    RequestMachine machine;
+    std::function<void(const Call&)> then;
+    uint64_t timer = 0;
+    bool was_refused = false;
+  };
+
   using DrivePtr = std::shared_ptr<Drive>;
+
+  /// One attempt at the owner.
+  struct Forward {
+    DrivePtr drive;
+    int attempt = 0;
+    std::string endpoint;
+    uint64_t term = 0;
+    StatementRequest request;
+    std::string transaction;  // Local to the owner.
+    uint64_t generation = 0;
+    bool exchanging = false;  // Waits for an answer on a connection.
+    bool responded = false;
+    bool late = false;
+    bool late_response = false;
+    bool crossed = false;
+    bool lost_response = false;
+  };
+
   using ForwardPtr = std::shared_ptr<Forward>;
 
   /// Owner of one endpoint. A new generation replaces it when its daemon dies.
--- a/tests/kernel/fixtures.h
+++ b/tests/kernel/fixtures.h
@@ -4,6 +4,7 @@
 
 #include "kernel/endpoint_status.h"
 #include "kernel/group_state.h"
+#include "kernel/statement_result.h"
 #include "kernel/time.h"
 
 namespace poplarmoor {
@@ -14,6 +15,16 @@
   return TimePoint(std::chrono::milliseconds(millis));
 }
 
+/// @param verdict Verdict of a request.
+/// @param reason Its reason.
+/// @returns The result.
+inline StatementResult MakeResult(Verdict verdict, Reason reason) {
+  StatementResult result;
+  result.verdict = verdict;
+  result.reason = reason;
+  return result;
+}
+
 /// @param term Term of the group.
 /// @param primary Its primary; empty while electing.
 /// @returns A group of the endpoints a, b and c.
--- a/tests/kernel/request_machine_test.cc
+++ b/tests/kernel/request_machine_test.cc
@@ -23,9 +23,7 @@
 
   RequestAction Start() { return this->machine.Start(this->Context()); }
   RequestAction Answer(int attempt, Verdict verdict, Reason reason, uint64_t replayed = 0) {
-    StatementResult result;
-    result.verdict = verdict;
-    result.reason = reason;
+    StatementResult result = MakeResult(verdict, reason);
     if (replayed > 0) {
       result.status = MakeStatus("b", 1, replayed);
     }
