--- a/kernel/failure_detector.h
+++ b/kernel/failure_detector.h
@@ -10,6 +10,7 @@
 #include "kernel/endpoint_status.h"
 #include "kernel/failover_cause.h"
 #include "kernel/group_state.h"
+#include "kernel/name_table.h"
 #include "kernel/time.h"
 
 namespace poplarmoor {
@@ -21,6 +22,12 @@
   kNoAnswer,  // Timeout.
 };
 
+inline constexpr NameTable<ProbeOutcome, 3> kProbeOutcomeNames{{{
+    {ProbeOutcome::kAnswered, "answered"},
+    {ProbeOutcome::kRefused, "refused"},
+    {ProbeOutcome::kNoAnswer, "no_answer"},
+}}};
+
 /// What a failure detector asks its daemon to do.
 enum class DetectorActionKind {
   kProbe,        // Call status over the kept connection.
--- /dev/null
+++ b/wire/control_codec.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "kernel/config_message.h"
+#include "kernel/failure_detector.h"
+#include "kernel/gossip_message.h"
+
+namespace poplarmoor {
+
+/// One endpoint of a service, as `suspect` and `observe` messages name it.
+struct EndpointReference {
+  std::string service;
+  std::string endpoint;
+  std::string address;  // "IP:port"; only for observe.
+};
+
+/// Packs the body of a gossip message or of its answer.
+/// @param messages Any number of messages for one daemon.
+/// @returns One msgpack map.
+std::string PackGossip(const std::vector<GossipMessage>& messages);
+
+/// @throws CodecError when the body is malformed.
+std::vector<GossipMessage> UnpackGossip(const std::string& body);
+
+/// Packs the body of a config_push or config_fetch message or of its answer.
+/// @param messages Any number of messages for one daemon.
+/// @returns One msgpack map.
+std::string PackConfig(const std::vector<ConfigMessage>& messages);
+
+/// @throws CodecError when the body is malformed.
+std::vector<ConfigMessage> UnpackConfig(const std::string& body);
+
+/// Packs the body of a suspect or observe message.
+std::string PackReference(const EndpointReference& reference);
+
+/// @throws CodecError when the body is malformed.
+EndpointReference UnpackReference(const std::string& body);
+
+/// Packs the answer to an observe message.
+std::string PackOutcome(ProbeOutcome outcome);
+
+/// @throws CodecError when the body is malformed.
+ProbeOutcome UnpackOutcome(const std::string& body);
+
+}  // namespace poplarmoor
