Run the control decisions in the daemon

ControlPlane implements ClusterView over the kernel's membership, configuration spread, failure detection and failover: one lock holds all decisions, each call returns the I/O that follows, and coroutines perform it without the lock. Compiled only; the daemon still uses PollingClusterView.

--- /dev/null
+++ b/daemon/control_plane.cc
@@ -0,0 +1,328 @@
+#include "daemon/control_plane.h"
+
+#include <boost/asio.hpp>
+#include <chrono>
+#include <functional>
+#include <random>
+
+#include "config/daemon_settings.h"
+#include "config/units.h"
+#include "daemon/platform_watcher.h"
+#include "net/now.h"
+#include "net/platform_client.h"
+#include "telemetry/log.h"
+#include "wire/control_codec.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{50};
+constexpr std::chrono::milliseconds kPeerTimeout{1000};
+constexpr Duration kReportPause = 200ms;  // Between two reports on one endpoint or term.
+
+uint64_t MakeIncarnation() {
+  // The wall clock, so that a restarted daemon exceeds its earlier starts. If the clock went back,
+  // the daemon raises its incarnation as soon as a peer tells it of the earlier one.
+  return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                   std::chrono::system_clock::now().time_since_epoch())
+                                   .count());
+}
+
+uint64_t MakeSeed() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32) | device();
+}
+
+}  // namespace
+
+ControlPlane::ControlPlane(asio::any_io_executor executor,
+                           const DaemonSettings& settings,
+                           PlatformClient* platform,
+                           PeerNetwork* peers,
+                           EndpointDriver* driver)
+    : executor(executor),
+      daemon(settings.daemon),
+      platform(platform),
+      peers(peers),
+      endpoints(executor, driver),
+      control(settings, settings.listen.peers, MakeIncarnation(), MakeSeed()) {
+  this->watcher = std::make_shared<PlatformWatcher>(
+      executor, platform, &this->control,
+      [this](std::vector<ConfigUnit> units) { this->Perform(this->control.Publish(units, Now())); },
+      settings.control.watch, settings.control.vm_poll);
+}
+
+ControlPlane::~ControlPlane() = default;
+
+void ControlPlane::Spawn(std::function<Coroutine(ControlPlane*)> make) {
+  asio::co_spawn(
+      asio::make_strand(this->executor),
+      [self = this->shared_from_this(), make = std::move(make)] { return make(self.get()); },
+      [](const std::exception_ptr& error) {
+        try {
+          if (error) {
+            std::rethrow_exception(error);
+          }
+        } catch (const std::exception& reason) {
+          Log(LogLevel::kError, "control task failed", {{"error", reason.what()}});
+        }
+      });
+}
+
+void ControlPlane::Start() {
+  this->Spawn([](ControlPlane* self) { return self->TickLoop(); });
+  this->watcher->Start();
+}
+
+void ControlPlane::Leave() {
+  this->Perform(this->control.Leave(/*stop_now=*/false));
+}
+
+void ControlPlane::Stop() {
+  this->Perform(this->control.Leave(/*stop_now=*/true));
+  this->stopped = true;
+  this->watcher->Stop();
+}
+
+asio::awaitable<void> ControlPlane::TickLoop() {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (!this->stopped) {
+    this->Perform(this->control.Tick(Now()));
+    timer.expires_after(kTick);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+// --- Messages of other daemons ------------------------------------------------------------------
+
+void ControlPlane::SetHandler(const std::string& type, Handler handler) {
+  this->peers->SetHandler(
+      type,
+      [weak = this->weak_from_this(), handler](
+          std::string from, PeerMessage message) -> asio::awaitable<PeerMessage> {
+        const auto self = weak.lock();
+        if (self == nullptr) {
+          throw std::runtime_error("control plane has ended");
+        }
+        co_return co_await (self.get()->*handler)(std::move(from), std::move(message));
+      });
+}
+
+void ControlPlane::SetHandlers() {
+  this->SetHandler("gossip", &ControlPlane::HandleGossip);
+  this->SetHandler("config_push", &ControlPlane::HandleConfig);
+  this->SetHandler("config_fetch", &ControlPlane::HandleConfig);
+  this->SetHandler("suspect", &ControlPlane::HandleSuspect);
+  this->SetHandler("promote", &ControlPlane::HandlePromote);
+  this->SetHandler("observe", &ControlPlane::HandleObserve);
+}
+
+asio::awaitable<PeerMessage> ControlPlane::HandleGossip(std::string from, PeerMessage message) {
+  ControlWork work = this->control.ReceiveGossip(UnpackGossip(message.body), Now());
+  // What goes back to the sender travels in the answer.
+  std::vector<GossipMessage> answers;
+  std::erase_if(work.gossip, [&](GossipEnvelope& envelope) {
+    if (envelope.daemon != from) {
+      return false;
+    }
+    answers.push_back(std::move(envelope.message));
+    return true;
+  });
+  this->Perform(std::move(work));
+  co_return PeerMessage("gossip", PackGossip(answers));
+}
+
+asio::awaitable<PeerMessage> ControlPlane::HandleConfig(std::string from, PeerMessage message) {
+  ControlWork work = this->control.ReceiveConfig(UnpackConfig(message.body), Now());
+  std::vector<ConfigMessage> answers;
+  std::erase_if(work.config, [&](ConfigEnvelope& envelope) {
+    if (envelope.daemon != from) {
+      return false;
+    }
+    answers.push_back(std::move(envelope.message));
+    return true;
+  });
+  this->Perform(std::move(work));
+  co_return PeerMessage("config_push", PackConfig(answers));
+}
+
+asio::awaitable<PeerMessage> ControlPlane::HandleSuspect(std::string from, PeerMessage message) {
+  const EndpointReference reference = UnpackReference(message.body);
+  Log(LogLevel::kInfo, "endpoint is suspected by a daemon",
+      {{"service", reference.service}, {"endpoint", reference.endpoint}, {"reporter", from}});
+  this->OnGroup(reference.service,
+                [&](GroupControl& group) { group.detector.OnReport(reference.endpoint, Now()); });
+  co_return PeerMessage("suspect", "\x80");  // An empty map.
+}
+
+asio::awaitable<PeerMessage> ControlPlane::HandlePromote(std::string from, PeerMessage message) {
+  const EndpointReference reference = UnpackReference(message.body);
+  Log(LogLevel::kInfo, "promotion ordered by an operator",
+      {{"service", reference.service}, {"through", from}});
+  this->OnGroup(reference.service,
+                [](GroupControl& group) { group.failover.Start(FailoverCause::kOperator, Now()); });
+  co_return PeerMessage("promote", "\x80");
+}
+
+asio::awaitable<PeerMessage> ControlPlane::HandleObserve(std::string, PeerMessage message) {
+  const EndpointReference reference = UnpackReference(message.body);
+  const ProbeResult result = co_await this->endpoints.Probe(
+      reference.address, /*fresh=*/true, FailureDetectorOptions().confirm_timeout);
+  co_return PeerMessage("observe", PackOutcome(result.outcome));
+}
+
+// --- Messages to other daemons ------------------------------------------------------------------
+
+asio::awaitable<void> ControlPlane::SendGossip(std::string address,
+                                               std::vector<GossipMessage> messages) {
+  try {
+    PeerMessage request("gossip", PackGossip(messages));
+    const PeerMessage answer =
+        co_await this->peers->Call(address, std::move(request), kPeerTimeout);
+    this->Perform(this->control.ReceiveGossip(UnpackGossip(answer.body), Now()));
+  } catch (const std::exception& error) {
+    // The membership protocol notices the missing answer by its own timeout.
+    Log(LogLevel::kDebug, "gossip failed", {{"address", address}, {"error", error.what()}});
+  }
+}
+
+asio::awaitable<void> ControlPlane::SendConfig(std::string address,
+                                               std::vector<ConfigMessage> messages) {
+  try {
+    const bool fetch = messages.front().kind == ConfigMessageKind::kFetch;
+    PeerMessage request(fetch ? "config_fetch" : "config_push", PackConfig(messages));
+    const PeerMessage answer =
+        co_await this->peers->Call(address, std::move(request), kPeerTimeout);
+    this->Perform(this->control.ReceiveConfig(UnpackConfig(answer.body), Now()));
+  } catch (const std::exception& error) {
+    Log(LogLevel::kDebug, "configuration message failed; the digests repair it",
+        {{"address", address}, {"error", error.what()}});
+  }
+}
+
+asio::awaitable<void> ControlPlane::Tell(std::string address, PeerMessage message) {
+  try {
+    co_await this->peers->Call(address, std::move(message), kPeerTimeout);
+  } catch (const std::exception& error) {
+    Log(LogLevel::kInfo, "monitor did not answer", {{"address", address}, {"error", error.what()}});
+  }
+}
+
+void ControlPlane::TellMonitors(const std::string& type,
+                                const std::string& service,
+                                const std::string& endpoint) {
+  for (const PeerInfo& monitor : this->control.MonitorsOf(service)) {
+    if (monitor.daemon != this->daemon) {
+      this->Spawn([address = monitor.address, type, body = PackReference({service, endpoint, ""})](
+                      ControlPlane* self) { return self->Tell(address, PeerMessage(type, body)); });
+    }
+  }
+}
+
+// --- Work ---------------------------------------------------------------------------------------
+
+void ControlPlane::OnGroup(const std::string& service,
+                           const std::function<void(GroupControl&)>& event) {
+  this->Perform(this->control.OnGroup(service, event, Now()));
+}
+
+void ControlPlane::Perform(ControlWork work) {
+  if (this->stopped) {
+    return;
+  }
+  std::map<std::string, std::vector<GossipMessage>> gossip;
+  for (GossipEnvelope& envelope : work.gossip) {
+    gossip[envelope.address].push_back(std::move(envelope.message));
+  }
+  for (auto& [address, messages] : gossip) {
+    this->Spawn([address = address, messages = std::move(messages)](ControlPlane* self) {
+      return self->SendGossip(address, messages);
+    });
+  }
+  for (ConfigEnvelope& envelope : work.config) {
+    this->Spawn([envelope = std::move(envelope)](ControlPlane* self) {
+      return self->SendConfig(envelope.address, {envelope.message});
+    });
+  }
+  for (const auto& [service, action] : work.detections) {
+    this->Perform(service, action);
+  }
+  for (const auto& [service, action] : work.failovers) {
+    this->Perform(service, action);
+  }
+}
+
+bool ControlPlane::IsDue(const std::string& key) {
+  std::lock_guard lock(this->mutex);
+  const TimePoint now = Now();
+  std::erase_if(this->reported,
+                [now](const auto& entry) { return now - entry.second >= kReportPause; });
+  return this->reported.emplace(key, now).second;
+}
+
+// --- ClusterView --------------------------------------------------------------------------------
+
+std::vector<PeerInfo> ControlPlane::OwnersOf(const EndpointInfo& endpoint) const {
+  return this->control.OwnersOf(endpoint);
+}
+
+std::optional<GroupState> ControlPlane::FindGroup(const std::string& service) const {
+  return this->control.FindGroup(service);
+}
+
+std::optional<ServiceSettings> ControlPlane::FindSettings(const std::string& service,
+                                                          const std::string& site) const {
+  return this->control.FindSettings(service, site);
+}
+
+std::vector<std::string> ControlPlane::ServiceNames() const {
+  return this->control.ServiceNames();
+}
+
+void ControlPlane::ReportSuspicion(const std::string& service, const std::string& endpoint) {
+  if (!this->IsDue("suspect " + service + " " + endpoint)) {
+    return;
+  }
+  this->OnGroup(service, [&](GroupControl& group) { group.detector.OnReport(endpoint, Now()); });
+  this->TellMonitors("suspect", service, endpoint);
+}
+
+void ControlPlane::ReportHigherTerm(const std::string& service, uint64_t term) {
+  const std::optional<GroupState> group = this->control.FindGroup(service);
+  if ((group && group->term >= term) || !this->IsDue("term " + service)) {
+    return;
+  }
+  this->OnGroup(service, [&](GroupControl& each) { each.failover.OnHigherTerm(term, Now()); });
+  ConfigMessage fetch;
+  fetch.kind = ConfigMessageKind::kFetch;
+  fetch.sender = this->daemon;
+  fetch.versions = {{UnitKind::kGroup, service, 0}};
+  for (const PeerInfo& monitor : this->control.MonitorsOf(service)) {
+    if (monitor.daemon != this->daemon) {
+      this->Spawn([address = monitor.address, fetch](ControlPlane* self) {
+        return self->SendConfig(address, {fetch});
+      });
+    }
+  }
+}
+
+bool ControlPlane::Promote(const std::string& service) {
+  if (!this->control.FindGroup(service)) {
+    return false;
+  }
+  for (const PeerInfo& monitor : this->control.MonitorsOf(service)) {
+    if (monitor.daemon == this->daemon) {
+      this->OnGroup(service, [](GroupControl& group) {
+        group.failover.Start(FailoverCause::kOperator, Now());
+      });
+      return true;
+    }
+  }
+  this->TellMonitors("promote", service, "");
+  return true;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/daemon/control_plane.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <utility>
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "daemon/cluster_view.h"
+#include "daemon/control_state.h"
+#include "daemon/endpoint_control.h"
+#include "net/peer_network.h"
+
+namespace poplarmoor {
+
+class EndpointDriver;
+class PlatformClient;
+class PlatformWatcher;
+struct DaemonSettings;
+
+/// Runs the control decisions of one daemon: gossip, configuration, probes, promotions, and the
+/// watch of the platform. Thread-safe.
+class ControlPlane : public ClusterView, public std::enable_shared_from_this<ControlPlane> {
+ public:
+  /// @param executor Executor of the I/O threads.
+  /// @param settings Settings of the daemon; listen.peers is the address that others use.
+  /// @param platform Client of the platform; must outlive this object.
+  /// @param peers Network to the other daemons; must outlive this object.
+  /// @param driver Makes connections to endpoints; must outlive this object.
+  ControlPlane(boost::asio::any_io_executor executor,
+               const DaemonSettings& settings,
+               PlatformClient* platform,
+               PeerNetwork* peers,
+               EndpointDriver* driver);
+  ~ControlPlane() override;
+
+  /// Sets the handlers of the control messages. Call before PeerNetwork::Listen().
+  void SetHandlers();
+
+  /// Starts gossip, probes and watches.
+  void Start();
+
+  /// Announces that this daemon leaves; its endpoints move to other owners.
+  void Leave();
+
+  /// Announces that this daemon stops, and ends all loops.
+  void Stop();
+
+  /// Starts a promotion on an operator's order.
+  /// @param service Exact name of a service.
+  /// @returns Whether this daemon, or a monitor that was told, knows the group.
+  bool Promote(const std::string& service);
+
+  std::vector<PeerInfo> OwnersOf(const EndpointInfo& endpoint) const override;
+  std::optional<GroupState> FindGroup(const std::string& service) const override;
+  std::optional<ServiceSettings> FindSettings(const std::string& service,
+                                              const std::string& site) const override;
+  std::vector<std::string> ServiceNames() const override;
+  void ReportSuspicion(const std::string& service, const std::string& endpoint) override;
+  void ReportHigherTerm(const std::string& service, uint64_t term) override;
+
+  /// @returns The decisions, for the operators' API.
+  ControlState& state() { return this->control; }
+
+ private:
+  using Handler = boost::asio::awaitable<PeerMessage> (ControlPlane::*)(std::string, PeerMessage);
+  using Coroutine = boost::asio::awaitable<void>;
+
+  void SetHandler(const std::string& type, Handler handler);
+  boost::asio::awaitable<PeerMessage> HandleGossip(std::string from, PeerMessage message);
+  boost::asio::awaitable<PeerMessage> HandleConfig(std::string from, PeerMessage message);
+  boost::asio::awaitable<PeerMessage> HandleSuspect(std::string from, PeerMessage message);
+  boost::asio::awaitable<PeerMessage> HandlePromote(std::string from, PeerMessage message);
+  boost::asio::awaitable<PeerMessage> HandleObserve(std::string from, PeerMessage message);
+
+  Coroutine TickLoop();
+  void Perform(ControlWork work);
+  void Perform(const std::string& service, const DetectorAction& action);
+  void Perform(const std::string& service, const FailoverAction& action);
+  void OnGroup(const std::string& service, const std::function<void(GroupControl&)>& event);
+  Coroutine SendGossip(std::string address, std::vector<GossipMessage> messages);
+  Coroutine SendConfig(std::string address, std::vector<ConfigMessage> messages);
+  Coroutine Tell(std::string address, PeerMessage message);
+  Coroutine Probe(std::string service, std::string endpoint, std::string address, bool fresh);
+  Coroutine AskObserver(std::string service,
+                        std::string endpoint,
+                        std::string address,
+                        size_t attempt);
+  Coroutine Update(std::string service, FailoverAction action);
+  Coroutine Read(std::string service, uint64_t call);
+  Coroutine CallEndpoint(std::string service, FailoverAction action);
+  void Announce(const GroupState& group);
+  void TellMonitors(const std::string& type,
+                    const std::string& service,
+                    const std::string& endpoint);
+  void OnHigherTerm(const std::string& service, uint64_t term);
+  bool IsDue(const std::string& key);
+  void Spawn(std::function<Coroutine(ControlPlane*)> make);
+
+  boost::asio::any_io_executor executor;
+  std::string daemon;
+  PlatformClient* platform;
+  PeerNetwork* peers;
+  EndpointControl endpoints;
+  ControlState control;
+  std::shared_ptr<PlatformWatcher> watcher;
+  std::atomic<bool> stopped{false};
+  std::mutex mutex;                           // Guards `reported`.
+  std::map<std::string, TimePoint> reported;  // Reports are repeated after a pause only.
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/daemon/control_state.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config/daemon_settings.h"
+#include "config/effective_settings.h"
+#include "daemon/cluster_view.h"
+#include "daemon/control_work.h"
+#include "kernel/config_spread.h"
+#include "kernel/config_store.h"
+#include "kernel/failover.h"
+#include "kernel/failure_detector.h"
+#include "kernel/membership.h"
+#include "kernel/ownership.h"
+#include "kernel/platform_budget.h"
+
+namespace poplarmoor {
+
+/// Decisions on one group that this daemon monitors.
+struct GroupControl {
+  GroupControl(const std::string& daemon,
+               const FailureDetectorOptions& detector,
+               const FailoverOptions& failover,
+               RandomEngine* random)
+      : detector(detector), failover(daemon, failover, random) {}
+
+  FailureDetector detector;
+  Failover failover;
+};
+
+/// All control decisions of one daemon under one lock. Every call takes an event and returns the
+/// I/O that follows from it. Thread-safe; no call blocks on I/O.
+class ControlState {
+ public:
+  /// @param settings Settings of the daemon.
+  /// @param peers_address Address of the peer listener, "IP:port".
+  /// @param incarnation Incarnation of this start; higher than that of earlier starts.
+  /// @param seed Seed of the generator.
+  ControlState(const DaemonSettings& settings,
+               const std::string& peers_address,
+               uint64_t incarnation,
+               uint64_t seed);
+
+  ControlWork Tick(TimePoint now);
+  ControlWork ReceiveGossip(const std::vector<GossipMessage>& messages, TimePoint now);
+  ControlWork ReceiveConfig(const std::vector<ConfigMessage>& messages, TimePoint now);
+
+  /// Takes over units read from the platform or written there, and spreads the new ones.
+  ControlWork Publish(const std::vector<ConfigUnit>& units, TimePoint now);
+
+  /// Passes an event to the decisions on a group; does nothing when the group is not monitored.
+  ControlWork OnGroup(const std::string& service,
+                      const std::function<void(GroupControl&)>& event,
+                      TimePoint now);
+
+  /// Announces that this daemon leaves, or that it stops now.
+  ControlWork Leave(bool stop_now);
+
+  /// @param urgent The call belongs to a promotion.
+  /// @returns Whether the platform may be called now.
+  bool TakePlatformCall(bool urgent, TimePoint now);
+
+  /// Reports whether the platform answered.
+  void OnPlatformAnswer(bool answered, TimePoint now);
+
+  /// @returns Position of this daemon among the watchers of its failure domain, if it is one.
+  std::optional<size_t> WatcherRank() const;
+
+  /// @returns Daemons that may confirm a suspicion: the other monitor, then random peers.
+  std::vector<PeerInfo> Observers(const std::string& service);
+
+  std::vector<PeerInfo> OwnersOf(const EndpointInfo& endpoint) const;
+  std::vector<PeerInfo> MonitorsOf(const std::string& service) const;
+  std::optional<GroupState> FindGroup(const std::string& service) const;
+  std::optional<ServiceSettings> FindSettings(const std::string& service,
+                                              const std::string& site) const;
+  std::vector<std::string> ServiceNames() const;
+  std::optional<ConfigUnit> FindUnit(UnitKind kind, const std::string& name) const;
+  std::vector<ConfigUnit> UnitsOf(UnitKind kind) const;
+  std::vector<Member> Members() const;
+  uint64_t ConfigHash() const;
+
+ private:
+  void Collect(ControlWork* work, TimePoint now);
+  void Accept(const std::vector<ConfigUnit>& units, TimePoint now);
+  void AcceptGroup(const ConfigUnit& unit, TimePoint now);
+  void AcceptVm(const ConfigUnit& unit, TimePoint now);
+  void Teach(const GroupState& group, TimePoint now);
+  void UpdateMonitoredGroups(TimePoint now);
+  void CollectGroup(const std::string& service, GroupControl* control, ControlWork* work);
+  std::vector<Member> Peers();
+
+  mutable std::mutex mutex;  // Guards everything below.
+  RandomEngine random;
+  std::string daemon;
+  std::string failure_domain;
+  FailureDetectorOptions detector_options;
+  FailoverOptions failover_options;
+  Membership membership;
+  Ownership ownership;
+  ConfigStore store;
+  ConfigSpread spread;
+  PlatformBudget budget;
+  EffectiveSettings settings;
+  std::map<std::string, GroupState> groups;
+  std::set<std::string> leaving;  // Names of leaving VMs.
+  std::map<std::string, std::unique_ptr<GroupControl>> controls;
+  uint64_t monitored_generation = UINT64_MAX;  // Of the ownership that `controls` follow.
+  mutable uint64_t owners_generation = 0;      // Of the ownership that `owners` follow.
+  mutable std::unordered_map<std::string, std::vector<PeerInfo>> owners;  // By endpoint.
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/daemon/platform_watcher.cc
@@ -0,0 +1,143 @@
+#include "daemon/platform_watcher.h"
+
+#include <boost/asio.hpp>
+#include <nlohmann/json.hpp>
+
+#include "daemon/control_state.h"
+#include "net/now.h"
+#include "net/platform_client.h"
+#include "telemetry/log.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds kCheck{100};      // Between looks at the budget.
+constexpr std::chrono::milliseconds kRoleCheck{500};  // Between looks at the watcher role.
+
+ConfigUnit ToUnit(UnitKind kind, const PlatformObject& object) {
+  return {kind, object.name, object.version, object.revision, object.value};
+}
+
+asio::awaitable<void> Sleep(std::chrono::milliseconds duration) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+}  // namespace
+
+PlatformWatcher::PlatformWatcher(asio::any_io_executor executor,
+                                 PlatformClient* platform,
+                                 ControlState* state,
+                                 Publish publish,
+                                 std::chrono::milliseconds watch,
+                                 std::chrono::milliseconds vm_poll)
+    : executor(executor),
+      platform(platform),
+      state(state),
+      publish(std::move(publish)),
+      watch(watch),
+      vm_poll(vm_poll) {}
+
+void PlatformWatcher::Start() {
+  for (const UnitKind kind : {UnitKind::kConfig, UnitKind::kGroup, UnitKind::kVm}) {
+    asio::co_spawn(
+        asio::make_strand(this->executor),
+        [self = this->shared_from_this(), kind] { return self->WatchKind(kind); }, asio::detached);
+  }
+  asio::co_spawn(
+      asio::make_strand(this->executor),
+      [self = this->shared_from_this()] { return self->PollVms(); }, asio::detached);
+}
+
+asio::awaitable<void> PlatformWatcher::WatchKind(UnitKind kind) {
+  const std::string name(kUnitKindNames.NameOf(kind));
+  uint64_t since = 0;
+  while (!this->stopped) {
+    if (!this->state->WatcherRank()) {
+      since = 0;  // What was missed meanwhile is read by a list, not by a watch.
+      co_await Sleep(kRoleCheck);
+      continue;
+    }
+    if (!this->state->TakePlatformCall(/*urgent=*/false, Now())) {
+      co_await Sleep(kCheck);
+      continue;
+    }
+    try {
+      PlatformSnapshot snapshot;
+      if (since == 0) {
+        snapshot = co_await this->platform->List(name);
+      } else {
+        snapshot = co_await this->platform->Watch(name, since, this->watch);
+      }
+      this->state->OnPlatformAnswer(true, Now());
+      since = snapshot.revision;
+      std::vector<ConfigUnit> units;
+      for (const PlatformObject& object : snapshot.objects) {
+        units.push_back(ToUnit(kind, object));
+      }
+      this->publish(std::move(units));
+    } catch (const PlatformError& error) {
+      this->state->OnPlatformAnswer(false, Now());
+      Log(LogLevel::kWarn, "cannot watch the platform", {{"kind", name}, {"error", error.what()}});
+    }
+  }
+}
+
+asio::awaitable<void> PlatformWatcher::PollVms() {
+  while (!this->stopped) {
+    co_await Sleep(this->vm_poll);
+    const std::optional<size_t> rank = this->state->WatcherRank();
+    if (!rank || !this->state->TakePlatformCall(/*urgent=*/false, Now())) {
+      continue;
+    }
+    try {
+      co_await this->CompareVms(*rank);
+    } catch (const PlatformError& error) {
+      const bool answered = error.failure == PlatformFailure::kConflict;
+      this->state->OnPlatformAnswer(answered, Now());
+      if (!answered) {
+        Log(LogLevel::kWarn, "cannot follow the VM list", {{"error", error.what()}});
+      }
+    }
+  }
+}
+
+asio::awaitable<void> PlatformWatcher::CompareVms(size_t rank) {
+  const std::vector<VmInfo> vms = co_await this->platform->Vms();
+  this->state->OnPlatformAnswer(true, Now());
+  for (const VmInfo& vm : vms) {
+    const std::optional<ConfigUnit> unit = this->state->FindUnit(UnitKind::kVm, vm.name);
+    bool known_leaving = false;
+    if (unit) {
+      const auto json = nlohmann::json::parse(unit->content, nullptr, false);
+      known_leaving = json.is_object() && json.value("state", "") == "leaving";
+      // An operator's drain stays in force although the platform calls the VM live.
+      if (json.is_object() && json.value("drained", false)) {
+        continue;
+      }
+    }
+    if (known_leaving == vm.leaving) {
+      this->vm_rounds.erase(vm.name);
+      continue;
+    }
+    // The second watcher writes only what the first has left out in an earlier round.
+    if (++this->vm_rounds[vm.name] <= static_cast<int>(rank) ||
+        !this->state->TakePlatformCall(/*urgent=*/true, Now())) {
+      continue;
+    }
+    const std::string value = nlohmann::json{{"name", vm.name},
+                                             {"role", vm.role},
+                                             {"failure_domain", vm.failure_domain},
+                                             {"state", vm.leaving ? "leaving" : "live"}}
+                                  .dump();
+    const PlatformObject stored =
+        co_await this->platform->Put("vm", vm.name, value, unit ? unit->version : 0);
+    this->state->OnPlatformAnswer(true, Now());
+    this->publish({ToUnit(UnitKind::kVm, stored)});
+  }
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/daemon/platform_watcher.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <utility>
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "kernel/config_unit.h"
+
+namespace poplarmoor {
+
+class ControlState;
+class PlatformClient;
+
+/// Watches the platform while this daemon is one of the two watchers of its failure domain: units
+/// of every kind by long polls, and the VM list by polling. Thread-safe.
+class PlatformWatcher : public std::enable_shared_from_this<PlatformWatcher> {
+ public:
+  using Publish = std::function<void(std::vector<ConfigUnit>)>;
+
+  /// @param executor Executor of the I/O threads.
+  /// @param platform Client; must outlive this object.
+  /// @param state Decides whether this daemon watches, and limits the calls; must outlive this.
+  /// @param publish Takes units read from the platform.
+  /// @param watch Longest wait of one watch.
+  /// @param vm_poll Interval of reads of the VM list.
+  PlatformWatcher(boost::asio::any_io_executor executor,
+                  PlatformClient* platform,
+                  ControlState* state,
+                  Publish publish,
+                  std::chrono::milliseconds watch,
+                  std::chrono::milliseconds vm_poll);
+
+  void Start();
+  void Stop() { this->stopped = true; }
+
+ private:
+  boost::asio::awaitable<void> WatchKind(UnitKind kind);
+  boost::asio::awaitable<void> PollVms();
+  boost::asio::awaitable<void> CompareVms(size_t rank);
+
+  boost::asio::any_io_executor executor;
+  PlatformClient* platform;
+  ControlState* state;
+  Publish publish;
+  std::chrono::milliseconds watch;
+  std::chrono::milliseconds vm_poll;
+  std::map<std::string, int> vm_rounds;  // Polls for which a VM differed; used by PollVms only.
+  std::atomic<bool> stopped{false};
+};
+
+}  // namespace poplarmoor
--- a/kernel/failover.cc
+++ b/kernel/failover.cc
@@ -341,10 +341,13 @@
     return;
   }
   const bool is_primary = status.endpoint == this->known.primary;
+  // An endpoint that granted the term but has not been told whom to follow reports nothing
+  // received.
+  const bool waits = !status.is_primary && status.received == 0;
   if (status.term > this->known.term) {
     this->OnHigherTerm(status.term, now);
   } else if (this->known.phase == GroupPhase::kServing &&
-             (status.term < this->known.term || status.is_primary != is_primary)) {
+             (status.term < this->known.term || status.is_primary != is_primary || waits)) {
     this->Establish(*endpoint, now);
   }
   if (is_primary && status.is_primary && status.term == this->known.term &&
