Test detection and promotion against a fault matrix on a virtual clock

Every fault strikes at every step of a promotion, singly and in pairs, for a paused primary, a primary cut off from its replicas and an operator's order.

--- /dev/null
+++ b/tests/kernel/failover_harness.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "kernel/failover.h"
+
+namespace poplarmoor {
+
+/// What makes the promotion necessary.
+enum class Base { kPrimaryPaused, kPrimaryCut, kOperator };
+
+/// Fault that strikes at one step of the first proposer and ends after a while.
+enum class Fault {
+  kNone,
+  kPlatformDown,
+  kPlatformSlow,
+  kAnswersLost,  // After the update took effect.
+  kSecondProposer,
+  kProposerDies,
+  kReplicaPaused,  // Past its term; messages reach it when it resumes.
+  kReplicaCut,     // Neither side of its replication works.
+  kOldPrimaryReturns,
+  kMessagesLate,
+};
+inline constexpr int kFaultCount = 10;
+inline constexpr int kStepCount = 4;  // Claim, fence, record, promote.
+
+/// One run of the matrix.
+struct Scenario {
+  Base base = Base::kPrimaryPaused;
+  std::array<Fault, 2> faults{Fault::kNone, Fault::kNone};
+  std::array<int, 2> steps{0, 0};
+  uint64_t seed = 1;
+};
+
+/// Result of one run.
+struct ScenarioResult {
+  size_t acknowledged = 0;
+  size_t lost = 0;              // Acknowledged writes that the final primary does not have.
+  size_t double_primaries = 0;  // Terms in which two endpoints got writes confirmed.
+  bool completed = false;       // A write was acknowledged after all faults had ended.
+  TimePoint completed_at;
+};
+
+/// Group of three endpoints, platform and two proposers on a virtual clock.
+class FailoverHarness {
+ public:
+  using MakeFailover = std::function<std::unique_ptr<Failover>(const std::string&, RandomEngine*)>;
+
+  /// @param scenario Faults.
+  /// @param make Creates the proposers.
+  /// @param endpoints_fence Whether the endpoints refuse lower terms after a grant.
+  FailoverHarness(const Scenario& scenario, const MakeFailover& make, bool endpoints_fence);
+
+  ScenarioResult Run();
+
+ private:
+  struct Entry {
+    uint64_t term = 0;
+    uint64_t id = 0;
+  };
+  struct Endpoint {
+    std::string name;
+    std::vector<Entry> log;
+    uint64_t term = 1;
+    std::string proposer;
+    bool is_primary = false;
+    int primary = -1;     // Endpoint that it follows.
+    bool synced = false;  // Its log is a prefix of that of the term's primary.
+    bool paused = false;
+    bool cut = false;  // From replication.
+    TimePoint next_pull;
+    std::vector<std::function<void()>> backlog;  // Calls that arrived while paused.
+  };
+  struct Proposer {
+    std::unique_ptr<Failover> failover;
+    bool alive = true;
+    std::map<std::string, TimePoint> answered;
+  };
+  struct Write {
+    uint64_t id = 0;
+    int endpoint = 0;
+    uint64_t term = 0;
+    uint64_t index = 0;
+    TimePoint expires;
+  };
+  struct Event {
+    TimePoint time;
+    uint64_t order = 0;
+    std::function<void()> run;
+    bool operator<(const Event& other) const {
+      return this->time != other.time ? this->time > other.time : this->order > other.order;
+    }
+  };
+
+  void At(Duration delay, std::function<void()> run);
+  void CallEndpoint(int endpoint, std::function<void()> run);
+  void Strike(Fault fault);
+  void Watch(const FailoverAction& action);
+  void Perform(int proposer, const FailoverAction& action);
+  void PerformUpdate(int proposer, const FailoverAction& action);
+  void Answer(int proposer, std::function<void(Failover&)> report, Duration delay);
+  EndpointStatus StatusOf(const Endpoint& endpoint) const;
+  LogPosition LastOf(const Endpoint& endpoint) const;
+  void Replicate();
+  void Probe();
+  void Detect(int proposer);
+  void SendWrites();
+  void Confirm();
+  bool NeedsPromotion() const;
+  int IndexOf(const std::string& name) const;
+  Duration Delay();
+
+  Scenario scenario;
+  bool endpoints_fence;
+  RandomEngine random;
+  TimePoint now;
+  uint64_t next_order = 0;
+  std::priority_queue<Event> events;
+  std::array<Endpoint, 3> endpoints;
+  std::array<Proposer, 2> proposers;
+  GroupState object;  // On the platform.
+  bool platform_down = false;
+  bool platform_slow = false;
+  bool answers_lost = false;
+  bool messages_late = false;
+  int step = -1;  // Highest step that the first proposer has reached.
+  uint64_t next_write = 1;
+  std::array<std::optional<Write>, 2> writes;  // Of the up-to-date and of the stale owner.
+  std::set<uint64_t> acknowledged;
+  std::map<uint64_t, std::set<int>> confirmed_by;  // Primaries by term.
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/tests/kernel/failover_matrix_test.cc
@@ -0,0 +1,114 @@
+#include <catch2/catch.hpp>
+
+#include "failover_harness.h"
+
+namespace poplarmoor {
+namespace {
+
+constexpr std::array<Base, 3> kBases{Base::kPrimaryPaused, Base::kPrimaryCut, Base::kOperator};
+
+std::unique_ptr<Failover> MakeSound(const std::string& daemon, RandomEngine* random) {
+  return std::make_unique<Failover>(daemon, FailoverOptions(), random);
+}
+
+/// Promotes after a single grant.
+class MinorityFailover : public Failover {
+ public:
+  using Failover::Failover;
+
+ protected:
+  size_t FenceQuorum() const override { return 1; }
+};
+
+/// Promotes the endpoint with the lowest position.
+class LowestFailover : public Failover {
+ public:
+  using Failover::Failover;
+
+ protected:
+  bool IsBetter(const LogPosition& a, const LogPosition& b) const override { return a < b; }
+};
+
+template <typename Weak>
+std::unique_ptr<Failover> MakeWeak(const std::string& daemon, RandomEngine* random) {
+  return std::make_unique<Weak>(daemon, FailoverOptions(), random);
+}
+
+ScenarioResult RunScenario(const Scenario& scenario,
+                           const FailoverHarness::MakeFailover& make = MakeSound,
+                           bool endpoints_fence = true) {
+  return FailoverHarness(scenario, make, endpoints_fence).Run();
+}
+
+void CheckSound(const Scenario& scenario) {
+  const ScenarioResult result = RunScenario(scenario);
+  INFO("base " << static_cast<int>(scenario.base) << ", faults "
+               << static_cast<int>(scenario.faults[0]) << " at step " << scenario.steps[0]
+               << " and " << static_cast<int>(scenario.faults[1]) << " at step "
+               << scenario.steps[1] << ", acknowledged " << result.acknowledged);
+  CHECK(result.lost == 0);
+  CHECK(result.double_primaries == 0);
+  CHECK(result.completed);
+}
+
+/// @returns Number of single-fault scenarios that lose writes or have two primaries in one term.
+size_t CountUnsafe(const FailoverHarness::MakeFailover& make, bool endpoints_fence) {
+  size_t unsafe = 0;
+  for (const Base base : kBases) {
+    for (int fault = 0; fault < kFaultCount; ++fault) {
+      for (int step = 0; step < kStepCount; ++step) {
+        const Scenario scenario{base, {static_cast<Fault>(fault), Fault::kNone}, {step, 0}, 11};
+        const ScenarioResult result = RunScenario(scenario, make, endpoints_fence);
+        unsafe += result.lost + result.double_primaries > 0 ? 1 : 0;
+      }
+    }
+  }
+  return unsafe;
+}
+
+TEST_CASE(
+    "no single fault at any step of a promotion loses an acknowledged write, confirms writes "
+    "of two primaries in one term, or stops the promotion for good",
+    "[matrix]") {
+  for (const Base base : kBases) {
+    for (int fault = 0; fault < kFaultCount; ++fault) {
+      for (int step = 0; step < kStepCount; ++step) {
+        for (uint64_t seed = 1; seed <= 3; ++seed) {
+          CheckSound({base, {static_cast<Fault>(fault), Fault::kNone}, {step, 0}, seed});
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("no pair of faults at any steps does so either", "[matrix]") {
+  for (const Base base : kBases) {
+    for (int first = 1; first < kFaultCount; ++first) {
+      for (int second = 1; second < kFaultCount; ++second) {
+        for (int steps = 0; steps < kStepCount * kStepCount; ++steps) {
+          if (steps / kStepCount <= steps % kStepCount) {
+            CheckSound({base,
+                        {static_cast<Fault>(first), static_cast<Fault>(second)},
+                        {steps / kStepCount, steps % kStepCount},
+                        static_cast<uint64_t>(first * 100 + second)});
+          }
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("the matrix detects endpoints that grant a term but go on with the old one", "[matrix]") {
+  CHECK(CountUnsafe(MakeSound, /*endpoints_fence=*/false) > 0);
+}
+
+TEST_CASE("the matrix detects a promotion after one grant of three", "[matrix]") {
+  CHECK(CountUnsafe(MakeWeak<MinorityFailover>, /*endpoints_fence=*/true) > 0);
+}
+
+TEST_CASE("the matrix detects a promotion of the lowest position", "[matrix]") {
+  CHECK(CountUnsafe(MakeWeak<LowestFailover>, /*endpoints_fence=*/true) > 0);
+}
+
+}  // namespace
+}  // namespace poplarmoor
--- /dev/null
+++ b/tests/kernel/failure_detector_test.cc
@@ -0,0 +1,184 @@
+#include "kernel/failure_detector.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace poplarmoor {
+namespace {
+
+constexpr TimePoint kStart{10s};
+
+GroupState MakeGroup() {
+  GroupState group;
+  group.service = "orders";
+  group.version = 1;
+  group.term = 3;
+  group.primary = "e0";
+  for (const char* name : {"e0", "e1", "e2"}) {
+    group.endpoints.push_back({name, "10.0.0.1:1", "fd"});
+  }
+  return group;
+}
+
+EndpointStatus MakeStatus(const std::string& endpoint, uint64_t received) {
+  EndpointStatus status;
+  status.endpoint = endpoint;
+  status.is_primary = endpoint == "e0";
+  status.term = 3;
+  status.received = received;
+  return status;
+}
+
+/// Detector on a virtual clock, with endpoints whose answers a test describes.
+struct Fixture {
+  Fixture() { this->detector.SetGroup(MakeGroup(), this->now); }
+
+  /// Runs for a while.
+  /// @param answer Called for every probe.
+  void Run(Duration duration, const std::function<void(const DetectorAction&)>& answer) {
+    for (const TimePoint end = this->now + duration; this->now < end; this->now += 50ms) {
+      this->detector.Tick(this->now);
+      for (const DetectorAction& action : this->detector.TakeActions()) {
+        if (action.kind == DetectorActionKind::kDeclare) {
+          this->declared.push_back(action.cause);
+          this->declared_at = this->declared.size() == 1 ? this->now : this->declared_at;
+        } else {
+          answer(action);
+        }
+      }
+    }
+  }
+
+  FailureDetector detector{FailureDetectorOptions()};
+  TimePoint now = kStart;
+  TimePoint declared_at;
+  std::vector<FailoverCause> declared;
+};
+
+TEST_CASE("a silent primary is declared only after both daemons failed to reach it") {
+  Fixture fixture;
+  fixture.Run(5s, [&](const DetectorAction& action) {
+    if (action.endpoint != "e0") {
+      fixture.detector.OnStatus(MakeStatus(action.endpoint, 7), fixture.now);
+    } else if (action.kind == DetectorActionKind::kProbeFresh) {
+      fixture.detector.OnFreshProbe("e0", ProbeOutcome::kNoAnswer, fixture.now);
+    } else if (action.kind == DetectorActionKind::kAskObserver) {
+      fixture.detector.OnObservation("e0", ProbeOutcome::kNoAnswer, fixture.now);
+    }
+  });
+  REQUIRE_FALSE(fixture.declared.empty());
+  CHECK(fixture.declared[0] == FailoverCause::kSilent);
+  CHECK(fixture.declared_at - kStart <= 1100ms);
+  CHECK(fixture.detector.IsDown("e0"));
+}
+
+TEST_CASE("a primary that the second daemon reaches is not replaced, or one bad link moves it") {
+  Fixture fixture;
+  fixture.Run(20s, [&](const DetectorAction& action) {
+    if (action.endpoint != "e0") {
+      fixture.detector.OnStatus(MakeStatus(action.endpoint, 7), fixture.now);
+    } else if (action.kind == DetectorActionKind::kProbeFresh) {
+      fixture.detector.OnFreshProbe("e0", ProbeOutcome::kNoAnswer, fixture.now);
+    } else if (action.kind == DetectorActionKind::kAskObserver) {
+      fixture.detector.OnObservation("e0", ProbeOutcome::kAnswered, fixture.now);
+    }
+  });
+  CHECK(fixture.declared.empty());
+}
+
+TEST_CASE("a slow primary is never replaced, or overload causes promotions") {
+  for (const Duration delay : {450ms, 900ms}) {
+    Fixture fixture;
+    std::vector<std::pair<TimePoint, DetectorAction>> pending;
+    fixture.Run(30s, [&](const DetectorAction& action) {
+      if (action.endpoint != "e0") {
+        fixture.detector.OnStatus(MakeStatus(action.endpoint, 7), fixture.now);
+      } else {
+        pending.emplace_back(fixture.now + delay, action);
+      }
+      while (!pending.empty() && pending.front().first <= fixture.now) {
+        const DetectorAction done = pending.front().second;
+        pending.erase(pending.begin());
+        if (done.kind == DetectorActionKind::kAskObserver) {
+          fixture.detector.OnObservation("e0", ProbeOutcome::kAnswered, fixture.now);
+        } else {
+          fixture.detector.OnStatus(MakeStatus("e0", 7), fixture.now);
+          if (done.kind == DetectorActionKind::kProbeFresh) {
+            fixture.detector.OnFreshProbe("e0", ProbeOutcome::kAnswered, fixture.now);
+          }
+        }
+      }
+    });
+    CHECK(fixture.declared.empty());
+  }
+}
+
+TEST_CASE(
+    "a refused connection is confirmed at once, and the observer is replaced when it does not "
+    "answer") {
+  Fixture fixture;
+  size_t observers = 0;
+  fixture.Run(300ms, [&](const DetectorAction& action) {
+    if (action.endpoint != "e0") {
+      fixture.detector.OnStatus(MakeStatus(action.endpoint, 7), fixture.now);
+    } else if (action.kind == DetectorActionKind::kProbe) {
+      fixture.detector.OnProbeFailed("e0", ProbeOutcome::kRefused, fixture.now);
+    } else if (action.kind == DetectorActionKind::kProbeFresh) {
+      fixture.detector.OnFreshProbe("e0", ProbeOutcome::kRefused, fixture.now);
+    } else {
+      CHECK(action.attempt == observers);
+      fixture.detector.OnObservation(
+          "e0", ++observers < 2 ? std::nullopt : std::optional(ProbeOutcome::kRefused),
+          fixture.now);
+    }
+  });
+  REQUIRE(fixture.declared.size() == 1);
+  CHECK(fixture.declared[0] == FailoverCause::kGone);
+}
+
+TEST_CASE("a primary whose writes reach no replica for a second is declared, although it answers") {
+  for (const bool one_progresses : {false, true}) {
+    Fixture fixture;
+    uint64_t received = 7;
+    fixture.Run(6s, [&](const DetectorAction& action) {
+      const bool progresses = one_progresses && action.endpoint == "e2";
+      const bool leads = action.endpoint == "e0" || progresses;
+      ++received;
+      fixture.detector.OnStatus(MakeStatus(action.endpoint, leads ? received : 7), fixture.now);
+    });
+    CHECK(fixture.declared.empty() == one_progresses);
+    if (!fixture.declared.empty()) {
+      CHECK(fixture.declared[0] == FailoverCause::kStalled);
+      CHECK(fixture.declared_at - kStart >= 1s);
+      CHECK(fixture.declared_at - kStart <= 2s);
+    }
+  }
+}
+
+TEST_CASE("an idle group with equal positions is never declared stalled") {
+  Fixture fixture;
+  fixture.Run(20s, [&](const DetectorAction& action) {
+    fixture.detector.OnStatus(MakeStatus(action.endpoint, 7), fixture.now);
+  });
+  CHECK(fixture.declared.empty());
+}
+
+TEST_CASE("a leaving primary is replaced when it is idle, and after a while in any case") {
+  for (const bool busy : {false, true}) {
+    Fixture fixture;
+    GroupState group = MakeGroup();
+    group.endpoints[0].leaving = true;
+    fixture.detector.SetGroup(group, fixture.now);
+    fixture.Run(4s, [&](const DetectorAction& action) {
+      EndpointStatus status = MakeStatus(action.endpoint, 7);
+      status.active = busy ? 1 : 0;
+      fixture.detector.OnStatus(status, fixture.now);
+    });
+    REQUIRE_FALSE(fixture.declared.empty());
+    CHECK(fixture.declared[0] == FailoverCause::kLeaving);
+    CHECK((fixture.declared_at - kStart >= 2s) == busy);
+  }
+}
+
+}  // namespace
+}  // namespace poplarmoor
