--- a/load/load_options.h
+++ b/load/load_options.h
@@ -35,6 +35,7 @@
   double transactions = 0.05;   // Share of the urgent and standard requests.
   double nonrepeatable = 0.05;  // Share of their writes.
   int settle_ms = 3000;         // From the last answer to reading the logs.
+  int log_attempts = 15;        // To read a service's logs, one a second, for a promotion to end.
   int idle_connections = 0;     // Connections held open without requests.
   bool forbid_cuts = false;     // A request cut in flight is a broken promise.
 };
--- a/load/load_runner.cc
+++ b/load/load_runner.cc
@@ -19,7 +19,6 @@
 namespace {
 
 constexpr int kBackgroundStalenessMs = 60000;  // A price list may be minutes old.
-constexpr int kLogAttempts = 15;               // One a second, for a promotion to end.
 
 // Request ids must differ between runs on the same endpoints.
 std::string MakeRunId(uint64_t seed) {
@@ -237,7 +236,8 @@
   asio::steady_timer timer(this->context);
   for (const std::string& service : this->options.services) {
     std::string primary;
-    for (int attempt = 0; attempt < kLogAttempts && this->options.endpoints.contains(service);
+    for (int attempt = 0;
+         attempt < this->options.log_attempts && this->options.endpoints.contains(service);
          ++attempt) {
       ServiceHistory history;
       primary = co_await ReadServiceLogs(this->options.endpoints[service], history);
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 #include <map>
 #include <mutex>
+#include <vector>
 
 #include "net/address.h"
 #include "net/http_message.h"
@@ -16,6 +17,16 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
+namespace {
+// Bytes of the read buffer of an idle connection. Most connections are idle, so that a larger
+// buffer costs more memory than the second read that a longer request needs.
+constexpr size_t kIdleBuffer = 512;
+
+// Limits of reading the rest of a refused request.
+constexpr size_t kMaxDrain = 16 << 20;  // Bytes.
+constexpr std::chrono::seconds kDrainTimeout{2};
+}  // namespace
+
 struct HttpServer::Session {
   struct Connection {
     beast::tcp_stream* stream = nullptr;
@@ -159,6 +170,20 @@
   co_return error;
 }
 
+// Reads on after a refusal: closing a socket with unread data resets the connection, and the peer
+// would lose the answer.
+asio::awaitable<void> Drain(beast::tcp_stream& stream) {
+  boost::system::error_code error;
+  stream.socket().shutdown(tcp::socket::shutdown_send, error);
+  stream.expires_after(kDrainTimeout);
+  std::vector<char> rest(16 << 10);
+  size_t total = 0;
+  while (!error && total < kMaxDrain) {
+    total += co_await stream.async_read_some(asio::buffer(rest),
+                                             asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
 }  // namespace
 
 asio::awaitable<void> HttpServer::Serve(tcp::socket socket) {
@@ -179,9 +204,12 @@
     parser.header_limit(static_cast<uint32_t>(this->options.max_header));
     connection->idle = true;
     if (buffer.size() == 0) {
+      if (buffer.capacity() > kIdleBuffer) {
+        buffer = beast::flat_buffer();
+      }
       stream.expires_after(this->options.idle_timeout);
       const size_t count = co_await stream.async_read_some(
-          buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
+          buffer.prepare(kIdleBuffer), asio::redirect_error(asio::use_awaitable, error));
       if (error) {
         break;
       }
@@ -193,6 +221,7 @@
                               asio::redirect_error(asio::use_awaitable, error));
     if (IsProtocolError(error)) {
       co_await Write(stream, MakeProtocolError(error), 11, false, this->options.read_timeout);
+      co_await Drain(stream);
       break;
     }
     if (error) {
