Add the operators' command line

Cause: operators need to check, compare, apply and inspect without knowing the HTTP APIs, and two operators may race while answers of the platform get lost. Conclusion: the commands work against the stand-in; the daemon's operators' listener does not exist yet, so its commands ran against a fake only.

--- /dev/null
+++ b/cli/daemon_commands.cc
@@ -0,0 +1,200 @@
+// Commands that ask the daemons: status, services, endpoints, drain, promote, trace and metrics.
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+#include "cli/cli.h"
+#include "cli/command_error.h"
+#include "cli/operators_client.h"
+
+namespace poplarmoor {
+
+using nlohmann::json;
+
+namespace {
+
+// The daemon's message of an error answer.
+std::string ErrorMessage(const DaemonAnswer& answer) {
+  const json body = json::parse(answer.body, nullptr, false);
+  const json error = body.is_object() ? body.value("error", json()) : json();
+  std::string message =
+      "daemon " + answer.address + " answered status " + std::to_string(answer.status);
+  for (const char* key : {"reason", "message"}) {
+    if (error.is_object() && error.contains(key) && error[key].is_string()) {
+      message += ": " + error[key].get<std::string>();
+    }
+  }
+  if (answer.status == 401 || answer.status == 403) {
+    message += "; check the token file";
+  }
+  return message;
+}
+
+json RequireJson(const DaemonAnswer& answer) {
+  if (answer.status != 200) {
+    throw CommandError(ExitCode::kFailed, ErrorMessage(answer));
+  }
+  json body = json::parse(answer.body, nullptr, false);
+  if (!body.is_object()) {
+    throw CommandError(ExitCode::kFailed,
+                       "daemon " + answer.address + " sent an answer that is not a JSON object");
+  }
+  return body;
+}
+
+void RequireAnyAnswer(const std::vector<DaemonAnswer>& answers) {
+  const bool any = std::any_of(answers.begin(), answers.end(),
+                               [](const DaemonAnswer& answer) { return answer.status != 0; });
+  if (!any) {
+    throw CommandError(ExitCode::kUnreachable,
+                       "no daemon is reachable: " + (answers.empty() ? "" : answers[0].error));
+  }
+}
+
+}  // namespace
+
+ExitCode Cli::Status() {
+  const auto answers = this->Daemons().AskAll("/v1/status");
+  json rows = json::array();
+  bool all_answer = true;
+  for (const DaemonAnswer& answer : answers) {
+    json row = json::parse(answer.body, nullptr, false);
+    if (answer.status != 200 || !row.is_object()) {
+      all_answer = false;
+      row = {{"state", answer.status == 0 ? "unreachable" : "error"},
+             {"message", answer.status == 0 ? answer.error : ErrorMessage(answer)}};
+    }
+    row["address"] = answer.address;
+    rows.push_back(std::move(row));
+  }
+  PrintRows(rows,
+            {"address", "daemon", "failure_domain", "state", "config_revision", "config_digest",
+             "members", "uptime_s", "version"},
+            this->options.output, this->out);
+  RequireAnyAnswer(answers);
+  return all_answer ? ExitCode::kOk : ExitCode::kFailed;
+}
+
+ExitCode Cli::PrintArray(const std::string& target, const std::string& key) {
+  const json body = RequireJson(this->Daemons().AskAny("GET", target));
+  PrintRows(body.value(key, json::array()), {}, this->options.output, this->out);
+  return ExitCode::kOk;
+}
+
+ExitCode Cli::Services() {
+  return this->PrintArray("/v1/services", "services");
+}
+
+ExitCode Cli::Endpoints() {
+  return this->PrintArray("/v1/endpoints", "endpoints");
+}
+
+ExitCode Cli::Order(const std::string& target, const std::string& key, const std::string& done) {
+  const std::string& name = this->options.arguments[0];
+  const DaemonAnswer answer = this->Daemons().AskAny("POST", target, json{{key, name}}.dump());
+  if (answer.status == 0) {
+    throw CommandError(ExitCode::kFailed,
+                       "the order may have taken effect, its answer was lost: " + answer.error);
+  }
+  const json body = RequireJson(answer);
+  if (this->options.output == OutputFormat::kJson) {
+    this->out << body.dump(2) << "\n";
+  } else {
+    this->out << done << " " << name << "\n";
+  }
+  return ExitCode::kOk;
+}
+
+ExitCode Cli::Drain() {
+  return this->Order("/v1/drain", "endpoint", "draining");
+}
+
+ExitCode Cli::Promote() {
+  return this->Order("/v1/promote", "service", "promotion ordered for");
+}
+
+ExitCode Cli::Trace() {
+  const std::string& trace_id = this->options.arguments[0];
+  const bool is_hex = trace_id.find_first_not_of("0123456789abcdef") == std::string::npos;
+  if (trace_id.size() != 32 || !is_hex) {
+    throw CommandError(ExitCode::kInvalid, "'" + trace_id + "' is not a trace id of 32 hex digits");
+  }
+  const auto answers = this->Daemons().AskAll("/v1/traces/" + trace_id);
+  RequireAnyAnswer(answers);
+  std::vector<json> spans;
+  for (const DaemonAnswer& answer : answers) {
+    const json body = json::parse(answer.body, nullptr, false);
+    if (answer.status == 200 && body.is_object()) {
+      const json more = body.value("spans", json::array());
+      spans.insert(spans.end(), more.begin(), more.end());
+    }
+  }
+  if (spans.empty()) {
+    throw CommandError(ExitCode::kFailed, "no daemon has spans of trace " + trace_id);
+  }
+  // Times are texts of equal length, so that they sort as numbers.
+  std::stable_sort(spans.begin(), spans.end(), [](const json& left, const json& right) {
+    return left.value("startTimeUnixNano", "") < right.value("startTimeUnixNano", "");
+  });
+  if (this->options.output == OutputFormat::kJson) {
+    this->out << json(spans).dump(2) << "\n";
+    return ExitCode::kOk;
+  }
+  json rows = json::array();
+  const auto first = std::stoll(spans[0].value("startTimeUnixNano", "0"));
+  for (const json& span : spans) {
+    const auto start = std::stoll(span.value("startTimeUnixNano", "0"));
+    const auto end = std::stoll(span.value("endTimeUnixNano", "0"));
+    std::string attributes;
+    for (const json& attribute : span.value("attributes", json::array())) {
+      const json value = attribute.value("value", json::object());
+      attributes += (attributes.empty() ? "" : " ") + attribute.value("key", "") + "=" +
+                    value.value("stringValue", "");
+    }
+    const json status = span.value("status", json::object());
+    rows.push_back({{"start_us", (start - first) / 1000},
+                    {"micros", (end - start) / 1000},
+                    {"name", span.value("name", "")},
+                    {"span", span.value("spanId", "")},
+                    {"parent", span.value("parentSpanId", "-")},
+                    {"status", status.value("code", "")},
+                    {"attributes", attributes}});
+  }
+  PrintRows(rows, {"start_us", "micros", "name", "span", "parent", "status", "attributes"},
+            OutputFormat::kTable, this->out);
+  return ExitCode::kOk;
+}
+
+ExitCode Cli::Metrics() {
+  const auto answers = this->Daemons().AskAll("/metrics");
+  RequireAnyAnswer(answers);
+  json by_daemon = json::object();
+  bool all_answer = true;
+  for (const DaemonAnswer& answer : answers) {
+    if (answer.status != 200) {
+      all_answer = false;
+      this->err << "poplarmoor: " << (answer.status == 0 ? answer.error : ErrorMessage(answer))
+                << "\n";
+      continue;
+    }
+    by_daemon[answer.address] = answer.body;
+    if (this->options.output == OutputFormat::kTable) {
+      this->out << "# daemon " << answer.address << "\n" << answer.body;
+    }
+  }
+  if (this->options.output == OutputFormat::kJson) {
+    this->out << by_daemon.dump(2) << "\n";
+  }
+  return all_answer ? ExitCode::kOk : ExitCode::kFailed;
+}
+
+ExitCode Cli::Version() {
+  if (this->options.output == OutputFormat::kJson) {
+    this->out << json{{"version", POPLARMOOR_VERSION}}.dump() << "\n";
+  } else {
+    this->out << "poplarmoor " << POPLARMOOR_VERSION << "\n";
+  }
+  return ExitCode::kOk;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/cli/exit_code.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace poplarmoor {
+
+/// Exit code of the command line.
+enum class ExitCode {
+  kOk = 0,
+  kFailed = 1,       // The request was refused, or not everything is as asked.
+  kInvalid = 2,      // Wrong usage, or invalid files.
+  kConflict = 3,     // Another operator's change came first.
+  kUnreachable = 4,  // The platform or all daemons are unreachable.
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/cli/io_runner.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+
+namespace poplarmoor {
+
+/// Runs coroutines to their end on the calling thread.
+class IoRunner {
+ public:
+  boost::asio::any_io_executor Executor() { return this->context.get_executor(); }
+
+  /// @param work Coroutine.
+  /// @returns Its result.
+  /// @throws What the coroutine throws.
+  template <typename Result>
+  Result Run(boost::asio::awaitable<Result> work) {
+    auto future = boost::asio::co_spawn(this->context, std::move(work), boost::asio::use_future);
+    this->context.restart();
+    this->context.run();
+    return future.get();
+  }
+
+ private:
+  boost::asio::io_context context{1};
+};
+
+}  // namespace poplarmoor
--- a/config/schemas.h
+++ b/config/schemas.h
@@ -11,4 +11,7 @@
 /// @returns The JSON Schema of a site's overlay.
 const char* OverlaySchema();
 
+/// @returns The JSON Schema of a profile of the command line.
+const char* OperatorProfileSchema();
+
 }  // namespace poplarmoor
--- /dev/null
+++ b/tests/cli/daemon_commands_test.cc
@@ -0,0 +1,129 @@
+#include <catch2/catch.hpp>
+
+#include "cli_fixture.h"
+
+namespace poplarmoor {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kTraceId = "0af7651916cd43dd8448eb211c80319c";
+constexpr const char* kUnusedAddress = "127.0.0.1:1";
+
+TEST_CASE_METHOD(CliFixture, "apply --wait succeeds only when every daemon has the revision") {
+  FakeDaemon current;
+  FakeDaemon late;
+  current.answers["/v1/status"] = R"({"config_revision": 1000000})";
+  late.answers["/v1/status"] = R"({"config_revision": 1})";
+  this->daemons = {current.address()};
+  const CliRun all = this->Apply(ExampleBase(), {"--wait", "5"});
+  CHECK(all.code == ExitCode::kOk);
+  CHECK(all.err == "in force on 1 of 1\n");
+  this->daemons = {current.address(), late.address()};
+  const CliRun some = this->Apply(ExampleBase(), {"--wait", "1"});
+  CHECK(some.code == ExitCode::kFailed);
+  CHECK(some.err.find("in force on 1 of 2") != std::string::npos);
+  CHECK(some.err.find(late.address()) != std::string::npos);
+}
+
+TEST_CASE_METHOD(CliFixture, "status lists a daemon that is unreachable instead of omitting it") {
+  FakeDaemon daemon;
+  daemon.answers["/v1/status"] = R"({"daemon": "entry-1", "state": "serving"})";
+  this->daemons = {daemon.address(), kUnusedAddress};
+  const CliRun run = this->Run({"status"});
+  CHECK(run.code == ExitCode::kFailed);
+  CHECK(run.out.find("entry-1") != std::string::npos);
+  CHECK(run.out.find("unreachable") != std::string::npos);
+  this->daemons = {kUnusedAddress};
+  CHECK(this->Run({"status"}).code == ExitCode::kUnreachable);
+}
+
+TEST_CASE_METHOD(CliFixture, "an order goes to the next daemon when the first is unreachable") {
+  FakeDaemon daemon;
+  daemon.answers["/v1/drain"] = "{}";
+  this->daemons = {kUnusedAddress, daemon.address()};
+  CHECK(this->Run({"drain", "orders-1"}).code == ExitCode::kOk);
+  REQUIRE(daemon.requests.size() == 1);
+  CHECK(daemon.requests[0].body == R"({"endpoint":"orders-1"})");
+}
+
+TEST_CASE_METHOD(CliFixture, "a refused order shows the daemon's reason") {
+  FakeDaemon daemon;
+  this->daemons = {daemon.address()};
+  const CliRun run = this->Run({"promote", "none"});
+  CHECK(run.code == ExitCode::kFailed);
+  CHECK(run.err.find("no such thing") != std::string::npos);
+}
+
+TEST_CASE_METHOD(CliFixture, "a refused token is explained and never printed") {
+  FakeDaemon daemon;
+  this->daemons = {daemon.address()};
+  this->token_file = this->Write("other-token", "another-secret-token");
+  for (const char* command : {"services", "status", "metrics"}) {
+    const CliRun run = this->Run({command});
+    CHECK(run.code == ExitCode::kFailed);
+    CHECK((run.out + run.err).find("another-secret") == std::string::npos);
+  }
+  CHECK(this->Run({"services"}).err.find("check the token file") != std::string::npos);
+}
+
+TEST_CASE_METHOD(CliFixture, "a trace is put together from all daemons in order of time") {
+  FakeDaemon entry;
+  FakeDaemon owner;
+  const std::string path = std::string("/v1/traces/") + kTraceId;
+  entry.answers[path] = R"({"spans": [{"name": "entry", "startTimeUnixNano": "1000",
+                            "endTimeUnixNano": "9000"}]})";
+  owner.answers[path] = R"({"spans": [{"name": "owner", "startTimeUnixNano": "3000",
+                            "endTimeUnixNano": "5000"}]})";
+  this->daemons = {owner.address(), entry.address()};
+  const json spans = json::parse(this->Run({"trace", kTraceId, "--output", "json"}).out);
+  REQUIRE(spans.size() == 2);
+  CHECK(spans[0]["name"] == "entry");
+  CHECK(this->Run({"trace", kTraceId}).out.find("owner") != std::string::npos);
+  CHECK(this->Run({"trace", "../status"}).code == ExitCode::kInvalid);
+  CHECK(this->Run({"trace", std::string(32, 'a')}).code == ExitCode::kFailed);
+}
+
+TEST_CASE_METHOD(CliFixture, "lists and metrics come from the daemons") {
+  FakeDaemon daemon;
+  daemon.answers["/v1/endpoints"] = R"({"endpoints": [{"endpoint": "orders-1", "active": 2}]})";
+  daemon.answers["/metrics"] = "poplarmoor_members 8\n";
+  this->daemons = {daemon.address()};
+  CHECK(this->Run({"endpoints"}).out == "active  endpoint\n2       orders-1\n");
+  const CliRun metrics = this->Run({"metrics"});
+  CHECK(metrics.code == ExitCode::kOk);
+  CHECK(metrics.out.find("poplarmoor_members 8\n") != std::string::npos);
+}
+
+TEST_CASE_METHOD(CliFixture, "every command has help, and wrong usage has its own exit code") {
+  for (const char* command : {"validate", "diff", "apply", "get", "status", "services", "endpoints",
+                              "drain", "promote", "trace", "metrics", "version"}) {
+    INFO(command);
+    const CliRun run = this->Run({command, "--help"});
+    CHECK(run.code == ExitCode::kOk);
+    CHECK(run.out.find("Exit codes") != std::string::npos);
+  }
+  CHECK(this->Run({"drain"}).code == ExitCode::kInvalid);
+  CHECK(this->Run({"status", "--outptu", "json"}).code == ExitCode::kInvalid);
+  CHECK(this->Run({"status", "--output", "xml"}).code == ExitCode::kInvalid);
+  const CliRun unknown = this->Run({"aply"});
+  CHECK(unknown.code == ExitCode::kInvalid);
+  CHECK(unknown.err.find("'apply'") != std::string::npos);
+}
+
+TEST_CASE_METHOD(CliFixture, "a profile supplies the addresses and the token file") {
+  FakeDaemon daemon;
+  daemon.answers["/v1/services"] = R"({"services": [{"service": "orders"}]})";
+  const std::string profile =
+      this->Write("profile.json", json{{"platform", this->platform->address()},
+                                       {"daemons", {daemon.address()}},
+                                       {"operator_token_file", "token"}}
+                                      .dump());
+  std::ostringstream out;
+  std::ostringstream err;
+  CHECK(Cli(out, err).Run({"services", "--profile", profile}) == ExitCode::kOk);
+  CHECK(out.str() == "service\norders\n");
+}
+
+}  // namespace
+}  // namespace poplarmoor
