--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 
 #include "daemon/entry_service.h"
+#include "daemon/operators_api.h"
 #include "daemon/owner_service.h"
 #include "daemon/polling_cluster_view.h"
 #include "daemon/statement_router.h"
@@ -55,14 +56,14 @@
   const asio::any_io_executor executor = this->context.get_executor();
   this->cluster =
       std::make_shared<PollingClusterView>(executor, &this->platform, MakePeers(this->settings));
-  this->owner = std::make_shared<OwnerService>(executor, this->cluster.get(),
-                                               Registry<EndpointDriver>::Create("http"));
+  this->owner = std::make_shared<OwnerService>(
+      executor, this->cluster.get(), Registry<EndpointDriver>::Create("http"), &this->observers);
   this->router = std::make_shared<StatementRouter>(this->settings.daemon, this->cluster.get(),
                                                    this->owner, &this->peers);
   const EntryLimits limits{this->settings.limits.max_deadline,
                            static_cast<int>(this->settings.limits.max_in_flight)};
-  this->entry =
-      std::make_shared<EntryService>(this->cluster.get(), &this->keys, this->router, limits);
+  this->entry = std::make_shared<EntryService>(this->cluster.get(), &this->keys, this->router,
+                                               &this->observers, limits);
   HttpServerOptions options;
   options.max_body = this->settings.limits.max_body;
   options.idle_timeout = this->settings.limits.idle_timeout;
@@ -73,6 +74,23 @@
         return entry->Handle(std::move(request));
       },
       options);
+  this->MakeOperatorsApi();
+}
+
+void Daemon::MakeOperatorsApi() {
+  OperatorsSubjects subjects;
+  subjects.daemon = this->settings.daemon;
+  subjects.failure_domain = this->settings.failure_domain;
+  subjects.token = this->operator_token;
+  subjects.view = this->cluster.get();
+  subjects.cluster = this->cluster.get();
+  subjects.entry = this->entry;
+  subjects.owner = this->owner;
+  subjects.observers = &this->observers;
+  const auto api = std::make_shared<OperatorsApi>(std::move(subjects));
+  this->operators = std::make_shared<HttpServer>(
+      this->context.get_executor(),
+      [api](HttpRequest request, ConnectionId) { return api->Handle(std::move(request)); });
 }
 
 Daemon::~Daemon() {
@@ -94,6 +112,7 @@
   this->ServePeers();
   this->peers.Listen(this->settings.listen.peers);
   this->callers->Listen(this->settings.listen.callers);
+  this->operators->Listen(this->settings.listen.operators);
   this->cluster->Start();
   this->owner->Start();
   this->running = true;
@@ -147,6 +166,7 @@
     Log(LogLevel::kWarn, "stop limit passed with requests in progress",
         {{"in_flight", this->entry->InFlight()}});
   }
+  this->operators->Stop();
   this->cluster->Stop();
   this->owner->Stop();
   this->peers.Stop();
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -62,6 +62,7 @@
   bool IsIdle() const;
   void WaitUntilIdle(bool with_transactions, std::chrono::steady_clock::time_point limit);
   void ServePeers();
+  void MakeOperatorsApi();
 
   DaemonSettings settings;
   std::string operator_token;
--- a/daemon/endpoint_owner.cc
+++ b/daemon/endpoint_owner.cc
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 
+#include "daemon/observers.h"
 #include "net/endpoint_connection.h"
 #include "net/endpoint_driver.h"
 #include "net/now.h"
 #include "net/random_bits.h"
+#include "telemetry/span.h"
 
 namespace poplarmoor {
 
@@ -47,10 +49,12 @@
                              EndpointInfo info,
                              const ServiceSettings& settings,
                              EndpointDriver* driver,
+                             Observers* observers,
                              std::function<void()> report_failure)
     : executor(executor),
       info(std::move(info)),
       driver(driver),
+      observers(observers),
       report_failure(std::move(report_failure)),
       limit(settings.slots, PoolSettings::FromService(settings).budget),
       pool(PoolSettings::FromService(settings)),
@@ -184,6 +188,21 @@
                              "the deadline passed in the queue of endpoint " + this->info.name);
 }
 
+asio::awaitable<EndpointReply> EndpointOwner::Execute(Connection connection,
+                                                      StatementRequest request,
+                                                      uint64_t term) {
+  Span span(&this->observers->spans, "endpoint.request", request.trace_id, request.span_id);
+  span.SetAttribute("pm.operation", kOperationNames.NameOf(request.operation));
+  const TimePoint start = Now();
+  const Duration remaining = std::max<Duration>(request.deadline - start, 1ms);
+  EndpointReply reply = co_await connection->Run(request, term, remaining);
+  this->observers->metrics.Observe(Metric::kEndpointSeconds, {request.service}, Now() - start);
+  if (reply.result.verdict != Verdict::kRan) {
+    span.SetFailed(kReasonNames.NameOf(reply.result.reason));
+  }
+  co_return reply;
+}
+
 asio::awaitable<StatementResult> EndpointOwner::RunAdmitted(StatementRequest request,
                                                             uint64_t term) {
   const auto self = this->shared_from_this();
@@ -202,7 +221,10 @@
     }
     ++this->begins;
   }
+  const TimePoint queued_at = Now();
   Grant grant = co_await this->Admit(request);
+  this->observers->metrics.Observe(
+      Metric::kQueueSeconds, {request.service, kRankNames.NameOf(request.rank)}, Now() - queued_at);
   if (grant.reason != Reason::kNone) {
     if (is_begin) {
       std::lock_guard lock(this->mutex);
@@ -218,7 +240,7 @@
     reply.result = MakeRefusal(Reason::kDeadlineExceeded, "the deadline passed in the queue");
     reply.usable = true;
   } else {
-    reply = co_await grant.connection->Run(request, term, request.deadline - sent_at);
+    reply = co_await this->Execute(grant.connection, request, term);
   }
   const TimePoint now = Now();
   Work work;
@@ -279,8 +301,7 @@
     }
   }
   const TimePoint sent_at = Now();
-  EndpointReply reply =
-      co_await connection->Run(request, term, std::max(request.deadline - sent_at, Duration(1ms)));
+  EndpointReply reply = co_await this->Execute(connection, request, term);
   const TimePoint now = Now();
   Work work;
   {
--- a/daemon/endpoint_owner.h
+++ b/daemon/endpoint_owner.h
@@ -28,6 +28,7 @@
 
 class EndpointConnection;
 class EndpointDriver;
+struct Observers;
 
 /// The owner's side of one endpoint: queue, slots, connections and transactions. Thread-safe. The
 /// kernel objects decide; this class performs the I/O between their calls.
@@ -37,11 +38,13 @@
   /// @param info The endpoint.
   /// @param settings Settings of its service.
   /// @param driver Makes connections; must outlive this object.
+  /// @param observers Metrics and spans; must outlive this object.
   /// @param report_failure Called when the endpoint cannot be reached.
   EndpointOwner(boost::asio::any_io_executor executor,
                 EndpointInfo info,
                 const ServiceSettings& settings,
                 EndpointDriver* driver,
+                Observers* observers,
                 std::function<void()> report_failure);
 
   /// Takes over changed settings.
@@ -100,11 +103,10 @@
   boost::asio::awaitable<Grant> Admit(const StatementRequest& request);
   boost::asio::awaitable<StatementResult> RunAdmitted(StatementRequest request, uint64_t term);
   boost::asio::awaitable<StatementResult> RunInTransaction(StatementRequest request);
+  boost::asio::awaitable<EndpointReply> Execute(Connection connection,
+                                                StatementRequest request,
+                                                uint64_t term);
   boost::asio::awaitable<void> OpenConnection(ConnectionId id);
-  void FinishTransactionStep(const StatementRequest& request,
-                             ConnectionId connection,
-                             const EndpointReply& reply,
-                             Duration waited);
 
   // The following are called with the lock held and add to `work`.
   void Pump(TimePoint now, Work* work);
@@ -123,6 +125,7 @@
   boost::asio::any_io_executor executor;
   const EndpointInfo info;
   EndpointDriver* driver;
+  Observers* observers;
   std::function<void()> report_failure;
 
   std::mutex mutex;  // Guards everything below.
--- a/daemon/entry_service.cc
+++ b/daemon/entry_service.cc
@@ -4,6 +4,8 @@
 #include <boost/asio.hpp>
 
 #include "daemon/cluster_view.h"
+#include "daemon/entry_exchange.h"
+#include "daemon/observers.h"
 #include "daemon/statement_router.h"
 #include "kernel/service_settings.h"
 #include "kernel/session_positions.h"
@@ -94,8 +96,9 @@
 EntryService::EntryService(ClusterView* view,
                            const KeyRing* keys,
                            std::shared_ptr<StatementRouter> router,
+                           Observers* observers,
                            EntryLimits limits)
-    : view(view), keys(keys), router(std::move(router)), limits(limits) {}
+    : view(view), keys(keys), router(std::move(router)), observers(observers), limits(limits) {}
 
 asio::awaitable<HttpResponse> EntryService::Handle(HttpRequest request) {
   const auto self = this->shared_from_this();
@@ -109,30 +112,59 @@
   if (this->in_flight > this->limits.max_in_flight) {
     co_return MakeError({429, Reason::kOverloaded, "", "the daemon has too many requests"});
   }
-  CallerAnswer answer;
+  const TimePoint start = Now();
+  std::string trace_id;
   std::string parent_span;
   const auto traceparent = request.headers.find("traceparent");
-  if (traceparent == request.headers.end() ||
-      !ParseTraceparent(traceparent->second, &answer.trace_id, &parent_span)) {
-    answer.trace_id = MakeRandomId();
+  if (traceparent != request.headers.end()) {
+    ParseTraceparent(traceparent->second, &trace_id, &parent_span);
   }
+  EntryExchange exchange(
+      Span(&this->observers->spans, "entry.request", std::move(trace_id), std::move(parent_span)));
+  exchange.answer.trace_id = exchange.span.TraceId();
+  HttpResponse response;
   try {
-    co_return co_await this->Route(request, &answer);
+    response = co_await this->Route(request, &exchange);
   } catch (const CodecError& error) {
-    co_return MakeError({400, Reason::kBadRequest, error.field, error.what()});
+    response = MakeError({400, Reason::kBadRequest, error.field, error.what()});
   } catch (const Rejection& rejection) {
-    co_return MakeError(rejection);
+    response = MakeError(rejection);
+  }
+  this->Observe(&exchange, response, start);
+  co_return response;
+}
+
+void EntryService::Observe(EntryExchange* exchange, const HttpResponse& response, TimePoint start) {
+  exchange->span.SetAttribute("http.status_code", std::to_string(response.status));
+  if (exchange->service.empty()) {
+    exchange->span.SetFailed("the request was rejected");
+    return;  // A caller's misspelt service must not create a series.
+  }
+  const StatementResult& result = exchange->answer.result;
+  const std::string_view verdict = kVerdictNames.NameOf(result.verdict);
+  const std::string_view reason = kReasonNames.NameOf(result.reason);
+  const std::string_view rank = kRankNames.NameOf(exchange->rank);
+  exchange->span.SetAttribute("pm.service", exchange->service);
+  exchange->span.SetAttribute("pm.verdict", verdict);
+  if (result.verdict != Verdict::kRan) {
+    exchange->span.SetFailed(reason);
+  }
+  Metrics& metrics = this->observers->metrics;
+  metrics.Add(Metric::kRequests, {exchange->service, rank, verdict, reason});
+  metrics.Observe(Metric::kRequestSeconds, {exchange->service, rank}, Now() - start);
+  if (exchange->operation == Operation::kRead && result.verdict == Verdict::kRan) {
+    metrics.Add(Metric::kReads, {exchange->service, result.from_primary ? "primary" : "replica"});
   }
 }
 
 asio::awaitable<HttpResponse> EntryService::Route(const HttpRequest& request,
-                                                  CallerAnswer* answer) {
+                                                  EntryExchange* exchange) {
   const std::string path = request.target.substr(0, request.target.find('?'));
   if (path.starts_with(kOutcomePath)) {
     if (request.method != "GET") {
       throw Rejection{405, Reason::kBadRequest, "", "use GET"};
     }
-    co_return co_await this->FindOutcome(path, answer);
+    co_return co_await this->FindOutcome(path, exchange);
   }
   const bool known = path == "/v1/statements" || path == "/v1/transactions" ||
                      path == "/v1/transactions/statements" || path == "/v1/transactions/commit" ||
@@ -144,31 +176,34 @@
     throw Rejection{405, Reason::kBadRequest, "", "use POST"};
   }
   if (path == "/v1/statements") {
-    co_return co_await this->RunStatement(DecodeStatement(request.body), answer);
+    co_return co_await this->RunStatement(DecodeStatement(request.body), exchange);
   }
   if (path == "/v1/transactions") {
-    co_return co_await this->RunStatement(DecodeBegin(request.body), answer);
+    co_return co_await this->RunStatement(DecodeBegin(request.body), exchange);
   }
   if (path == "/v1/transactions/statements") {
-    co_return co_await this->RunInTransaction(DecodeTransactionStatement(request.body), answer);
+    co_return co_await this->RunInTransaction(DecodeTransactionStatement(request.body), exchange);
   }
   const Operation end =
       path == "/v1/transactions/commit" ? Operation::kCommit : Operation::kRollback;
-  co_return co_await this->RunInTransaction(DecodeTransactionEnd(request.body, end), answer);
+  co_return co_await this->RunInTransaction(DecodeTransactionEnd(request.body, end), exchange);
 }
 
 void EntryService::Prepare(CallerRequest* request,
                            Duration default_deadline,
-                           CallerAnswer* answer) const {
+                           EntryExchange* exchange) const {
   StatementRequest& statement = request->statement;
   if (statement.request_id.empty()) {
     statement.request_id = MakeRandomId();
   }
-  statement.trace_id = answer->trace_id;
-  statement.span_id = FormatHex64(RandomBits());
+  statement.trace_id = exchange->answer.trace_id;
+  statement.span_id = exchange->span.SpanId();
   statement.deadline =
       Now() + std::min(request->deadline.value_or(default_deadline), this->limits.max_deadline);
-  answer->request_id = statement.request_id;
+  exchange->answer.request_id = statement.request_id;
+  exchange->service = statement.service;
+  exchange->rank = statement.rank;
+  exchange->operation = statement.operation;
 }
 
 void EntryService::RecordWrite(const StatementResult& result,
@@ -181,7 +216,7 @@
 }
 
 asio::awaitable<HttpResponse> EntryService::RunStatement(CallerRequest request,
-                                                         CallerAnswer* answer) {
+                                                         EntryExchange* exchange) {
   StatementRequest& statement = request.statement;
   ServiceSettings settings = FindService(*this->view, statement.service, statement.site);
   SessionPositions positions;
@@ -190,12 +225,12 @@
   } catch (const BadTokenError& error) {
     throw Rejection{400, Reason::kBadToken, "session", error.what()};
   }
-  this->Prepare(&request, settings.default_deadline, answer);
+  this->Prepare(&request, settings.default_deadline, exchange);
   const bool is_begin = statement.operation == Operation::kBegin;
   if (is_begin && this->draining) {
-    answer->result.reason = Reason::kStopping;
-    answer->result.message = "the daemon is stopping and takes no new transactions";
-    co_return MakeResponse(*answer);
+    exchange->answer.result.reason = Reason::kStopping;
+    exchange->answer.result.message = "the daemon is stopping and takes no new transactions";
+    co_return MakeResponse(exchange->answer);
   }
   bool primary_required = false;
   if (request.own_writes) {
@@ -209,22 +244,22 @@
   const bool is_write = statement.operation == Operation::kWrite;
   RoutedResult routed =
       co_await this->router->Run(std::move(statement), std::move(settings), primary_required);
-  answer->result = std::move(routed.result);
-  answer->session = std::move(request.session);
-  if (answer->result.verdict == Verdict::kRan && is_write) {
-    this->RecordWrite(answer->result, service, &positions);
-    answer->session = EncodeSessionToken(*this->keys, positions);
-  }
-  if (answer->result.verdict == Verdict::kRan && is_begin) {
-    answer->transaction = EncodeTransactionToken(
-        *this->keys, {routed.owner, routed.owner_address, service, site, answer->result.endpoint,
-                      answer->result.transaction, rank});
-  }
-  co_return MakeResponse(*answer);
+  exchange->answer.result = std::move(routed.result);
+  exchange->answer.session = std::move(request.session);
+  if (exchange->answer.result.verdict == Verdict::kRan && is_write) {
+    this->RecordWrite(exchange->answer.result, service, &positions);
+    exchange->answer.session = EncodeSessionToken(*this->keys, positions);
+  }
+  if (exchange->answer.result.verdict == Verdict::kRan && is_begin) {
+    exchange->answer.transaction = EncodeTransactionToken(
+        *this->keys, {routed.owner, routed.owner_address, service, site,
+                      exchange->answer.result.endpoint, exchange->answer.result.transaction, rank});
+  }
+  co_return MakeResponse(exchange->answer);
 }
 
 asio::awaitable<HttpResponse> EntryService::RunInTransaction(CallerRequest request,
-                                                             CallerAnswer* answer) {
+                                                             EntryExchange* exchange) {
   StatementRequest& statement = request.statement;
   TransactionToken transaction;
   SessionPositions positions;
@@ -241,24 +276,44 @@
   if (!settings) {
     throw UnknownService(transaction.service, *this->view);
   }
-  this->Prepare(&request, settings->default_deadline, answer);
   statement.service = transaction.service;
   statement.site = transaction.site;
   statement.rank = transaction.rank;
   statement.transaction = transaction.id;
+  this->Prepare(&request, settings->default_deadline, exchange);
   const bool is_commit = statement.operation == Operation::kCommit;
   RoutedResult routed = co_await this->router->RunInTransaction(std::move(statement), transaction);
-  answer->result = std::move(routed.result);
-  answer->session = std::move(request.session);
-  if (is_commit && answer->result.verdict == Verdict::kRan) {
-    this->RecordWrite(answer->result, transaction.service, &positions);
-    answer->session = EncodeSessionToken(*this->keys, positions);
+  exchange->answer.result = std::move(routed.result);
+  exchange->answer.session = std::move(request.session);
+  if (is_commit && exchange->answer.result.verdict == Verdict::kRan) {
+    this->RecordWrite(exchange->answer.result, transaction.service, &positions);
+    exchange->answer.session = EncodeSessionToken(*this->keys, positions);
+  }
+  co_return MakeResponse(exchange->answer);
+}
+
+asio::awaitable<StatementResult> EntryService::ResolveCommit(StatementRequest request,
+                                                             StatementResult gone) {
+  // The transaction may be gone because an earlier commit with this request id ran.
+  std::optional<ServiceSettings> settings = this->view->FindSettings(request.service, request.site);
+  if (!settings) {
+    co_return gone;
+  }
+  request.operation = Operation::kOutcome;
+  request.transaction.clear();
+  RoutedResult routed = co_await this->router->Run(std::move(request), std::move(*settings), false);
+  if (routed.result.verdict == Verdict::kRan) {
+    const bool found = routed.result.result == "true";
+    routed.result.result.clear();
+    co_return found ? std::move(routed.result) : std::move(gone);
   }
-  co_return MakeResponse(*answer);
+  gone.verdict = Verdict::kMayHaveRun;
+  gone.message = "the transaction is gone, and the outcome of the commit cannot be determined";
+  co_return gone;
 }
 
 asio::awaitable<HttpResponse> EntryService::FindOutcome(const std::string& path,
-                                                        CallerAnswer* answer) {
+                                                        EntryExchange* exchange) {
   const std::string rest = path.substr(kOutcomePath.size());
   const size_t slash = rest.find('/');
   if (slash == std::string::npos || slash == 0 || slash + 1 == rest.size()) {
@@ -272,9 +327,10 @@
   if (!settings) {
     throw UnknownService(request.statement.service, *this->view);
   }
-  this->Prepare(&request, kDefaultDeadline, answer);
+  this->Prepare(&request, kDefaultDeadline, exchange);
   RoutedResult routed =
       co_await this->router->Run(std::move(request.statement), std::move(*settings), false);
+  exchange->answer.result = routed.result;
   if (routed.result.verdict != Verdict::kRan) {
     throw Rejection{503, routed.result.reason, "", routed.result.message};
   }
--- a/daemon/entry_service.h
+++ b/daemon/entry_service.h
@@ -9,7 +9,6 @@
 
 #include "daemon/routed_result.h"
 #include "net/http_message.h"
-#include "wire/caller_answer.h"
 #include "wire/caller_request.h"
 
 namespace poplarmoor {
@@ -18,6 +17,8 @@
 class KeyRing;
 class SessionPositions;
 class StatementRouter;
+struct EntryExchange;
+struct Observers;
 
 /// Limits of the callers' API.
 struct EntryLimits {
@@ -31,10 +32,12 @@
   /// @param view The control plane; must outlive this object.
   /// @param keys Keys of the tokens; must outlive this object.
   /// @param router Runs the requests.
+  /// @param observers Metrics and spans; must outlive this object.
   /// @param limits Limits.
   EntryService(ClusterView* view,
                const KeyRing* keys,
                std::shared_ptr<StatementRouter> router,
+               Observers* observers,
                EntryLimits limits);
 
   /// Answers one request of a caller.
@@ -45,16 +48,23 @@
   /// Reports unready from now on, and refuses new transactions.
   void Drain() { this->draining = true; }
 
+  /// @returns Whether Drain() was called.
+  bool IsDraining() const { return this->draining.load(); }
+
   /// @returns Requests in progress.
   int InFlight() const { return this->in_flight.load(); }
 
  private:
-  boost::asio::awaitable<HttpResponse> Route(const HttpRequest& request, CallerAnswer* answer);
-  boost::asio::awaitable<HttpResponse> RunStatement(CallerRequest request, CallerAnswer* answer);
+  boost::asio::awaitable<HttpResponse> Route(const HttpRequest& request, EntryExchange* exchange);
+  boost::asio::awaitable<HttpResponse> RunStatement(CallerRequest request, EntryExchange* exchange);
   boost::asio::awaitable<HttpResponse> RunInTransaction(CallerRequest request,
-                                                        CallerAnswer* answer);
-  boost::asio::awaitable<HttpResponse> FindOutcome(const std::string& path, CallerAnswer* answer);
-  void Prepare(CallerRequest* request, Duration default_deadline, CallerAnswer* answer) const;
+                                                        EntryExchange* exchange);
+  boost::asio::awaitable<HttpResponse> FindOutcome(const std::string& path,
+                                                   EntryExchange* exchange);
+  boost::asio::awaitable<StatementResult> ResolveCommit(StatementRequest request,
+                                                        StatementResult gone);
+  void Observe(EntryExchange* exchange, const HttpResponse& response, TimePoint start);
+  void Prepare(CallerRequest* request, Duration default_deadline, EntryExchange* exchange) const;
   void RecordWrite(const StatementResult& result,
                    const std::string& service,
                    SessionPositions* positions) const;
@@ -62,6 +72,7 @@
   ClusterView* view;
   const KeyRing* keys;
   std::shared_ptr<StatementRouter> router;
+  Observers* observers;
   EntryLimits limits;
   std::atomic<bool> draining{false};
   std::atomic<int> in_flight{0};
--- /dev/null
+++ b/daemon/operators_api.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/http_message.h"
+
+namespace poplarmoor {
+
+class ClusterOperations;
+class ClusterView;
+class EntryService;
+class OwnerService;
+struct Observers;
+
+/// What the operators' API reports on.
+struct OperatorsSubjects {
+  std::string daemon;
+  std::string failure_domain;
+  std::string token;  // Bearer token that every request must carry.
+  ClusterView* view = nullptr;
+  ClusterOperations* cluster = nullptr;
+  std::shared_ptr<EntryService> entry;
+  std::shared_ptr<OwnerService> owner;
+  Observers* observers = nullptr;
+};
+
+/// The operators' API of section 11 of the design. Thread-safe.
+class OperatorsApi : public std::enable_shared_from_this<OperatorsApi> {
+ public:
+  /// @param subjects What it reports on; the pointers must outlive this object.
+  explicit OperatorsApi(OperatorsSubjects subjects);
+
+  /// Answers one request of an operator.
+  /// @param request HTTP request.
+  /// @returns The response, of any status; 401 without the token.
+  boost::asio::awaitable<HttpResponse> Handle(HttpRequest request);
+
+ private:
+  bool IsAuthorized(const HttpRequest& request) const;
+  boost::asio::awaitable<HttpResponse> Post(std::string path, std::string body);
+  HttpResponse Get(const std::string& path) const;
+  std::string StatusJson() const;
+  std::string ServicesJson() const;
+  std::string EndpointsJson() const;
+  std::string MembersJson() const;
+  std::string MetricsText() const;
+
+  OperatorsSubjects subjects;
+  std::chrono::steady_clock::time_point started;
+};
+
+}  // namespace poplarmoor
--- a/daemon/owner_service.cc
+++ b/daemon/owner_service.cc
@@ -5,11 +5,13 @@
 
 #include "daemon/cluster_view.h"
 #include "daemon/endpoint_owner.h"
+#include "daemon/observers.h"
 #include "daemon/write_confirmer.h"
 #include "kernel/group_state.h"
 #include "kernel/service_settings.h"
 #include "net/endpoint_driver.h"
 #include "net/now.h"
+#include "telemetry/span.h"
 
 namespace poplarmoor {
 
@@ -52,8 +54,9 @@
 
 OwnerService::OwnerService(asio::any_io_executor executor,
                            ClusterView* view,
-                           std::unique_ptr<EndpointDriver> driver)
-    : executor(executor), view(view), driver(std::move(driver)) {}
+                           std::unique_ptr<EndpointDriver> driver,
+                           Observers* observers)
+    : executor(executor), view(view), driver(std::move(driver)), observers(observers) {}
 
 OwnerService::~OwnerService() = default;
 
@@ -78,7 +81,16 @@
 asio::awaitable<StatementResult> OwnerService::Run(ForwardRequest forward) {
   const auto self = this->shared_from_this();
   const InFlightGuard guard(&this->in_flight);
-  co_return co_await this->RunAtEndpoint(std::move(forward));
+  Span span(&this->observers->spans, "owner.request", forward.statement.trace_id,
+            forward.statement.span_id);
+  span.SetAttribute("pm.endpoint", forward.endpoint);
+  forward.statement.trace_id = span.TraceId();
+  forward.statement.span_id = span.SpanId();
+  StatementResult result = co_await this->RunAtEndpoint(std::move(forward));
+  if (result.verdict != Verdict::kRan) {
+    span.SetFailed(kReasonNames.NameOf(result.reason));
+  }
+  co_return result;
 }
 
 asio::awaitable<StatementResult> OwnerService::RunAtEndpoint(ForwardRequest forward) {
@@ -128,8 +140,9 @@
   if (result.status && result.status->term > term) {
     this->view->ReportHigherTerm(group->service, result.status->term);
   }
+  const uint64_t answer_term = result.status ? result.status->term : term;
   if (confirmer != nullptr && result.verdict == Verdict::kRan && result.position.term != 0 &&
-      !co_await confirmer->Confirm(result.position, deadline)) {
+      !co_await confirmer->Confirm(answer_term, result.position, deadline)) {
     result.verdict = Verdict::kMayHaveRun;
     result.reason = Reason::kUnconfirmed;
     result.message = "the write ran at the primary, but no replica has confirmed it in time";
@@ -146,7 +159,7 @@
         owner->Stop();  // A new server took over the name.
       }
       owner = std::make_shared<EndpointOwner>(
-          this->executor, endpoint, settings, this->driver.get(),
+          this->executor, endpoint, settings, this->driver.get(), this->observers,
           [view = this->view, service = settings.service, name = endpoint.name] {
             view->ReportSuspicion(service, name);
           });
--- a/daemon/owner_service.h
+++ b/daemon/owner_service.h
@@ -22,6 +22,7 @@
 class WriteConfirmer;
 struct EndpointInfo;
 struct GroupState;
+struct Observers;
 struct ServiceSettings;
 
 /// Owner role of a daemon: runs requests at the endpoints that it owns and confirms writes.
@@ -31,9 +32,11 @@
   /// @param executor Executor of the I/O threads.
   /// @param view The control plane; must outlive this object.
   /// @param driver Driver of the endpoints.
+  /// @param observers Metrics and spans; must outlive this object.
   OwnerService(boost::asio::any_io_executor executor,
                ClusterView* view,
-               std::unique_ptr<EndpointDriver> driver);
+               std::unique_ptr<EndpointDriver> driver,
+               Observers* observers);
   ~OwnerService();
 
   /// Starts the periodic maintenance.
@@ -73,6 +76,7 @@
   boost::asio::any_io_executor executor;
   ClusterView* view;
   std::unique_ptr<EndpointDriver> driver;
+  Observers* observers;
   std::atomic<bool> draining{false};
   std::atomic<bool> stopped{false};
   std::atomic<int> in_flight{0};
--- a/daemon/polling_cluster_view.cc
+++ b/daemon/polling_cluster_view.cc
@@ -51,8 +51,9 @@
                                        const std::vector<PeerInfo>& daemons)
     : executor(executor), platform(platform) {
   for (const PeerInfo& daemon : daemons) {
-    this->ownership.Update(
+    this->members.push_back(
         {daemon.daemon, daemon.address, daemon.failure_domain, 1, MemberState::kAlive});
+    this->ownership.Update(this->members.back());
   }
 }
 
@@ -87,6 +88,7 @@
 
 asio::awaitable<void> PollingClusterView::ReadGroups() {
   const PlatformSnapshot snapshot = co_await this->platform->List("group");
+  this->revision = snapshot.revision;
   for (const PlatformObject& object : snapshot.objects) {
     const GroupState group = DecodeGroup(object);
     std::lock_guard lock(this->mutex);
@@ -145,4 +147,14 @@
   this->read_now = true;
 }
 
+asio::awaitable<void> PollingClusterView::Drain(std::string) {
+  throw std::runtime_error("draining needs the control plane");
+  co_return;
+}
+
+asio::awaitable<void> PollingClusterView::Promote(std::string) {
+  throw std::runtime_error("a promotion needs the control plane");
+  co_return;
+}
+
 }  // namespace poplarmoor
--- a/daemon/polling_cluster_view.h
+++ b/daemon/polling_cluster_view.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "daemon/cluster_operations.h"
 #include "daemon/cluster_view.h"
 #include "kernel/group_state.h"
 #include "kernel/ownership.h"
@@ -22,6 +23,7 @@
 /// ClusterView without membership: a fixed list of daemons, and the groups read from the platform
 /// every 500 ms. It serves tests and a fleet of one daemon. Thread-safe.
 class PollingClusterView : public ClusterView,
+                           public ClusterOperations,
                            public std::enable_shared_from_this<PollingClusterView> {
  public:
   /// @param executor Executor of the I/O threads.
@@ -48,12 +50,21 @@
   void ReportSuspicion(const std::string& service, const std::string& endpoint) override;
   void ReportHigherTerm(const std::string& service, uint64_t term) override;
 
+  std::vector<Member> Members() const override { return this->members; }
+  uint64_t ConfigRevision() const override { return this->revision.load(); }
+  std::string ConfigDigest() const override { return std::to_string(this->revision.load()); }
+  std::string ConfigJson() const override { return "[]"; }
+  boost::asio::awaitable<void> Drain(std::string endpoint) override;
+  boost::asio::awaitable<void> Promote(std::string service) override;
+
  private:
   boost::asio::awaitable<void> Poll();
   boost::asio::awaitable<void> ReadGroups();
 
   boost::asio::any_io_executor executor;
   PlatformClient* platform;
+  std::vector<Member> members;
+  std::atomic<uint64_t> revision{0};  // Of the platform at the last read.
   std::atomic<bool> stopped{false};
   std::atomic<bool> read_now{false};
 
--- a/daemon/statement_router.cc
+++ b/daemon/statement_router.cc
@@ -184,8 +184,7 @@
   const auto timeout =
       std::chrono::ceil<std::chrono::milliseconds>(forward.statement.deadline - now + kAnswerGrace);
   PeerMessage message("forward", PackForward(forward, now));
-  const PeerMessage answer =
-      co_await this->peers->Call(to.address, std::move(message), timeout);
+  const PeerMessage answer = co_await this->peers->Call(to.address, std::move(message), timeout);
   try {
     co_return UnpackResult(answer.body);
   } catch (const CodecError& error) {
--- a/daemon/write_confirmer.cc
+++ b/daemon/write_confirmer.cc
@@ -71,15 +71,18 @@
   return this->tracker.CanConfirm(deadline, Now());
 }
 
-asio::awaitable<bool> WriteConfirmer::Confirm(LogPosition position, TimePoint deadline) {
+asio::awaitable<bool> WriteConfirmer::Confirm(uint64_t answer_term,
+                                              LogPosition position,
+                                              TimePoint deadline) {
   const auto self = this->shared_from_this();
   const auto slot = std::make_shared<Slot>(co_await asio::this_coro::executor);
   uint64_t id = 0;
   {
     std::lock_guard lock(this->mutex);
     id = this->next_id++;
-    if (this->tracker.Add(id, position, deadline, Now())) {
-      co_return true;
+    const auto added = this->tracker.Add(id, answer_term, position, deadline, Now());
+    if (added != ConfirmationTracker::Added::kWaiting) {
+      co_return added == ConfirmationTracker::Added::kConfirmed;
     }
     this->waiting.emplace(id, slot);
   }
--- a/daemon/write_confirmer.h
+++ b/daemon/write_confirmer.h
@@ -37,10 +37,13 @@
   bool CanConfirm(TimePoint deadline);
 
   /// Waits until enough replicas have received a write.
+  /// @param answer_term Term of the primary when it answered.
   /// @param position Position of the write.
   /// @param deadline Latest time.
   /// @returns Whether it is confirmed.
-  boost::asio::awaitable<bool> Confirm(LogPosition position, TimePoint deadline);
+  boost::asio::awaitable<bool> Confirm(uint64_t answer_term,
+                                       LogPosition position,
+                                       TimePoint deadline);
 
   /// Ends the polls.
   void Stop();
