--- a/daemon/entry_service.cc
+++ b/daemon/entry_service.cc
@@ -282,8 +282,13 @@
   statement.transaction = transaction.id;
   this->Prepare(&request, settings->default_deadline, exchange);
   const bool is_commit = statement.operation == Operation::kCommit;
-  RoutedResult routed = co_await this->router->RunInTransaction(std::move(statement), transaction);
+  const bool records_ids = settings->records_request_ids;
+  RoutedResult routed = co_await this->router->RunInTransaction(statement, transaction);
   exchange->answer.result = std::move(routed.result);
+  if (is_commit && records_ids && exchange->answer.result.reason == Reason::kTransactionGone) {
+    exchange->answer.result =
+        co_await this->ResolveCommit(std::move(statement), std::move(exchange->answer.result));
+  }
   exchange->answer.session = std::move(request.session);
   if (is_commit && exchange->answer.result.verdict == Verdict::kRan) {
     this->RecordWrite(exchange->answer.result, transaction.service, &positions);
--- /dev/null
+++ b/tests/net/token_test.cc
@@ -0,0 +1,77 @@
+#include <catch2/catch.hpp>
+
+#include "net/bad_token_error.h"
+#include "net/base64url.h"
+#include "net/key_ring.h"
+#include "net/session_token.h"
+#include "net/transaction_token.h"
+
+namespace poplarmoor {
+namespace {
+
+const KeyRing kKeys("k2", {{"k1", "first secret of 16 bytes"}, {"k2", "second secret, 16 bytes"}});
+
+SessionPositions MakePositions() {
+  SessionPositions positions;
+  positions.Record("fold-ledger", {4, 12});
+  return positions;
+}
+
+TEST_CASE("base64url round trips and has one text for each value") {
+  std::string bytes;
+  for (int i = 0; i < 300; ++i) {
+    CHECK(DecodeBase64Url(EncodeBase64Url(bytes)) == bytes);
+    bytes += static_cast<char>(i * 7);
+  }
+  CHECK(EncodeBase64Url("\xff\xfe") == "__4");
+  CHECK_FALSE(DecodeBase64Url("__5"));  // Left-over bits that are not zero.
+  CHECK_FALSE(DecodeBase64Url("A"));
+  CHECK_FALSE(DecodeBase64Url("AA=="));
+  CHECK_FALSE(DecodeBase64Url("A/+A"));
+}
+
+TEST_CASE("a session token carries the positions, also under an older key") {
+  CHECK(DecodeSessionToken(kKeys, EncodeSessionToken(kKeys, MakePositions())) == MakePositions());
+  const KeyRing before("k1", {{"k1", "first secret of 16 bytes"}});
+  CHECK(DecodeSessionToken(kKeys, EncodeSessionToken(before, MakePositions())) == MakePositions());
+  CHECK(DecodeSessionToken(kKeys, "").size() == 0);
+}
+
+// A forged position could make a read miss the session's own writes.
+TEST_CASE("forged and foreign tokens are refused") {
+  const std::string token = EncodeSessionToken(kKeys, MakePositions());
+  for (size_t i = 0; i < token.size(); ++i) {
+    std::string forged = token;
+    forged[i] = forged[i] == 'A' ? 'B' : 'A';
+    CHECK_THROWS_AS(DecodeSessionToken(kKeys, forged), BadTokenError);
+    CHECK_THROWS_AS(DecodeSessionToken(kKeys, token.substr(0, i + 1 == token.size() ? i : i + 1)),
+                    BadTokenError);
+  }
+  const KeyRing foreign("k2", {{"k2", "secret of another system"}});
+  CHECK_THROWS_AS(DecodeSessionToken(foreign, token), BadTokenError);
+  CHECK_THROWS_AS(DecodeSessionToken(kKeys, "not a token!"), BadTokenError);
+}
+
+TEST_CASE("a token of one kind does not pass for another") {
+  const std::string session = EncodeSessionToken(kKeys, MakePositions());
+  CHECK_THROWS_AS(DecodeTransactionToken(kKeys, session), BadTokenError);
+  const std::string transaction = EncodeTransactionToken(kKeys, {});
+  CHECK_THROWS_AS(DecodeSessionToken(kKeys, transaction), BadTokenError);
+}
+
+TEST_CASE("a transaction token carries owner, endpoint and id") {
+  const TransactionToken transaction{"d1", "127.0.0.1:1", "fold-ledger", "portmore",
+                                     "e1", "id-1",        Rank::kUrgent};
+  const TransactionToken copy =
+      DecodeTransactionToken(kKeys, EncodeTransactionToken(kKeys, transaction));
+  CHECK(copy.daemon == "d1");
+  CHECK(copy.address == "127.0.0.1:1");
+  CHECK(copy.service == "fold-ledger");
+  CHECK(copy.site == "portmore");
+  CHECK(copy.endpoint == "e1");
+  CHECK(copy.id == "id-1");
+  CHECK(copy.rank == Rank::kUrgent);
+}
+
+}  // namespace
+}  // namespace poplarmoor
