--- a/daemon/entry_service.cc
+++ b/daemon/entry_service.cc
@@ -5,6 +5,7 @@
 
 #include "daemon/cluster_view.h"
 #include "daemon/entry_exchange.h"
+#include "daemon/in_flight_guard.h"
 #include "daemon/observers.h"
 #include "daemon/statement_router.h"
 #include "kernel/service_settings.h"
@@ -79,18 +80,6 @@
   return std::move(*settings);
 }
 
-/// Counts a request in progress.
-class InFlightGuard {
- public:
-  explicit InFlightGuard(std::atomic<int>* count) : count(count) { ++*this->count; }
-  ~InFlightGuard() { --*this->count; }
-  InFlightGuard(const InFlightGuard&) = delete;
-  InFlightGuard& operator=(const InFlightGuard&) = delete;
-
- private:
-  std::atomic<int>* count;
-};
-
 }  // namespace
 
 EntryService::EntryService(ClusterView* view,
--- a/daemon/owner_service.cc
+++ b/daemon/owner_service.cc
@@ -5,7 +5,9 @@
 
 #include "daemon/cluster_view.h"
 #include "daemon/endpoint_owner.h"
+#include "daemon/in_flight_guard.h"
 #include "daemon/observers.h"
+#include "daemon/refusal.h"
 #include "daemon/write_confirmer.h"
 #include "kernel/group_state.h"
 #include "kernel/service_settings.h"
@@ -21,13 +23,6 @@
 
 constexpr Duration kMaintenance = 20ms;  // Between two rounds.
 
-StatementResult MakeRefusal(Reason reason, std::string message) {
-  StatementResult result;
-  result.reason = reason;
-  result.message = std::move(message);
-  return result;
-}
-
 /// Whether an operation starts something, as opposed to continuing a transaction.
 bool IsNewWork(Operation operation) {
   return operation == Operation::kRead || operation == Operation::kWrite ||
@@ -38,18 +33,6 @@
   return operation == Operation::kWrite || operation == Operation::kCommit;
 }
 
-/// Counts a request in progress.
-class InFlightGuard {
- public:
-  explicit InFlightGuard(std::atomic<int>* count) : count(count) { ++*this->count; }
-  ~InFlightGuard() { --*this->count; }
-  InFlightGuard(const InFlightGuard&) = delete;
-  InFlightGuard& operator=(const InFlightGuard&) = delete;
-
- private:
-  std::atomic<int>* count;
-};
-
 }  // namespace
 
 OwnerService::OwnerService(asio::any_io_executor executor,
@@ -75,6 +58,15 @@
     for (const auto& owner : this->AllOwners()) {
       owner->Maintain();
     }
+    this->confirmers.ForEach([now = Now()](Confirmers& known) {
+      std::erase_if(known, [now](const auto& each) {
+        if (!each.second->IsIdle(now)) {
+          return false;
+        }
+        each.second->Stop();
+        return true;
+      });
+    });
   }
 }
 
--- /dev/null
+++ b/daemon/refusal.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "kernel/statement_result.h"
+
+namespace poplarmoor {
+
+/// @param reason Why the request does not run.
+/// @param message For people.
+/// @returns A result with the verdict kNotRun.
+inline StatementResult MakeRefusal(Reason reason, std::string message) {
+  StatementResult result;
+  result.reason = reason;
+  result.message = std::move(message);
+  return result;
+}
+
+}  // namespace poplarmoor
--- a/daemon/write_confirmer.cc
+++ b/daemon/write_confirmer.cc
@@ -16,6 +16,7 @@
 
 constexpr Duration kPollWait = 500ms;      // Longest wait of one status poll at the replica.
 constexpr Duration kPollTimeout = 1000ms;  // Of the exchange, its wait included.
+constexpr Duration kIdleLimit = 60s;       // Without writes.
 constexpr Duration kPollBackoff = 50ms;    // After a failed poll.
 
 asio::awaitable<void> Pause(Duration duration) {
@@ -45,6 +46,7 @@
   uint64_t current = 0;
   {
     std::lock_guard lock(this->mutex);
+    this->last_used = Now();
     if (new_term < this->term || (new_term == this->term && new_replicas == this->replicas)) {
       return;
     }
@@ -171,9 +173,15 @@
   }
 }
 
+bool WriteConfirmer::IsIdle(TimePoint now) {
+  std::lock_guard lock(this->mutex);
+  return this->waiting.empty() && now - this->last_used > kIdleLimit;
+}
+
 void WriteConfirmer::Stop() {
   std::lock_guard lock(this->mutex);
   ++this->generation;
+  this->replicas.clear();  // A later SetTerm() starts the polls again.
 }
 
 }  // namespace poplarmoor
--- a/daemon/write_confirmer.h
+++ b/daemon/write_confirmer.h
@@ -45,6 +45,11 @@
                                        LogPosition position,
                                        TimePoint deadline);
 
+  /// @param now Present time.
+  /// @returns Whether no write asked for a confirmation for a minute, for example because another
+  ///     daemon owns the primary now.
+  bool IsIdle(TimePoint now);
+
   /// Ends the polls.
   void Stop();
 
@@ -65,6 +70,7 @@
   uint64_t next_id = 1;
   uint64_t term = 0;
   std::vector<EndpointInfo> replicas;
+  TimePoint last_used;
   uint64_t generation = 0;  // Polls of an earlier generation end.
 };
 
