--- a/daemon/write_confirmer.h
+++ b/daemon/write_confirmer.h
@@ -37,10 +37,18 @@
   bool CanConfirm(TimePoint deadline);
 
   /// Waits until enough replicas have received a write.
+  /// @param answer_term Term of the primary when it answered.
   /// @param position Position of the write.
   /// @param deadline Latest time.
   /// @returns Whether it is confirmed.
-  boost::asio::awaitable<bool> Confirm(LogPosition position, TimePoint deadline);
+  boost::asio::awaitable<bool> Confirm(uint64_t answer_term,
+                                       LogPosition position,
+                                       TimePoint deadline);
+
+  /// @param now Present time.
+  /// @returns Whether no write asked for a confirmation for a minute, for example because another
+  ///     daemon owns the primary now.
+  bool IsIdle(TimePoint now);
 
   /// Ends the polls.
   void Stop();
@@ -62,6 +70,7 @@
   uint64_t next_id = 1;
   uint64_t term = 0;
   std::vector<EndpointInfo> replicas;
+  TimePoint last_used;
   uint64_t generation = 0;  // Polls of an earlier generation end.
 };
 
