cli: list the endpoints of all daemons

Cause: a daemon reports only the endpoints that it owns, so one daemon's answer lacked most of them. Change: endpoints asks all daemons and adds the owner's address. Conclusion: the table covers the fleet.

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -55,8 +55,6 @@
   OperatorsClient& Daemons();
   // Waits until all daemons report at least this revision of the configuration.
   ExitCode WaitInForce(uint64_t revision);
-  // Prints the array KEY of the answer of any daemon.
-  ExitCode PrintArray(const std::string& target, const std::string& key);
   // Sends an order to any daemon and reports its answer.
   ExitCode Order(const std::string& target, const std::string& key, const std::string& done);
 
--- a/cli/daemon_commands.cc
+++ b/cli/daemon_commands.cc
@@ -30,6 +30,11 @@
   return message;
 }
 
+// Why a daemon's answer cannot be used.
+std::string NoAnswerMessage(const DaemonAnswer& answer) {
+  return answer.status == 0 ? answer.error : ErrorMessage(answer);
+}
+
 json RequireJson(const DaemonAnswer& answer) {
   if (answer.status != 200) {
     throw CommandError(ExitCode::kFailed, ErrorMessage(answer));
@@ -62,7 +67,7 @@
     if (answer.status != 200 || !row.is_object()) {
       all_answer = false;
       row = {{"state", answer.status == 0 ? "unreachable" : "error"},
-             {"message", answer.status == 0 ? answer.error : ErrorMessage(answer)}};
+             {"message", NoAnswerMessage(answer)}};
     }
     row["address"] = answer.address;
     rows.push_back(std::move(row));
@@ -75,18 +80,37 @@
   return all_answer ? ExitCode::kOk : ExitCode::kFailed;
 }
 
-ExitCode Cli::PrintArray(const std::string& target, const std::string& key) {
-  const json body = RequireJson(this->Daemons().AskAny("GET", target));
-  PrintRows(body.value(key, json::array()), {}, this->options.output, this->out);
-  return ExitCode::kOk;
-}
-
 ExitCode Cli::Services() {
-  return this->PrintArray("/v1/services", "services");
+  const json body = RequireJson(this->Daemons().AskAny("GET", "/v1/services"));
+  PrintRows(body.value("services", json::array()),
+            {"service", "pool", "term", "phase", "primary", "slots", "connections", "routing",
+             "admission", "acknowledge"},
+            this->options.output, this->out);
+  return ExitCode::kOk;
 }
 
 ExitCode Cli::Endpoints() {
-  return this->PrintArray("/v1/endpoints", "endpoints");
+  // A daemon reports the endpoints that it owns, so only all daemons together know all endpoints.
+  const auto answers = this->Daemons().AskAll("/v1/endpoints");
+  RequireAnyAnswer(answers);
+  json rows = json::array();
+  bool all_answer = true;
+  for (const DaemonAnswer& answer : answers) {
+    if (answer.status != 200) {
+      all_answer = false;
+      this->err << "poplarmoor: " << NoAnswerMessage(answer) << "\n";
+      continue;
+    }
+    for (json row : RequireJson(answer).value("endpoints", json::array())) {
+      row["owner"] = answer.address;
+      rows.push_back(std::move(row));
+    }
+  }
+  PrintRows(rows,
+            {"endpoint", "owner", "address", "running", "slots", "connections", "idle",
+             "transactions", "waiting"},
+            this->options.output, this->out);
+  return all_answer ? ExitCode::kOk : ExitCode::kFailed;
 }
 
 ExitCode Cli::Order(const std::string& target, const std::string& key, const std::string& done) {
@@ -173,8 +197,7 @@
   for (const DaemonAnswer& answer : answers) {
     if (answer.status != 200) {
       all_answer = false;
-      this->err << "poplarmoor: " << (answer.status == 0 ? answer.error : ErrorMessage(answer))
-                << "\n";
+      this->err << "poplarmoor: " << NoAnswerMessage(answer) << "\n";
       continue;
     }
     by_daemon[answer.address] = answer.body;
