--- a/daemon/control_plane.cc
+++ b/daemon/control_plane.cc
@@ -3,11 +3,14 @@
 #include <boost/asio.hpp>
 #include <chrono>
 #include <functional>
+#include <nlohmann/json.hpp>
 #include <random>
 
 #include "config/daemon_settings.h"
 #include "config/units.h"
 #include "daemon/platform_watcher.h"
+#include "kernel/trace_id.h"
+#include "net/endpoint_driver.h"
 #include "net/now.h"
 #include "net/platform_client.h"
 #include "telemetry/log.h"
@@ -42,12 +45,13 @@
                            const DaemonSettings& settings,
                            PlatformClient* platform,
                            PeerNetwork* peers,
-                           EndpointDriver* driver)
+                           std::unique_ptr<EndpointDriver> driver)
     : executor(executor),
       daemon(settings.daemon),
       platform(platform),
       peers(peers),
-      endpoints(executor, driver),
+      driver(std::move(driver)),
+      endpoints(executor, this->driver.get()),
       control(settings, settings.listen.peers, MakeIncarnation(), MakeSeed()) {
   this->watcher = std::make_shared<PlatformWatcher>(
       executor, platform, &this->control,
@@ -309,20 +313,62 @@
   }
 }
 
-bool ControlPlane::Promote(const std::string& service) {
+// --- ClusterOperations --------------------------------------------------------------------------
+
+std::vector<Member> ControlPlane::Members() const {
+  return this->control.Members();
+}
+
+uint64_t ControlPlane::ConfigRevision() const {
+  return this->control.ConfigRevision();
+}
+
+std::string ControlPlane::ConfigDigest() const {
+  return FormatHex64(this->control.ConfigHash());
+}
+
+std::string ControlPlane::ConfigJson() const {
+  nlohmann::json units = nlohmann::json::array();
+  for (const ConfigUnit& unit : this->control.UnitsOf(UnitKind::kConfig)) {
+    units.push_back({{"name", unit.name},
+                     {"version", unit.version},
+                     {"revision", unit.revision},
+                     {"value", nlohmann::json::parse(unit.content, nullptr, false)}});
+  }
+  return units.dump();
+}
+
+asio::awaitable<void> ControlPlane::Drain(std::string endpoint) {
+  const std::optional<ConfigUnit> known = this->control.FindUnit(UnitKind::kVm, endpoint);
+  if (!this->control.TakePlatformCall(/*urgent=*/true, Now())) {
+    throw std::runtime_error("the platform cannot be called now; try again later");
+  }
+  const std::string value =
+      nlohmann::json{{"name", endpoint}, {"state", "leaving"}, {"drained", true}}.dump();
+  try {
+    const PlatformObject stored =
+        co_await this->platform->Put("vm", endpoint, value, known ? known->version : 0);
+    this->control.OnPlatformAnswer(true, Now());
+    const ConfigUnit unit{UnitKind::kVm, endpoint, stored.version, stored.revision, value};
+    this->Perform(this->control.Publish({unit}, Now()));
+  } catch (const PlatformError& error) {
+    this->control.OnPlatformAnswer(error.failure == PlatformFailure::kConflict, Now());
+    throw;
+  }
+}
+
+asio::awaitable<void> ControlPlane::Promote(std::string service) {
   if (!this->control.FindGroup(service)) {
-    return false;
+    throw std::runtime_error("no group is known for service '" + service + "'");
   }
-  for (const PeerInfo& monitor : this->control.MonitorsOf(service)) {
-    if (monitor.daemon == this->daemon) {
-      this->OnGroup(service, [](GroupControl& group) {
-        group.failover.Start(FailoverCause::kOperator, Now());
-      });
-      return true;
-    }
+  bool started = false;
+  this->OnGroup(service, [&started](GroupControl& group) {
+    started = group.failover.Start(FailoverCause::kOperator, Now());
+  });
+  if (!started) {
+    this->TellMonitors("promote", service, "");
   }
-  this->TellMonitors("promote", service, "");
-  return true;
+  co_return;
 }
 
 }  // namespace poplarmoor
--- a/daemon/control_plane.h
+++ b/daemon/control_plane.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "daemon/cluster_operations.h"
 #include "daemon/cluster_view.h"
 #include "daemon/control_state.h"
 #include "daemon/endpoint_control.h"
@@ -25,18 +26,20 @@
 
 /// Runs the control decisions of one daemon: gossip, configuration, probes, promotions, and the
 /// watch of the platform. Thread-safe.
-class ControlPlane : public ClusterView, public std::enable_shared_from_this<ControlPlane> {
+class ControlPlane : public ClusterView,
+                     public ClusterOperations,
+                     public std::enable_shared_from_this<ControlPlane> {
  public:
   /// @param executor Executor of the I/O threads.
   /// @param settings Settings of the daemon; listen.peers is the address that others use.
   /// @param platform Client of the platform; must outlive this object.
   /// @param peers Network to the other daemons; must outlive this object.
-  /// @param driver Makes connections to endpoints; must outlive this object.
+  /// @param driver Makes connections to endpoints.
   ControlPlane(boost::asio::any_io_executor executor,
                const DaemonSettings& settings,
                PlatformClient* platform,
                PeerNetwork* peers,
-               EndpointDriver* driver);
+               std::unique_ptr<EndpointDriver> driver);
   ~ControlPlane() override;
 
   /// Sets the handlers of the control messages. Call before PeerNetwork::Listen().
@@ -51,11 +54,6 @@
   /// Announces that this daemon stops, and ends all loops.
   void Stop();
 
-  /// Starts a promotion on an operator's order.
-  /// @param service Exact name of a service.
-  /// @returns Whether this daemon, or a monitor that was told, knows the group.
-  bool Promote(const std::string& service);
-
   std::vector<PeerInfo> OwnersOf(const EndpointInfo& endpoint) const override;
   std::optional<GroupState> FindGroup(const std::string& service) const override;
   std::optional<ServiceSettings> FindSettings(const std::string& service,
@@ -64,8 +62,12 @@
   void ReportSuspicion(const std::string& service, const std::string& endpoint) override;
   void ReportHigherTerm(const std::string& service, uint64_t term) override;
 
-  /// @returns The decisions, for the operators' API.
-  ControlState& state() { return this->control; }
+  std::vector<Member> Members() const override;
+  uint64_t ConfigRevision() const override;
+  std::string ConfigDigest() const override;
+  std::string ConfigJson() const override;
+  boost::asio::awaitable<void> Drain(std::string endpoint) override;
+  boost::asio::awaitable<void> Promote(std::string service) override;
 
  private:
   using Handler = boost::asio::awaitable<PeerMessage> (ControlPlane::*)(std::string, PeerMessage);
@@ -106,6 +108,7 @@
   std::string daemon;
   PlatformClient* platform;
   PeerNetwork* peers;
+  std::unique_ptr<EndpointDriver> driver;
   EndpointControl endpoints;
   ControlState control;
   std::shared_ptr<PlatformWatcher> watcher;
--- a/daemon/control_state.cc
+++ b/daemon/control_state.cc
@@ -385,4 +385,9 @@
   return this->store.hash();
 }
 
+uint64_t ControlState::ConfigRevision() const {
+  std::lock_guard lock(this->mutex);
+  return this->store.RevisionOf(UnitKind::kConfig);
+}
+
 }  // namespace poplarmoor
--- a/daemon/control_state.h
+++ b/daemon/control_state.h
@@ -88,6 +88,7 @@
   std::vector<ConfigUnit> UnitsOf(UnitKind kind) const;
   std::vector<Member> Members() const;
   uint64_t ConfigHash() const;
+  uint64_t ConfigRevision() const;
 
  private:
   void Collect(ControlWork* work, TimePoint now);
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 
+#include "daemon/control_plane.h"
 #include "daemon/entry_service.h"
 #include "daemon/owner_service.h"
-#include "daemon/polling_cluster_view.h"
 #include "daemon/statement_router.h"
 #include "net/endpoint_driver.h"
 #include "net/http_message.h"
@@ -29,16 +29,6 @@
                               : std::max(1, static_cast<int>(std::thread::hardware_concurrency()));
 }
 
-std::vector<PeerInfo> MakePeers(const DaemonSettings& settings) {
-  std::vector<PeerInfo> peers{{settings.daemon, settings.listen.peers, settings.failure_domain}};
-  for (const SeedPeer& seed : settings.seed_peers) {
-    if (seed.daemon != settings.daemon) {
-      peers.push_back({seed.daemon, seed.address, seed.failure_domain});
-    }
-  }
-  return peers;
-}
-
 }  // namespace
 
 Daemon::Daemon(DaemonSettings settings, const KeySet& keys, std::string operator_token)
@@ -54,7 +44,8 @@
       peers(this->context.get_executor(), this->settings.daemon, &this->keys) {
   const asio::any_io_executor executor = this->context.get_executor();
   this->cluster =
-      std::make_shared<PollingClusterView>(executor, &this->platform, MakePeers(this->settings));
+      std::make_shared<ControlPlane>(executor, this->settings, &this->platform, &this->peers,
+                                     Registry<EndpointDriver>::Create("http"));
   this->owner = std::make_shared<OwnerService>(executor, this->cluster.get(),
                                                Registry<EndpointDriver>::Create("http"));
   this->router = std::make_shared<StatementRouter>(this->settings.daemon, this->cluster.get(),
@@ -81,6 +72,7 @@
 }
 
 void Daemon::ServePeers() {
+  this->cluster->SetHandlers();
   this->peers.SetHandler(
       "forward",
       [owner = this->owner](std::string, PeerMessage message) -> asio::awaitable<PeerMessage> {
@@ -133,6 +125,7 @@
   this->running = false;
   const auto limit = Clock::now() + this->settings.limits.stop_limit;
   Log(LogLevel::kInfo, "daemon is stopping", {{"in_flight", this->entry->InFlight()}});
+  this->cluster->Leave();
   this->entry->Drain();
   this->owner->Drain();
   const auto unready = std::min(Clock::now() + kUnreadyTime, limit);
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -24,7 +24,7 @@
 class EntryService;
 class HttpServer;
 class OwnerService;
-class PollingClusterView;
+class ControlPlane;
 class StatementRouter;
 
 /// One daemon: its threads, listeners and roles.
@@ -56,7 +56,7 @@
   std::string operators_address() const;
 
   /// @returns The control plane.
-  PollingClusterView& view() { return *this->cluster; }
+  ControlPlane& view() { return *this->cluster; }
 
  private:
   bool IsIdle() const;
@@ -78,7 +78,7 @@
   HttpClient http;
   PlatformClient platform;
   PeerNetwork peers;
-  std::shared_ptr<PollingClusterView> cluster;
+  std::shared_ptr<ControlPlane> cluster;
   std::shared_ptr<OwnerService> owner;
   std::shared_ptr<StatementRouter> router;
   std::shared_ptr<EntryService> entry;
--- a/daemon/platform_watcher.cc
+++ b/daemon/platform_watcher.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 #include "daemon/control_state.h"
 #include "net/now.h"
@@ -54,10 +55,10 @@
 
 asio::awaitable<void> PlatformWatcher::WatchKind(UnitKind kind) {
   const std::string name(kUnitKindNames.NameOf(kind));
-  uint64_t since = 0;
+  std::optional<uint64_t> since;
   while (!this->stopped) {
     if (!this->state->WatcherRank()) {
-      since = 0;  // What was missed meanwhile is read by a list, not by a watch.
+      since.reset();  // What was missed meanwhile is read by a list, not by a watch.
       co_await Sleep(kRoleCheck);
       continue;
     }
@@ -67,10 +68,10 @@
     }
     try {
       PlatformSnapshot snapshot;
-      if (since == 0) {
+      if (!since) {
         snapshot = co_await this->platform->List(name);
       } else {
-        snapshot = co_await this->platform->Watch(name, since, this->watch);
+        snapshot = co_await this->platform->Watch(name, *since, this->watch);
       }
       this->state->OnPlatformAnswer(true, Now());
       since = snapshot.revision;
