Replace a primary that was restarted and lost its role

It answers, so that no probe is missed, and it refuses the promotion of its term, because its log does not end where the term started: writes would wait for ever.

--- a/kernel/failure_detector.cc
+++ b/kernel/failure_detector.cc
@@ -29,6 +29,7 @@
   if (group.primary != this->group.primary || group.term != this->group.term) {
     this->stalled_since.reset();
     this->leaving_since.reset();
+    this->misplaced_since.reset();
   }
   this->group = group;
   std::erase_if(this->endpoints, [&group](const auto& entry) {
@@ -77,6 +78,7 @@
     }
   }
   this->CheckReplication(now);
+  this->CheckRole(now);
   this->CheckLeaving(now);
 }
 
@@ -91,12 +93,11 @@
   evidence->refused = false;
   evidence->down = false;
   evidence->confirming = false;  // An answer, however late, ends the suspicion.
-  // Late answers may overtake each other; positions of one term only grow.
-  const bool older =
-      evidence->status &&
-      (status.term < evidence->status->term ||
-       (status.term == evidence->status->term && status.received < evidence->status->received));
-  if (!older || status.term != evidence->status->term) {
+  // Late answers may overtake each other; within a role, the position only grows.
+  const bool overtaken = evidence->status && status.term == evidence->status->term &&
+                         status.is_primary == evidence->status->is_primary &&
+                         status.received != 0 && status.received < evidence->status->received;
+  if (!overtaken) {
     evidence->status = status;
   }
   this->CheckReplication(now);
@@ -238,6 +239,23 @@
   }
 }
 
+void FailureDetector::CheckRole(TimePoint now) {
+  // A primary that was restarted answers, but not as primary. It refuses the promotion of its term,
+  // because its log does not end where the term started.
+  const EndpointStatus* status = this->StatusOf(this->group.primary);
+  if (this->group.phase != GroupPhase::kServing || status == nullptr ||
+      (status->is_primary && status->term >= this->group.term)) {
+    this->misplaced_since.reset();
+    return;
+  }
+  if (!this->misplaced_since) {
+    this->misplaced_since = now;
+  } else if (now - *this->misplaced_since >= this->options.role_period &&
+             this->Find(this->group.primary)->answered > *this->misplaced_since) {
+    this->Declare(FailoverCause::kGone, now);
+  }
+}
+
 void FailureDetector::CheckLeaving(TimePoint now) {
   const auto primary =
       std::find_if(this->group.endpoints.begin(), this->group.endpoints.end(),
--- a/kernel/failure_detector.h
+++ b/kernel/failure_detector.h
@@ -51,6 +51,7 @@
   int missed_probes = 2;               // In a row, that raise a suspicion.
   Duration confirm_timeout = 1000ms;   // For the fresh connection and for the second daemon.
   Duration stall_period = 1000ms;      // Without progress of replication.
+  Duration role_period = 1500ms;       // Until a primary that lost its role is replaced.
   Duration declare_interval = 1000ms;  // Between two confirmations for one endpoint.
   Duration leaving_patience = 2000ms;  // For the statements that run at a leaving primary.
   size_t max_observers = 3;            // Observers asked in one confirmation.
@@ -119,6 +120,7 @@
   void Suspect(const std::string& endpoint, Evidence* evidence, TimePoint now);
   void Conclude(const std::string& endpoint, Evidence* evidence, TimePoint now);
   void CheckReplication(TimePoint now);
+  void CheckRole(TimePoint now);
   void CheckLeaving(TimePoint now);
   std::optional<uint64_t> ConfirmedIndex(TimePoint now) const;
   void Add(DetectorActionKind kind, const std::string& endpoint);
@@ -127,9 +129,10 @@
   FailureDetectorOptions options;
   GroupState group;
   std::map<std::string, Evidence> endpoints;
-  std::optional<TimePoint> stalled_since;  // Writes are unconfirmed without progress since then.
-  uint64_t stalled_index = 0;              // Highest confirmed index at that time.
-  std::optional<TimePoint> leaving_since;  // The primary is known to be leaving since then.
+  std::optional<TimePoint> stalled_since;    // Writes are unconfirmed without progress since then.
+  uint64_t stalled_index = 0;                // Highest confirmed index at that time.
+  std::optional<TimePoint> leaving_since;    // The primary is known to be leaving since then.
+  std::optional<TimePoint> misplaced_since;  // The primary answers in another role since then.
   TimePoint next_declare;
   std::vector<DetectorAction> actions;
 };
--- a/tests/kernel/failure_detector_test.cc
+++ b/tests/kernel/failure_detector_test.cc
@@ -155,6 +155,25 @@
   }
 }
 
+TEST_CASE("a primary that was restarted and lost its role is replaced, or writes wait for ever") {
+  for (const bool told_in_time : {false, true}) {
+    Fixture fixture;
+    fixture.Run(5s, [&](const DetectorAction& action) {
+      EndpointStatus status = MakeStatus(action.endpoint, 7);
+      if (action.endpoint == "e0" && (!told_in_time || fixture.now - kStart < 1s)) {
+        status.is_primary = false;
+        status.term = 0;
+        status.received = 0;
+      }
+      fixture.detector.OnStatus(status, fixture.now);
+    });
+    CHECK(fixture.declared.empty() == told_in_time);
+    if (!fixture.declared.empty()) {
+      CHECK(fixture.declared[0] == FailoverCause::kGone);
+    }
+  }
+}
+
 TEST_CASE("an idle group with equal positions is never declared stalled") {
   Fixture fixture;
   fixture.Run(20s, [&](const DetectorAction& action) {
