--- a/daemon/platform_watcher.cc
+++ b/daemon/platform_watcher.cc
@@ -18,6 +18,10 @@
 constexpr std::chrono::milliseconds kCheck{100};      // Between looks at the budget.
 constexpr std::chrono::milliseconds kRoleCheck{500};  // Between looks at the watcher role.
 
+// Wait of the first watch after a failure. While the circuit breaker waits for the outcome of this
+// call, it admits no other, not even that of a promotion.
+constexpr std::chrono::milliseconds kTrialWait{50};
+
 ConfigUnit ToUnit(UnitKind kind, const PlatformObject& object) {
   return {kind, object.name, object.version, object.revision, object.value};
 }
@@ -56,6 +60,7 @@
 asio::awaitable<void> PlatformWatcher::WatchKind(UnitKind kind) {
   const std::string name(kUnitKindNames.NameOf(kind));
   std::optional<uint64_t> since;
+  bool failed = false;  // The newest call failed.
   while (!this->stopped) {
     if (!this->state->WatcherRank()) {
       since.reset();  // What was missed meanwhile is read by a list, not by a watch.
@@ -71,9 +76,10 @@
       if (!since) {
         snapshot = co_await this->platform->List(name);
       } else {
-        snapshot = co_await this->platform->Watch(name, *since, this->watch);
+        snapshot = co_await this->platform->Watch(name, *since, failed ? kTrialWait : this->watch);
       }
       this->state->OnPlatformAnswer(true, Now());
+      failed = false;
       since = snapshot.revision;
       std::vector<ConfigUnit> units;
       for (const PlatformObject& object : snapshot.objects) {
@@ -82,6 +88,7 @@
       this->publish(std::move(units));
     } catch (const PlatformError& error) {
       this->state->OnPlatformAnswer(false, Now());
+      failed = true;
       Log(LogLevel::kWarn, "cannot watch the platform", {{"kind", name}, {"error", error.what()}});
     }
   }
