--- a/daemon/platform_watcher.cc
+++ b/daemon/platform_watcher.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 #include "daemon/control_state.h"
 #include "net/now.h"
@@ -17,6 +18,10 @@
 constexpr std::chrono::milliseconds kCheck{100};      // Between looks at the budget.
 constexpr std::chrono::milliseconds kRoleCheck{500};  // Between looks at the watcher role.
 
+// Wait of the first watch after a failure. While the circuit breaker waits for the outcome of this
+// call, it admits no other, not even that of a promotion.
+constexpr std::chrono::milliseconds kTrialWait{50};
+
 ConfigUnit ToUnit(UnitKind kind, const PlatformObject& object) {
   return {kind, object.name, object.version, object.revision, object.value};
 }
@@ -54,10 +59,11 @@
 
 asio::awaitable<void> PlatformWatcher::WatchKind(UnitKind kind) {
   const std::string name(kUnitKindNames.NameOf(kind));
-  uint64_t since = 0;
+  std::optional<uint64_t> since;
+  bool failed = false;  // The newest call failed.
   while (!this->stopped) {
     if (!this->state->WatcherRank()) {
-      since = 0;  // What was missed meanwhile is read by a list, not by a watch.
+      since.reset();  // What was missed meanwhile is read by a list, not by a watch.
       co_await Sleep(kRoleCheck);
       continue;
     }
@@ -67,12 +73,13 @@
     }
     try {
       PlatformSnapshot snapshot;
-      if (since == 0) {
+      if (!since) {
         snapshot = co_await this->platform->List(name);
       } else {
-        snapshot = co_await this->platform->Watch(name, since, this->watch);
+        snapshot = co_await this->platform->Watch(name, *since, failed ? kTrialWait : this->watch);
       }
       this->state->OnPlatformAnswer(true, Now());
+      failed = false;
       since = snapshot.revision;
       std::vector<ConfigUnit> units;
       for (const PlatformObject& object : snapshot.objects) {
@@ -81,6 +88,7 @@
       this->publish(std::move(units));
     } catch (const PlatformError& error) {
       this->state->OnPlatformAnswer(false, Now());
+      failed = true;
       Log(LogLevel::kWarn, "cannot watch the platform", {{"kind", name}, {"error", error.what()}});
     }
   }
