--- a/tests/daemon/daemon_test.cc
+++ b/tests/daemon/daemon_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "daemon/control_plane.h"
 #include "daemon/polling_cluster_view.h"
 #include "net/address.h"
 #include "net/http_connection.h"
