Make strands over the io_context's own executor

Cause: each handler passed two levels of type erasure, the strand's and that of the executor below. Change: MakeStrand() builds strands over io_context::executor_type.

--- a/daemon/endpoint_owner_work.cc
+++ b/daemon/endpoint_owner_work.cc
@@ -7,6 +7,7 @@
 #include "net/endpoint_driver.h"
 #include "net/now.h"
 #include "net/random_bits.h"
+#include "net/strand.h"
 
 namespace poplarmoor {
 
@@ -119,7 +120,7 @@
   }
   for (const ConnectionId id : work.open) {
     asio::co_spawn(
-        asio::make_strand(this->executor),
+        MakeStrand(this->executor),
         [self = this->shared_from_this(), id] { return self->OpenConnection(id); }, asio::detached);
   }
   for (auto& [waiter, grant] : work.grants) {
--- a/daemon/owner_service.cc
+++ b/daemon/owner_service.cc
@@ -13,6 +13,7 @@
 #include "kernel/service_settings.h"
 #include "net/endpoint_driver.h"
 #include "net/now.h"
+#include "net/strand.h"
 #include "telemetry/span.h"
 
 namespace poplarmoor {
@@ -45,8 +46,8 @@
 
 void OwnerService::Start() {
   asio::co_spawn(
-      asio::make_strand(this->executor),
-      [self = this->shared_from_this()] { return self->Maintain(); }, asio::detached);
+      MakeStrand(this->executor), [self = this->shared_from_this()] { return self->Maintain(); },
+      asio::detached);
 }
 
 asio::awaitable<void> OwnerService::Maintain() {
--- a/daemon/polling_cluster_view.cc
+++ b/daemon/polling_cluster_view.cc
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 
 #include "net/platform_client.h"
+#include "net/strand.h"
 #include "telemetry/log.h"
 #include "wire/json_fields.h"
 
@@ -59,7 +60,7 @@
 
 void PollingClusterView::Start() {
   asio::co_spawn(
-      asio::make_strand(this->executor), [self = this->shared_from_this()] { return self->Poll(); },
+      MakeStrand(this->executor), [self = this->shared_from_this()] { return self->Poll(); },
       asio::detached);
 }
 
--- a/daemon/write_confirmer.cc
+++ b/daemon/write_confirmer.cc
@@ -6,6 +6,7 @@
 #include "net/endpoint_connection.h"
 #include "net/endpoint_driver.h"
 #include "net/now.h"
+#include "net/strand.h"
 #include "telemetry/log.h"
 
 namespace poplarmoor {
@@ -60,7 +61,7 @@
   this->Finish(abandoned, false);
   for (const EndpointInfo& replica : new_replicas) {
     asio::co_spawn(
-        asio::make_strand(this->executor),
+        MakeStrand(this->executor),
         [self = this->shared_from_this(), replica, current] {
           return self->Poll(replica, current);
         },
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -4,6 +4,7 @@
 
 #include "net/http_connection.h"
 #include "net/http_message.h"
+#include "net/strand.h"
 
 namespace poplarmoor {
 
@@ -41,7 +42,7 @@
   auto connection = this->TakeIdle(address);
   const bool reused = connection != nullptr;
   if (!reused) {
-    connection = std::make_unique<HttpConnection>(asio::make_strand(this->executor), address);
+    connection = std::make_unique<HttpConnection>(MakeStrand(this->executor), address);
     co_await connection->Connect(timeout);
   }
   bool again = false;
@@ -55,7 +56,7 @@
     again = true;
   }
   if (again) {
-    connection = std::make_unique<HttpConnection>(asio::make_strand(this->executor), address);
+    connection = std::make_unique<HttpConnection>(MakeStrand(this->executor), address);
     co_await connection->Connect(timeout);
     response = co_await connection->Exchange(request, timeout);
   }
--- a/net/http_endpoint_driver.cc
+++ b/net/http_endpoint_driver.cc
@@ -1,8 +1,7 @@
 #include "net/http_endpoint_driver.h"
 
-#include <boost/asio/strand.hpp>
-
 #include "net/http_endpoint_connection.h"
+#include "net/strand.h"
 
 namespace poplarmoor {
 
@@ -14,7 +13,7 @@
 std::shared_ptr<EndpointConnection> HttpEndpointDriver::MakeConnection(
     boost::asio::any_io_executor executor,
     std::string address) {
-  return std::make_shared<HttpEndpointConnection>(boost::asio::make_strand(executor), address);
+  return std::make_shared<HttpEndpointConnection>(MakeStrand(executor), address);
 }
 
 }  // namespace poplarmoor
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -8,6 +8,7 @@
 
 #include "net/address.h"
 #include "net/http_message.h"
+#include "net/strand.h"
 
 namespace poplarmoor {
 
@@ -73,7 +74,7 @@
 asio::awaitable<void> HttpServer::Accept() {
   while (!this->stopping) {
     boost::system::error_code error;
-    tcp::socket socket(asio::make_strand(this->executor));
+    tcp::socket socket(MakeStrand(this->executor));
     co_await this->acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
     if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
       co_return;
--- a/net/peer_network.cc
+++ b/net/peer_network.cc
@@ -12,6 +12,7 @@
 #include "net/one_shot.h"
 #include "net/peer_connection.h"
 #include "net/peer_frame.h"
+#include "net/strand.h"
 #include "telemetry/log.h"
 
 namespace poplarmoor {
@@ -65,7 +66,7 @@
       : executor(executor),
         daemon(std::move(daemon)),
         keys(keys),
-        acceptor(asio::make_strand(executor)),
+        acceptor(MakeStrand(executor)),
         idle_timer(this->acceptor.get_executor()) {}
 
   asio::awaitable<void> AcceptLoop();
@@ -153,7 +154,7 @@
 asio::awaitable<void> PeerNetwork::Impl::AcceptLoop() {
   while (!this->stopping) {
     boost::system::error_code error;
-    tcp::socket socket(asio::make_strand(this->executor));
+    tcp::socket socket(MakeStrand(this->executor));
     co_await this->acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
     if (this->stopping || error == asio::error::operation_aborted) {
       co_return;
@@ -242,8 +243,8 @@
     peer = cached = std::make_shared<OutgoingPeer>();
     peer->address = address;
     peer->last_used = Now();
-    peer->connection = std::make_shared<PeerConnection>(
-        tcp::socket(asio::make_strand(this->executor)), this->traffic);
+    peer->connection =
+        std::make_shared<PeerConnection>(tcp::socket(MakeStrand(this->executor)), this->traffic);
   }
   asio::co_spawn(
       peer->connection->executor(),
--- /dev/null
+++ b/net/strand.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace poplarmoor {
+
+/// Makes a strand. A strand over the io_context's own executor type saves one level of type erasure
+/// on every handler, compared with a strand over any_io_executor.
+/// @param executor Executor of the I/O threads.
+/// @returns A new strand.
+inline boost::asio::any_io_executor MakeStrand(const boost::asio::any_io_executor& executor) {
+  using ContextExecutor = boost::asio::io_context::executor_type;
+  if (const auto* context = executor.target<ContextExecutor>()) {
+    return boost::asio::make_strand(*context);
+  }
+  return boost::asio::make_strand(executor);
+}
+
+}  // namespace poplarmoor
--- a/wire/caller_codec.cc
+++ b/wire/caller_codec.cc
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr size_t kMaxToken = 16 << 10;                    // Bytes of a token.
-constexpr uint64_t kMaxStaleness = 7 * 24 * 3600 * 1000;  // Milliseconds: one week.
+constexpr size_t kMaxToken = size_t{16} << 10;   // Bytes of a token.
+constexpr uint64_t kMaxStaleness = 604'800'000;  // Milliseconds: one week.
 constexpr uint64_t kMaxSequence = 1'000'000;
 
 /// Kinds of statements, as callers name them.
