kernel: check the request machine's verdict in random runs

Cause: the verdict rule covers orders of answers that no single test lists. Change: a property test drives the machine with random answers, losses, timers and promotions and compares its verdict with what each attempt was told; a matrix test requires that reads and repeatable writes run despite any single fault that heals within their deadline.

--- a/tests/kernel/fault_matrix_test.cc
+++ b/tests/kernel/fault_matrix_test.cc
@@ -320,6 +320,16 @@
   }
 }
 
+TEST_CASE("reads and repeatable writes run despite any fault that heals in time", "[matrix]") {
+  for (const Target target : {Target::kRead, Target::kWrite}) {
+    for (const FaultAt& fault : AllFaults()) {
+      const Cell cell(target, kDeadlines[0], {fault}, Weakness());
+      INFO(NameOf(target, {fault}));
+      CHECK(kVerdictNames.NameOf(cell.TargetCall().result.verdict) == "ran");
+    }
+  }
+}
+
 TEST_CASE("single faults break no promise", "[matrix]") {
   const Outcome outcome = RunMatrix(Weakness(), false);
   Print("single faults", outcome);
--- a/tests/kernel/request_machine_test.cc
+++ b/tests/kernel/request_machine_test.cc
@@ -1,5 +1,6 @@
 #include "kernel/request_machine.h"
 
+#include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
 #include "tests/kernel/fixtures.h"
@@ -213,5 +214,69 @@
   CHECK(action.endpoint != first);
 }
 
+/// Drives a request with random answers, failures, timers and promotions until it is answered, and
+/// compares the verdict with what each attempt was told.
+void CheckRandomRun(const std::vector<uint16_t>& steps,
+                    Operation operation,
+                    bool repeatable,
+                    bool records_ids) {
+  MachineFixture fixture(operation, repeatable, records_ids);
+  const bool is_read = operation == Operation::kRead;
+  const bool may_repeat = is_read || (operation == Operation::kWrite && repeatable && records_ids);
+  std::map<int, Verdict> attempts;  // kMayHaveRun until a refusal arrives.
+  uint64_t term = 1;
+  int sends = 0;
+  RequestAction action = fixture.Start();
+  for (size_t i = 0; action.kind != Kind::kAnswer; ++i) {
+    const uint16_t step = i < steps.size() ? steps[i] : 0;
+    if (action.kind == Kind::kSend) {
+      const bool unresolved = std::any_of(attempts.begin(), attempts.end(), [](const auto& each) {
+        return each.second == Verdict::kMayHaveRun;
+      });
+      RC_ASSERT(may_repeat || !unresolved);
+      attempts[action.attempt] = Verdict::kMayHaveRun;
+      ++sends;
+    }
+    const int attempt = attempts.empty() ? 0 : 1 + step / 8 % static_cast<int>(attempts.size());
+    fixture.now += step % 16;
+    if (step % 8 == 1) {
+      fixture.group.SetState(MakeGroup(++term, step % 64 < 48 ? "b" : ""));
+      action = fixture.TimerAt(At(fixture.now));
+    } else if (step % 8 < 3 || attempt == 0) {
+      action = fixture.TimerAt(std::max(action.until, At(fixture.now)));
+    } else if (step % 8 == 3) {
+      attempts[attempt] =
+          attempts[attempt] == Verdict::kNotRun ? Verdict::kNotRun : Verdict::kMayHaveRun;
+      action = fixture.machine.OnSendFailed(attempt, true, fixture.Context());
+    } else if (step % 8 < 7) {
+      const Reason reason = kReasonNames.rows[1 + step / 8 % (kReasonNames.rows.size() - 1)].first;
+      attempts[attempt] = Verdict::kNotRun;
+      action = fixture.Answer(attempt, Verdict::kNotRun, reason, step % 3 * 50);
+      if (reason == Reason::kRequestIdReused && action.kind == Kind::kAnswer) {
+        return;  // Definite for all attempts.
+      }
+    } else {
+      attempts[attempt] = Verdict::kRan;
+      action = fixture.Answer(attempt, Verdict::kRan, Reason::kNone);
+    }
+    RC_ASSERT(i < steps.size() + 1000);  // The deadline ends every request.
+  }
+  Verdict truth = Verdict::kNotRun;
+  for (const auto& [attempt, verdict] : attempts) {
+    truth = truth == Verdict::kRan || verdict == Verdict::kNotRun ? truth : verdict;
+  }
+  RC_ASSERT(action.result.verdict == truth);
+  RC_ASSERT(fixture.machine.Attempts() == sends);
+}
+
+TEST_CASE("the verdict is never better than what the attempts allow") {
+  CHECK(rc::check(
+      "random runs", [](const std::vector<uint16_t>& steps, bool repeatable, bool records_ids) {
+        for (Operation operation : {Operation::kRead, Operation::kWrite, Operation::kCommit}) {
+          CheckRandomRun(steps, operation, repeatable, records_ids);
+        }
+      }));
+}
+
 }  // namespace
 }  // namespace poplarmoor
