Wait for the replicas before the test stops the primary

The test stopped the primary 40 ms after the start. The replicas had not caught up once and therefore granted no term, which is what they must do.

--- a/daemon/control_plane_group.cc
+++ b/daemon/control_plane_group.cc
@@ -115,7 +115,9 @@
 // --- Promotions ---------------------------------------------------------------------------------
 
 void ControlPlane::Perform(const std::string& service, const FailoverAction& action) {
-  Log(LogLevel::kInfo, "failover step",
+  // An endpoint of an empty group is told again and again whom to follow.
+  const bool frequent = action.kind == FailoverActionKind::kFollow;
+  Log(frequent ? LogLevel::kDebug : LogLevel::kInfo, "failover step",
       {{"service", service},
        {"action", kFailoverActionKindNames.NameOf(action.kind)},
        {"endpoint", action.endpoint.name},
--- a/tests/daemon/control_plane_test.cc
+++ b/tests/daemon/control_plane_test.cc
@@ -142,6 +142,14 @@
                        [](const auto& node) { return node->plane->Members().size() == 3; });
   }));
 
+  // A replica votes only after it has caught up with the primary once.
+  REQUIRE(WaitFor([&] {
+    return std::all_of(fleet.endpoints.begin() + 1, fleet.endpoints.end(), [](const auto& each) {
+      const json status = json::parse(each->Call("POST", "/v1/status", "{}").body);
+      return status.value("staleness_ms", int64_t{1} << 40) < 1000;
+    });
+  }));
+
   // Failure: a promotion that is recorded but not known everywhere sends writes to a dead primary.
   fleet.endpoints[0]->Stop();
   REQUIRE(WaitFor([&] {
