--- a/daemon/control_state.cc
+++ b/daemon/control_state.cc
@@ -79,7 +79,7 @@
     }
   }
   this->membership.SetSeeds(std::move(seeds));
-  this->ownership.Update(this->membership.self());
+  this->ownership.Update(this->membership.Self());
 }
 
 // --- Events ---
@@ -164,10 +164,10 @@
          {"state", kMemberStateNames.NameOf(change.state)},
          {"incarnation", change.incarnation}});
   }
-  if (this->monitored_generation != this->ownership.generation()) {
+  if (this->monitored_generation != this->ownership.Generation()) {
     this->UpdateMonitoredGroups(now);
   }
-  this->membership.set_config_hash(this->store.hash());
+  this->membership.SetConfigHash(this->store.Hash());
   std::ranges::move(this->membership.TakeOutgoing(), std::back_inserter(work->gossip));
   std::ranges::move(this->spread.TakeOutgoing(), std::back_inserter(work->config));
 }
@@ -255,12 +255,12 @@
 }
 
 void ControlState::UpdateMonitoredGroups(TimePoint now) {
-  this->monitored_generation = this->ownership.generation();
+  this->monitored_generation = this->ownership.Generation();
   const std::vector<std::string> names = this->ownership.GroupsOf(this->daemon);
   const std::set<std::string> monitored(names.begin(), names.end());
   std::erase_if(this->controls, [&monitored](const auto& entry) {
     // A promotion under way is completed by the daemon that started it.
-    return !monitored.contains(entry.first) && entry.second->failover.step() == FailoverStep::kIdle;
+    return !monitored.contains(entry.first) && entry.second->failover.Step() == FailoverStep::kIdle;
   });
   for (const std::string& service : monitored) {
     auto& control = this->controls[service];
@@ -284,15 +284,15 @@
 
 void ControlState::OnPlatformAnswer(bool answered, TimePoint now) {
   std::lock_guard lock(this->mutex);
-  const BreakerState before = this->budget.state();
+  const BreakerState before = this->budget.State();
   if (answered) {
     this->budget.OnSuccess();
   } else {
     this->budget.OnFailure(now);
   }
-  if (this->budget.state() != before) {
+  if (this->budget.State() != before) {
     Log(LogLevel::kWarn, "circuit breaker of the platform changed",
-        {{"state", kBreakerStateNames.NameOf(this->budget.state())}});
+        {{"state", kBreakerStateNames.NameOf(this->budget.State())}});
   }
 }
 
@@ -331,8 +331,8 @@
 
 std::vector<PeerInfo> ControlState::OwnersOf(const EndpointInfo& endpoint) const {
   std::lock_guard lock(this->mutex);
-  if (this->owners_generation != this->ownership.generation()) {
-    this->owners_generation = this->ownership.generation();
+  if (this->owners_generation != this->ownership.Generation()) {
+    this->owners_generation = this->ownership.Generation();
     this->owners.clear();
   }
   std::vector<PeerInfo>& cached = this->owners[endpoint.name];
@@ -377,12 +377,12 @@
 
 std::vector<Member> ControlState::Members() const {
   std::lock_guard lock(this->mutex);
-  return this->membership.table().All();
+  return this->membership.Table().All();
 }
 
 uint64_t ControlState::ConfigHash() const {
   std::lock_guard lock(this->mutex);
-  return this->store.hash();
+  return this->store.Hash();
 }
 
 uint64_t ControlState::ConfigRevision() const {
--- a/kernel/config_spread.cc
+++ b/kernel/config_spread.cc
@@ -69,7 +69,7 @@
 }
 
 void ConfigSpread::ComparePeer(const Member& peer, uint64_t hash, TimePoint now) {
-  if (hash == this->store->hash() || now < this->next_repair) {
+  if (hash == this->store->Hash() || now < this->next_repair) {
     return;
   }
   this->next_repair = now + this->options.repair_interval;
--- a/kernel/config_spread.h
+++ b/kernel/config_spread.h
@@ -14,9 +14,9 @@
 
 /// Limits of the spread of configuration.
 struct ConfigSpreadOptions {
-  size_t fanout = 3;                 // Random peers that get a new unit.
-  Duration repair_interval = 500ms;  // Least time between two repairs that this daemon starts.
-  size_t max_bytes = 256 * 1024;     // Of the units or versions in one message.
+  size_t fanout = 3;                      // Random peers that get a new unit.
+  Duration repair_interval = 500ms;       // Least time between two repairs that this daemon starts.
+  size_t max_bytes = size_t{256} * 1024;  // Of the units or versions in one message.
 };
 
 /// Spreads configuration units among daemons: new units are pushed to random peers, which forward
--- a/kernel/config_store.h
+++ b/kernel/config_store.h
@@ -32,7 +32,7 @@
   std::vector<ConfigUnit> UnitsOf(UnitKind kind) const;
 
   /// @returns Hash over kind, name and version of all units; equal stores have equal hashes.
-  uint64_t hash() const { return this->total; }
+  uint64_t Hash() const { return this->total; }
 
   /// @returns Number of units.
   size_t size() const { return this->units.size(); }
--- a/kernel/control_bench_main.cc
+++ b/kernel/control_bench_main.cc
@@ -61,7 +61,7 @@
   }
   for (size_t i = 0; i < members; ++i) {
     for (const ConfigUnit& unit : units) {
-      cluster.node(i).store->Put(unit);
+      cluster.GetNode(i).store->Put(unit);
     }
   }
   cluster.Run(5s);
@@ -69,15 +69,15 @@
   uint64_t messages = 0;
   uint64_t bytes = 0;
   for (size_t i = 0; i < members; ++i) {
-    messages -= cluster.node(i).sent_messages;
-    bytes -= cluster.node(i).sent_bytes;
+    messages -= cluster.GetNode(i).sent_messages;
+    bytes -= cluster.GetNode(i).sent_bytes;
   }
   const double cpu_before = CpuSeconds();
   cluster.Run(kSteadyTime);
   const double cpu = CpuSeconds() - cpu_before;
   for (size_t i = 0; i < members; ++i) {
-    messages += cluster.node(i).sent_messages;
-    bytes += cluster.node(i).sent_bytes;
+    messages += cluster.GetNode(i).sent_messages;
+    bytes += cluster.GetNode(i).sent_bytes;
   }
   const double seconds = std::chrono::duration<double>(kSteadyTime).count();
   const double per_member = static_cast<double>(members) * seconds;
@@ -90,36 +90,36 @@
   std::vector<Duration> domain_noticed;
   std::vector<Duration> all_noticed;
   const double change_cpu_before = CpuSeconds();
-  const TimePoint change_start = cluster.now();
+  const TimePoint change_start = cluster.Now();
   for (size_t change = 0; change < kChanges; ++change) {
     const size_t victim = 20 + change;
-    const std::string& domain = cluster.node(victim).self.failure_domain;
+    const std::string& domain = cluster.GetNode(victim).self.failure_domain;
     cluster.Kill(victim);
     const auto knows = [&](size_t viewer) {
       const Member* member =
-          cluster.node(viewer).membership->table().Find(cluster.node(victim).self.daemon);
+          cluster.GetNode(viewer).membership->Table().Find(cluster.GetNode(victim).self.daemon);
       return member == nullptr || member->state == MemberState::kDead;
     };
     Duration in_domain{0};
-    const TimePoint killed = cluster.now();
+    const TimePoint killed = cluster.Now();
     const Duration taken = cluster.RunUntil(
         [&] {
           bool domain_knows = true;
           bool all_know = true;
           for (size_t i = 0; i < members; ++i) {
-            if (cluster.node(i).running && !knows(i)) {
+            if (cluster.GetNode(i).running && !knows(i)) {
               all_know = false;
-              domain_knows = domain_knows && cluster.node(i).self.failure_domain != domain;
+              domain_knows = domain_knows && cluster.GetNode(i).self.failure_domain != domain;
             }
           }
-          in_domain = domain_knows && in_domain == 0ms ? cluster.now() - killed : in_domain;
+          in_domain = domain_knows && in_domain == 0ms ? cluster.Now() - killed : in_domain;
           return all_know;
         },
         60s);
     domain_noticed.push_back(in_domain);
     all_noticed.push_back(taken);
   }
-  const double change_seconds = std::chrono::duration<double>(cluster.now() - change_start).count();
+  const double change_seconds = std::chrono::duration<double>(cluster.Now() - change_start).count();
   const double change_cpu = CpuSeconds() - change_cpu_before;
 
   std::printf(
--- a/kernel/failover.h
+++ b/kernel/failover.h
@@ -104,10 +104,10 @@
   std::vector<FailoverAction> TakeActions();
 
   /// @returns The newest known state of the group.
-  const GroupState& group() const { return this->known; }
+  const GroupState& Group() const { return this->known; }
 
   /// @returns The step of this daemon's own promotion.
-  FailoverStep step() const { return this->current_step; }
+  FailoverStep Step() const { return this->current_step; }
 
  protected:
   /// @returns Number of grants that a promotion needs. Tests weaken it.
--- a/kernel/member_table.h
+++ b/kernel/member_table.h
@@ -29,7 +29,7 @@
   const Member* Find(const std::string& daemon) const;
 
   /// @returns Number of members that are not dead.
-  size_t live_count() const { return this->live; }
+  size_t LiveCount() const { return this->live; }
 
   /// @returns Number of members of a failure domain that are not dead.
   size_t LiveIn(const std::string& failure_domain) const;
@@ -38,7 +38,7 @@
   size_t size() const { return this->members.size(); }
 
   /// @returns Hash over name and incarnation of all live members.
-  uint64_t hash() const { return this->total; }
+  uint64_t Hash() const { return this->total; }
 
   /// @returns Hash of every bucket.
   std::vector<uint64_t> BucketHashes() const;
--- a/kernel/membership.cc
+++ b/kernel/membership.cc
@@ -49,7 +49,7 @@
 std::vector<Member> Membership::RandomPeers(size_t max) {
   // Drawing a few more than needed and dropping repetitions avoids a copy of the whole table.
   std::vector<Member> peers;
-  const size_t available = this->members.live_count() - 1;
+  const size_t available = this->members.LiveCount() - 1;
   for (size_t i = 0; i < max * 8 && peers.size() < std::min(max, available); ++i) {
     const Member* peer = this->members.Pick(this->random, "", false);
     const bool repeated = std::any_of(peers.begin(), peers.end(), [&](const Member& each) {
@@ -69,8 +69,8 @@
   message.kind = kind;
   message.sender = this->self_info;
   message.sequence = sequence;
-  message.member_hash = this->members.hash();
-  message.member_count = this->members.live_count();
+  message.member_hash = this->members.Hash();
+  message.member_count = this->members.LiveCount();
   message.config_hash = this->config_hash;
   return message;
 }
@@ -108,7 +108,7 @@
 }
 
 void Membership::Spread(const std::string& daemon) {
-  const auto log = std::log2(static_cast<double>(this->members.live_count()) + 1.0);
+  const auto log = std::log2(static_cast<double>(this->members.LiveCount()) + 1.0);
   const int sends = kSpreadFactor * static_cast<int>(std::ceil(log));
   for (Rumour& rumour : this->rumours) {
     if (rumour.daemon == daemon) {
@@ -226,7 +226,7 @@
 }
 
 void Membership::Rejoin(TimePoint now) {
-  const bool alone = this->members.live_count() <= 1;
+  const bool alone = this->members.LiveCount() <= 1;
   this->next_rejoin = now + (alone ? this->options.probe_interval : this->options.rejoin_interval);
   // Both sides of a cut hold each other dead after a while. Contacts to dead members and to seeds
   // join them again after the cut has healed.
--- a/kernel/membership.h
+++ b/kernel/membership.h
@@ -61,7 +61,7 @@
   void Stop();
 
   /// Sets the configuration hash that outgoing messages carry.
-  void set_config_hash(uint64_t hash) { this->config_hash = hash; }
+  void SetConfigHash(uint64_t hash) { this->config_hash = hash; }
 
   /// @returns Messages to send, in order; they are handed out once.
   std::vector<GossipEnvelope> TakeOutgoing();
@@ -70,10 +70,10 @@
   std::vector<Member> TakeChanges();
 
   /// @returns Description of this daemon.
-  const Member& self() const { return this->self_info; }
+  const Member& Self() const { return this->self_info; }
 
   /// @returns All known members, this daemon and the dead ones included.
-  const MemberTable& table() const { return this->members; }
+  const MemberTable& Table() const { return this->members; }
 
   /// @param max Upper limit of the result's size.
   /// @returns Random members that are not dead, without this daemon.
@@ -134,7 +134,7 @@
   bool started = false;
   bool joined = false;
   bool has_news = false;  // A change was stored since the last tick.
-  size_t checks = 0;  // Probes started because of the current message.
+  size_t checks = 0;      // Probes started because of the current message.
   TimePoint last_tick;
   TimePoint next_probe;
   TimePoint next_digest;
--- a/kernel/membership_receive.cc
+++ b/kernel/membership_receive.cc
@@ -101,7 +101,7 @@
       break;
     case GossipKind::kDigest: {
       GossipMessage answer = this->MakeMessage(GossipKind::kDigestAnswer, message.sequence);
-      if (message.member_hash != this->members.hash()) {
+      if (message.member_hash != this->members.Hash()) {
         answer.bucket_hashes = this->members.BucketHashes();
       }
       this->Send(message.sender, std::move(answer));
--- a/kernel/ownership.h
+++ b/kernel/ownership.h
@@ -49,7 +49,7 @@
   std::vector<std::string> GroupsOf(const std::string& daemon) const;
 
   /// @returns Number of changes of the assignments so far; caches compare it.
-  uint64_t generation() const { return this->changes; }
+  uint64_t Generation() const { return this->changes; }
 
  private:
   /// Monitors of one group, by name and score.
--- a/kernel/platform_budget.h
+++ b/kernel/platform_budget.h
@@ -52,10 +52,10 @@
   void OnFailure(TimePoint now);
 
   /// @returns State of the circuit breaker.
-  BreakerState state() const { return this->breaker; }
+  BreakerState State() const { return this->breaker; }
 
   /// @returns Earliest time of the next call that is not urgent.
-  TimePoint next_call() const { return this->not_before; }
+  TimePoint NextCall() const { return this->not_before; }
 
  private:
   PlatformBudgetOptions options;
--- a/kernel/virtual_cluster.cc
+++ b/kernel/virtual_cluster.cc
@@ -42,8 +42,8 @@
 
 }  // namespace
 
-VirtualCluster::VirtualCluster(VirtualClusterOptions options, MakeStore make_store)
-    : options(std::move(options)), make_store(std::move(make_store)), random(this->options.seed) {
+VirtualCluster::VirtualCluster(const VirtualClusterOptions& options, MakeStore make_store)
+    : options(options), make_store(std::move(make_store)), random(this->options.seed) {
   if (!this->make_store) {
     this->make_store = [] { return std::make_unique<ConfigStore>(); };
   }
@@ -137,7 +137,7 @@
 
 void VirtualCluster::Flush(size_t index) {
   Node& node = this->nodes[index];
-  node.membership->set_config_hash(node.store->hash());
+  node.membership->SetConfigHash(node.store->Hash());
   for (GossipEnvelope& envelope : node.membership->TakeOutgoing()) {
     const size_t bytes = SizeOf(envelope.message);
     this->Post(index, envelope.address, {{}, 0, 0, std::move(envelope.message)}, bytes);
@@ -216,7 +216,7 @@
   return static_cast<size_t>(
       std::count_if(this->nodes.begin(), this->nodes.end(), [&](const Node& node) {
         return node.running &&
-               holds(node.membership->table().Find(this->nodes[subject].self.daemon));
+               holds(node.membership->Table().Find(this->nodes[subject].self.daemon));
       }));
 }
 
@@ -228,9 +228,9 @@
     if (!node.running) {
       continue;
     }
-    const MemberTable& table = node.membership->table();
-    hash = hash == 0 ? table.hash() : hash;
-    if (table.live_count() != running || table.hash() != hash) {
+    const MemberTable& table = node.membership->Table();
+    hash = hash == 0 ? table.Hash() : hash;
+    if (table.LiveCount() != running || table.Hash() != hash) {
       return false;
     }
   }
@@ -243,7 +243,7 @@
     if (!node.running) {
       continue;
     }
-    if (first != nullptr && node.store->hash() != first->store->hash()) {
+    if (first != nullptr && node.store->Hash() != first->store->Hash()) {
       return false;
     }
     first = &node;
--- a/kernel/virtual_cluster.h
+++ b/kernel/virtual_cluster.h
@@ -53,7 +53,7 @@
 
   /// @param options Shape.
   /// @param make_store Creates the store of each daemon; by default a ConfigStore.
-  explicit VirtualCluster(VirtualClusterOptions options, MakeStore make_store = nullptr);
+  explicit VirtualCluster(const VirtualClusterOptions& options, MakeStore make_store = nullptr);
 
   /// Advances the virtual clock.
   void Run(Duration duration);
@@ -91,10 +91,10 @@
   /// @returns Whether all running daemons have equal configuration.
   bool ConfigConverged() const;
 
-  Node& node(size_t index) { return this->nodes[index]; }
-  const Node& node(size_t index) const { return this->nodes[index]; }
+  Node& GetNode(size_t index) { return this->nodes[index]; }
+  const Node& GetNode(size_t index) const { return this->nodes[index]; }
   size_t size() const { return this->nodes.size(); }
-  TimePoint now() const { return this->time; }
+  TimePoint Now() const { return this->time; }
 
  private:
   /// A message on its way.
--- a/tests/daemon/control_plane_test.cc
+++ b/tests/daemon/control_plane_test.cc
@@ -119,6 +119,17 @@
                         json{{"value", value}, {"if_version", 0}}.dump());
   }
 
+  /// Writes once at the first primary, past the proxy.
+  void Write() {
+    this->endpoints[0]->Call("POST", "/v1/connect", "{}");
+    this->endpoints[0]->Call("POST", "/v1/execute",
+                             json{{"request_id", "w1"},
+                                  {"term", 1},
+                                  {"kind", "write"},
+                                  {"statement", {{"op", "put"}, {"key", "k"}, {"value", "v"}}}}
+                                 .dump());
+  }
+
   /// @returns Whether a condition on the group holds at every daemon.
   template <typename Condition>
   bool Everywhere(Condition condition) {
@@ -143,10 +154,10 @@
   }));
 
   // A replica votes only after it has caught up with the primary once.
+  fleet.Write();
   REQUIRE(WaitFor([&] {
-    return std::all_of(fleet.endpoints.begin() + 1, fleet.endpoints.end(), [](const auto& each) {
-      const json status = json::parse(each->Call("POST", "/v1/status", "{}").body);
-      return status.value("staleness_ms", int64_t{1} << 40) < 1000;
+    return std::all_of(fleet.endpoints.begin(), fleet.endpoints.end(), [](const auto& each) {
+      return json::parse(each->Call("POST", "/v1/status", "{}").body).value("received", 0) > 0;
     });
   }));
 
--- a/tests/kernel/config_spread_test.cc
+++ b/tests/kernel/config_spread_test.cc
@@ -42,7 +42,7 @@
     }
     cluster.Run(100ms);
     for (size_t i = 0; i < cluster.size(); ++i) {
-      for (const ConfigUnit& unit : cluster.node(i).store->UnitsOf(UnitKind::kConfig)) {
+      for (const ConfigUnit& unit : cluster.GetNode(i).store->UnitsOf(UnitKind::kConfig)) {
         uint64_t& highest = seen[{i, unit.name}];
         reversals += unit.version < highest ? 1 : 0;
         highest = std::max(highest, unit.version);
@@ -70,7 +70,7 @@
     cluster.Run(3s);
     cluster.Publish(17, {MakeUnit("common", 1)});
     const Duration taken = cluster.RunUntil(
-        [&] { return cluster.ConfigConverged() && cluster.node(0).store->size() == 1; }, 30s);
+        [&] { return cluster.ConfigConverged() && cluster.GetNode(0).store->size() == 1; }, 30s);
     INFO("loss " << loss << ", everywhere after ms " << ToMillis(taken));
     CHECK(taken < 6s);
   }
@@ -90,9 +90,9 @@
   cluster.Publish(2, units);
   CHECK(cluster.RunUntil([&] { return cluster.ConfigConverged(); }, 60s) < 30s);
   cluster.Restart(4);
-  CHECK(cluster.node(4).store->size() == 0);
+  CHECK(cluster.GetNode(4).store->size() == 0);
   CHECK(cluster.RunUntil([&] { return cluster.ConfigConverged(); }, 60s) < 20s);
-  CHECK(cluster.node(4).store->size() == 300);
+  CHECK(cluster.GetNode(4).store->size() == 300);
 }
 
 TEST_CASE("a cut failure domain catches up after the cut") {
@@ -104,10 +104,10 @@
   cluster.Publish(1, {MakeUnit("common", 2), MakeUnit("site.biella", 4)});
   cluster.Publish(0, {MakeUnit("common", 1)});
   cluster.Run(10s);
-  CHECK(cluster.node(3).store->Find(UnitKind::kConfig, "common")->version == 1);
+  CHECK(cluster.GetNode(3).store->Find(UnitKind::kConfig, "common")->version == 1);
   cluster.SetCut(nullptr);
   CHECK(cluster.RunUntil([&] { return cluster.ConfigConverged(); }, 60s) < 30s);
-  CHECK(cluster.node(3).store->Find(UnitKind::kConfig, "common")->version == 2);
+  CHECK(cluster.GetNode(3).store->Find(UnitKind::kConfig, "common")->version == 2);
 }
 
 }  // namespace
--- a/tests/kernel/failover_harness.cc
+++ b/tests/kernel/failover_harness.cc
@@ -344,7 +344,7 @@
 
 void FailoverHarness::Detect(int proposer) {
   Proposer& self = this->proposers[proposer];
-  const GroupState& group = self.failover->group();
+  const GroupState& group = self.failover->Group();
   if (group.phase != GroupPhase::kServing || this->now < TimePoint(1s) ||
       (proposer == 1 && this->step < 0)) {
     return;
@@ -366,7 +366,7 @@
     }
     write.reset();
     // The second owner never hears of a promotion and goes on with the first term.
-    const GroupState& group = this->proposers[this->proposers[0].alive ? 0 : 1].failover->group();
+    const GroupState& group = this->proposers[this->proposers[0].alive ? 0 : 1].failover->Group();
     const int index = owner == 0 ? this->IndexOf(group.primary) : 0;
     const uint64_t term = owner == 0 ? group.term : 1;
     if (index < 0) {
@@ -460,7 +460,7 @@
     }
     const bool settled = this->object.phase == GroupPhase::kServing &&
                          (this->object.term > 1 || !this->NeedsPromotion()) &&
-                         this->proposers[1].failover->step() == FailoverStep::kIdle;
+                         this->proposers[1].failover->Step() == FailoverStep::kIdle;
     if (after_faults && settled && this->acknowledged.size() > acknowledged_before + 10) {
       result.completed = true;
       result.completed_at = this->now;
--- a/tests/kernel/membership_test.cc
+++ b/tests/kernel/membership_test.cc
@@ -29,7 +29,7 @@
   for (Duration passed{0}; passed < duration; passed += 100ms) {
     cluster->Run(100ms);
     for (size_t i = 0; i < cluster->size(); ++i) {
-      if (cluster->node(i).running) {
+      if (cluster->GetNode(i).running) {
         wrong += cluster->CountViews(i, IsDead);
       }
     }
@@ -99,10 +99,10 @@
     cluster.Run(1s);
     for (size_t subject = 1; subject < cluster.size(); ++subject) {
       for (size_t viewer = 1; viewer < cluster.size(); ++viewer) {
-        wrong +=
-            IsDead(cluster.node(viewer).membership->table().Find(cluster.node(subject).self.daemon))
-                ? 1
-                : 0;
+        wrong += IsDead(cluster.GetNode(viewer).membership->Table().Find(
+                     cluster.GetNode(subject).self.daemon))
+                     ? 1
+                     : 0;
       }
     }
   }
@@ -122,8 +122,8 @@
   size_t kept_outside = 0;
   for (size_t subject = 0; subject < cluster.size(); subject += 3) {
     for (size_t viewer = 0; viewer < cluster.size(); ++viewer) {
-      const bool dead =
-          IsDead(cluster.node(viewer).membership->table().Find(cluster.node(subject).self.daemon));
+      const bool dead = IsDead(
+          cluster.GetNode(viewer).membership->Table().Find(cluster.GetNode(subject).self.daemon));
       lost_inside += dead && in_domain(viewer) ? 1 : 0;
       kept_outside += !dead && !in_domain(viewer) ? 1 : 0;
     }
@@ -137,8 +137,8 @@
       [&] {
         for (size_t subject = 0; subject < cluster.size(); subject += 3) {
           for (size_t viewer = 0; viewer < cluster.size(); viewer += 3) {
-            flapped_inside += IsDead(cluster.node(viewer).membership->table().Find(
-                                  cluster.node(subject).self.daemon))
+            flapped_inside += IsDead(cluster.GetNode(viewer).membership->Table().Find(
+                                  cluster.GetNode(subject).self.daemon))
                                   ? 1
                                   : 0;
           }
@@ -170,7 +170,7 @@
   cluster.Kill(5);
   cluster.Run(1s);
   cluster.Restart(5);
-  const uint64_t incarnation = cluster.node(5).self.incarnation;
+  const uint64_t incarnation = cluster.GetNode(5).self.incarnation;
   CHECK(cluster.RunUntil([&] { return cluster.AllAgree(); }, 20s) < 20s);
   CHECK(cluster.CountViews(5, [&](const Member* member) {
     return member != nullptr && member->incarnation >= incarnation;
@@ -181,7 +181,7 @@
   VirtualCluster cluster(Shape(9, 3));
   cluster.Restart(5);
   cluster.Run(10s);
-  cluster.node(5).self.incarnation = 1;  // Restart() then starts with 1001, as before.
+  cluster.GetNode(5).self.incarnation = 1;  // Restart() then starts with 1001, as before.
   cluster.Kill(5);
   cluster.Run(20s);
   cluster.Restart(5);
@@ -191,12 +191,12 @@
 TEST_CASE("a leaving daemon is known as leaving and then dead without a suspicion period") {
   VirtualCluster cluster(Shape(20, 3));
   cluster.Run(5s);
-  cluster.node(7).membership->Leave();
+  cluster.GetNode(7).membership->Leave();
   const auto is_leaving = [](const Member* member) {
     return member != nullptr && member->state == MemberState::kLeaving;
   };
   CHECK(cluster.RunUntil([&] { return cluster.CountViews(7, is_leaving) == 20; }, 10s) < 6s);
-  cluster.node(7).membership->Stop();
+  cluster.GetNode(7).membership->Stop();
   cluster.Flush(7);
   cluster.Kill(7);
   CHECK(cluster.RunUntil([&] { return cluster.CountViews(7, IsDead) == 19; }, 10s) < 6s);
@@ -208,7 +208,7 @@
   VirtualCluster cluster(options);
   cluster.Kill(3);
   cluster.Run(20s);
-  CHECK(cluster.node(0).membership->table().size() == 9);
+  CHECK(cluster.GetNode(0).membership->Table().size() == 9);
   cluster.Run(120s);
   CHECK(cluster.CountViews(3, [](const Member* member) { return member != nullptr; }) == 0);
 }
--- a/tests/kernel/platform_budget_test.cc
+++ b/tests/kernel/platform_budget_test.cc
@@ -36,19 +36,19 @@
       budget.OnFailure(now);
     }
   }
-  CHECK(budget.state() == BreakerState::kOpen);
+  CHECK(budget.State() == BreakerState::kOpen);
   CHECK(attempts.size() >= 12);
   CHECK(attempts.size() <= 40);
   for (size_t i = 8; i < attempts.size(); ++i) {
     CHECK(attempts[i] - attempts[i - 1] >= 5s);
     CHECK(attempts[i] - attempts[i - 1] <= 10s + 10ms);
   }
-  const TimePoint trial = budget.next_call();
+  const TimePoint trial = budget.NextCall();
   CHECK(budget.TryTake(trial, false));
-  CHECK(budget.state() == BreakerState::kHalfOpen);
+  CHECK(budget.State() == BreakerState::kHalfOpen);
   CHECK_FALSE(budget.TryTake(trial, true));  // One trial at a time.
   budget.OnSuccess();
-  CHECK(budget.state() == BreakerState::kClosed);
+  CHECK(budget.State() == BreakerState::kClosed);
   CHECK(budget.TryTake(trial, false));
 }
 
@@ -59,7 +59,7 @@
   PlatformBudget budget({}, &random);
   TimePoint now;
   for (int i = 0; i < 12; ++i) {
-    now = std::max(now, budget.next_call());
+    now = std::max(now, budget.NextCall());
     REQUIRE(budget.TryTake(now, false));
     budget.OnFailure(now);
   }
