Count control traffic and report only live members

Cause: poplarmoor_control_bytes_total was never set, and /v1/status counted dead members, so that scripts/slopes saw 0 bytes/s and never saw a dead daemon go. Change: HttpConnection, the platform client and control connections to endpoints count their bytes; PeerNetwork subtracts what it forwards for callers; /v1/status counts members that are not dead.

--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -12,6 +12,7 @@
 #include "net/http_message.h"
 #include "net/http_server.h"
 #include "net/now.h"
+#include "net/traffic_counter.h"
 #include "telemetry/log.h"
 #include "wire/peer_codec.h"
 
@@ -22,6 +23,7 @@
 
 namespace {
 
+constexpr size_t kPlatformConnections = 8;               // Idle connections kept to the platform.
 constexpr std::chrono::milliseconds kUnreadyTime{1000};  // For the load balancer to notice.
 constexpr std::chrono::milliseconds kStopCheck{10};      // Between looks at what is in progress.
 
@@ -40,15 +42,15 @@
       observers(this->settings.limits.trace_store),
       context(this->threads_count),
       guard(this->context.get_executor()),
-      http(this->context.get_executor()),
+      control_traffic(std::make_shared<TrafficCounter>()),
+      http(this->context.get_executor(), kPlatformConnections, this->control_traffic),
       platform(&this->http, this->settings.platform, this->settings.control.platform_timeout),
       peers(this->context.get_executor(), this->settings.daemon, &this->keys) {
   const asio::any_io_executor executor = this->context.get_executor();
-  this->cluster =
-      std::make_shared<ControlPlane>(executor, this->settings, &this->platform, &this->peers,
-                                     Registry<EndpointDriver>::Create("http"));
-  this->owner = std::make_shared<OwnerService>(
-      executor, this->cluster.get(), Registry<EndpointDriver>::Create("http"), &this->observers);
+  this->cluster = std::make_shared<ControlPlane>(executor, this->settings, &this->platform,
+                                                 &this->peers, this->MakeDriver());
+  this->owner = std::make_shared<OwnerService>(executor, this->cluster.get(), this->MakeDriver(),
+                                               &this->observers);
   this->router = std::make_shared<StatementRouter>(this->settings.daemon, this->cluster.get(),
                                                    this->owner, &this->peers);
   const EntryLimits limits{this->settings.limits.max_deadline,
@@ -68,6 +70,17 @@
   this->MakeOperatorsApi();
 }
 
+std::unique_ptr<EndpointDriver> Daemon::MakeDriver() {
+  auto driver = Registry<EndpointDriver>::Create("http");
+  driver->CountControlTraffic(this->control_traffic);
+  return driver;
+}
+
+std::pair<uint64_t, uint64_t> Daemon::ControlTraffic() const {
+  const auto [sent, received] = this->peers.control_traffic();
+  return {sent + this->control_traffic->sent, received + this->control_traffic->received};
+}
+
 void Daemon::MakeOperatorsApi() {
   OperatorsSubjects subjects;
   subjects.daemon = this->settings.daemon;
@@ -78,6 +91,7 @@
   subjects.entry = this->entry;
   subjects.owner = this->owner;
   subjects.observers = &this->observers;
+  subjects.control_traffic = [this] { return this->ControlTraffic(); };
   const auto api = std::make_shared<OperatorsApi>(std::move(subjects));
   this->operators = std::make_shared<HttpServer>(
       this->context.get_executor(),
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -21,11 +21,13 @@
 
 namespace poplarmoor {
 
+class EndpointDriver;
 class EntryService;
 class HttpServer;
 class OwnerService;
 class ControlPlane;
 class StatementRouter;
+struct TrafficCounter;
 
 /// One daemon: its threads, listeners and roles.
 class Daemon {
@@ -62,6 +64,8 @@
   bool IsIdle() const;
   void WaitUntilIdle(bool with_transactions, std::chrono::steady_clock::time_point limit);
   void ServePeers();
+  std::unique_ptr<EndpointDriver> MakeDriver();
+  std::pair<uint64_t, uint64_t> ControlTraffic() const;
   void MakeOperatorsApi();
 
   DaemonSettings settings;
@@ -76,6 +80,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard;
   std::vector<std::thread> threads;
 
+  std::shared_ptr<TrafficCounter> control_traffic;  // Of calls to the platform and endpoints.
   HttpClient http;
   PlatformClient platform;
   PeerNetwork peers;
--- a/daemon/operators_api.cc
+++ b/daemon/operators_api.cc
@@ -1,5 +1,7 @@
 #include "daemon/operators_api.h"
 
+#include <algorithm>
+
 #include <openssl/crypto.h>
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
@@ -126,7 +128,7 @@
               {"state", this->subjects.entry->IsDraining() ? "draining" : "serving"},
               {"config_revision", this->subjects.cluster->ConfigRevision()},
               {"config_digest", this->subjects.cluster->ConfigDigest()},
-              {"members", this->subjects.cluster->Members().size()},
+              {"members", this->CountLiveMembers()},
               {"uptime_s", std::chrono::duration_cast<std::chrono::seconds>(uptime).count()},
               {"version", POPLARMOOR_VERSION}}
       .dump();
@@ -192,7 +194,25 @@
   return json{{"members", std::move(members)}}.dump();
 }
 
+size_t OperatorsApi::CountLiveMembers() const {
+  const std::vector<Member> members = this->subjects.cluster->Members();
+  return static_cast<size_t>(
+      std::count_if(members.begin(), members.end(),
+                    [](const Member& member) { return member.state != MemberState::kDead; }));
+}
+
+void OperatorsApi::UpdateTraffic() const {
+  Metrics& metrics = this->subjects.observers->metrics;
+  const auto [sent, received] = this->subjects.control_traffic();
+  metrics.Add(Metric::kControlBytes, {"sent"},
+              static_cast<double>(sent - std::min(sent, this->reported_sent.exchange(sent))));
+  metrics.Add(Metric::kControlBytes, {"received"},
+              static_cast<double>(received -
+                                  std::min(received, this->reported_received.exchange(received))));
+}
+
 std::string OperatorsApi::MetricsText() const {
+  this->UpdateTraffic();
   Metrics& metrics = this->subjects.observers->metrics;
   const auto uptime = std::chrono::steady_clock::now() - this->started;
   metrics.Set(Metric::kInFlight, {}, this->subjects.entry->InFlight());
--- a/daemon/operators_api.h
+++ b/daemon/operators_api.h
@@ -2,8 +2,10 @@
 
 #include <utility>
 
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,6 +30,7 @@
   std::shared_ptr<EntryService> entry;
   std::shared_ptr<OwnerService> owner;
   Observers* observers = nullptr;
+  std::function<std::pair<uint64_t, uint64_t>()> control_traffic;  // Bytes sent and received.
 };
 
 /// The operators' API of section 11 of the design. Thread-safe.
@@ -50,8 +53,12 @@
   std::string EndpointsJson() const;
   std::string MembersJson() const;
   std::string MetricsText() const;
+  size_t CountLiveMembers() const;
+  void UpdateTraffic() const;
 
   OperatorsSubjects subjects;
+  mutable std::atomic<uint64_t> reported_sent{0};      // Bytes in the metrics so far.
+  mutable std::atomic<uint64_t> reported_received{0};  // Bytes in the metrics so far.
   std::chrono::steady_clock::time_point started;
 };
 
--- a/net/endpoint_driver.h
+++ b/net/endpoint_driver.h
@@ -11,6 +11,7 @@
 namespace poplarmoor {
 
 class EndpointConnection;
+struct TrafficCounter;
 
 /// Protocol towards the database servers. Plug-ins are registered in Registry<EndpointDriver>; the
 /// settings select one by name.
@@ -23,6 +24,14 @@
   /// @returns A connection that is not open yet.
   virtual std::shared_ptr<EndpointConnection> MakeConnection(boost::asio::any_io_executor executor,
                                                              std::string address) = 0;
+
+  /// @param counter Counts the bytes of control connections that are made from now on.
+  void CountControlTraffic(std::shared_ptr<TrafficCounter> counter) {
+    this->control_traffic = std::move(counter);
+  }
+
+ protected:
+  std::shared_ptr<TrafficCounter> control_traffic;  // Null: not counted.
 };
 
 }  // namespace poplarmoor
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -10,8 +10,10 @@
 
 namespace asio = boost::asio;
 
-HttpClient::HttpClient(asio::any_io_executor executor, size_t max_idle)
-    : executor(executor), max_idle(max_idle) {}
+HttpClient::HttpClient(asio::any_io_executor executor,
+                       size_t max_idle,
+                       std::shared_ptr<TrafficCounter> traffic)
+    : executor(executor), max_idle(max_idle), traffic(std::move(traffic)) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -43,6 +45,7 @@
   const bool reused = connection != nullptr;
   if (!reused) {
     connection = std::make_unique<HttpConnection>(MakeStrand(this->executor), address);
+    connection->CountTraffic(this->traffic);
     co_await connection->Connect(timeout);
   }
   bool again = false;
@@ -57,6 +60,7 @@
   }
   if (again) {
     connection = std::make_unique<HttpConnection>(MakeStrand(this->executor), address);
+    connection->CountTraffic(this->traffic);
     co_await connection->Connect(timeout);
     response = co_await connection->Exchange(request, timeout);
   }
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -16,13 +16,17 @@
 class HttpConnection;
 struct HttpRequest;
 struct HttpResponse;
+struct TrafficCounter;
 
 /// HTTP client that keeps idle connections for reuse. Safe to use from several threads.
 class HttpClient {
  public:
   /// @param executor Executor of the I/O threads.
   /// @param max_idle Idle connections kept for each address.
-  explicit HttpClient(boost::asio::any_io_executor executor, size_t max_idle = 8);
+  /// @param traffic Counts the bytes of all exchanges; may be null.
+  explicit HttpClient(boost::asio::any_io_executor executor,
+                      size_t max_idle = 8,
+                      std::shared_ptr<TrafficCounter> traffic = nullptr);
   ~HttpClient();
 
   /// Sends a request over an idle or a new connection. A kept connection that the peer has closed
@@ -42,6 +46,7 @@
 
   boost::asio::any_io_executor executor;
   size_t max_idle;
+  std::shared_ptr<TrafficCounter> traffic;
   std::mutex mutex;
   std::map<std::string, std::vector<std::unique_ptr<HttpConnection>>> idle;
 };
--- a/net/http_connection.cc
+++ b/net/http_connection.cc
@@ -9,6 +9,7 @@
 
 #include "net/address.h"
 #include "net/http_message.h"
+#include "net/traffic_counter.h"
 
 namespace poplarmoor {
 
@@ -34,6 +35,7 @@
   }
 
   std::string address;
+  std::shared_ptr<TrafficCounter> traffic;
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   bool open = false;
@@ -74,15 +76,19 @@
 
   boost::system::error_code error;
   this->impl->stream.expires_after(timeout);
-  co_await http::async_write(this->impl->stream, message,
-                             asio::redirect_error(asio::use_awaitable, error));
+  const size_t written = co_await http::async_write(
+      this->impl->stream, message, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
     this->impl->Fail("cannot send to", error, true);
   }
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxResponse);
-  co_await http::async_read(this->impl->stream, this->impl->buffer, parser,
-                            asio::redirect_error(asio::use_awaitable, error));
+  const size_t read = co_await http::async_read(this->impl->stream, this->impl->buffer, parser,
+                                                asio::redirect_error(asio::use_awaitable, error));
+  if (this->impl->traffic != nullptr) {
+    this->impl->traffic->sent += written;
+    this->impl->traffic->received += read;
+  }
   if (error) {
     this->impl->Fail("no answer from", error, true);
   }
@@ -104,6 +110,10 @@
   co_return response;
 }
 
+void HttpConnection::CountTraffic(std::shared_ptr<TrafficCounter> traffic) {
+  this->impl->traffic = std::move(traffic);
+}
+
 bool HttpConnection::is_open() const {
   return this->impl->open;
 }
--- a/net/http_connection.h
+++ b/net/http_connection.h
@@ -13,6 +13,7 @@
 
 struct HttpRequest;
 struct HttpResponse;
+struct TrafficCounter;
 
 /// Failure of an exchange over an HttpConnection.
 class HttpError : public std::runtime_error {
@@ -58,6 +59,9 @@
 
   void Close();
 
+  /// @param traffic Counts the bytes of the exchanges from now on; may be null.
+  void CountTraffic(std::shared_ptr<TrafficCounter> traffic);
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl;
--- a/net/http_endpoint_connection.cc
+++ b/net/http_endpoint_connection.cc
@@ -87,8 +87,9 @@
 }  // namespace
 
 HttpEndpointConnection::HttpEndpointConnection(asio::any_io_executor strand,
-                                               const std::string& address)
-    : strand(strand), connection(strand, address) {}
+                                               const std::string& address,
+                                               std::shared_ptr<TrafficCounter> control_traffic)
+    : strand(strand), control_traffic(std::move(control_traffic)), connection(strand, address) {}
 
 asio::awaitable<void> HttpEndpointConnection::ConnectOnStrand(Duration timeout) {
   co_await this->connection.Connect(ToTimeout(timeout));
@@ -97,6 +98,7 @@
 asio::awaitable<StatementResult> HttpEndpointConnection::OpenControl(Duration timeout) {
   const auto self = this->shared_from_this();
   StatementResult result;
+  this->connection.CountTraffic(this->control_traffic);
   try {
     co_await asio::co_spawn(this->strand, this->ConnectOnStrand(timeout), asio::use_awaitable);
     result.verdict = Verdict::kRan;
@@ -113,6 +115,7 @@
   if (result.verdict != Verdict::kRan) {
     co_return result;
   }
+  this->connection.CountTraffic(nullptr);
   try {
     const EndpointAnswer answer = co_await this->Control("connect", "{}", timeout);
     if (answer.status == AnswerStatus::kOk) {
--- a/net/http_endpoint_connection.h
+++ b/net/http_endpoint_connection.h
@@ -11,7 +11,10 @@
  public:
   /// @param strand Strand of this connection.
   /// @param address Address of the endpoint, "IP:port".
-  HttpEndpointConnection(boost::asio::any_io_executor strand, const std::string& address);
+  /// @param control_traffic Counts the bytes after OpenControl(); may be null.
+  HttpEndpointConnection(boost::asio::any_io_executor strand,
+                         const std::string& address,
+                         std::shared_ptr<TrafficCounter> control_traffic);
 
   boost::asio::awaitable<StatementResult> Open(Duration timeout) override;
   boost::asio::awaitable<StatementResult> OpenControl(Duration timeout) override;
@@ -44,6 +47,7 @@
                                                     Duration timeout);
 
   boost::asio::any_io_executor strand;
+  std::shared_ptr<TrafficCounter> control_traffic;
   HttpConnection connection;
 };
 
--- a/net/http_endpoint_driver.cc
+++ b/net/http_endpoint_driver.cc
@@ -13,7 +13,8 @@
 std::shared_ptr<EndpointConnection> HttpEndpointDriver::MakeConnection(
     boost::asio::any_io_executor executor,
     std::string address) {
-  return std::make_shared<HttpEndpointConnection>(MakeStrand(executor), address);
+  return std::make_shared<HttpEndpointConnection>(MakeStrand(executor), address,
+                                                  this->control_traffic);
 }
 
 }  // namespace poplarmoor
--- a/net/peer_connection.cc
+++ b/net/peer_connection.cc
@@ -88,7 +88,8 @@
 
 }  // namespace
 
-PeerConnection::PeerConnection(asio::ip::tcp::socket socket, std::shared_ptr<PeerTraffic> traffic)
+PeerConnection::PeerConnection(asio::ip::tcp::socket socket,
+                               std::shared_ptr<TrafficCounter> traffic)
     : socket(std::move(socket)),
       handshake_timer(this->socket.get_executor()),
       traffic(std::move(traffic)) {}
--- a/net/peer_connection.h
+++ b/net/peer_connection.h
@@ -16,13 +16,9 @@
 
 namespace poplarmoor {
 
-class KeyRing;
+struct TrafficCounter;
 
-/// Byte counters that all connections of a network share.
-struct PeerTraffic {
-  std::atomic<uint64_t> sent{0};      // Bytes.
-  std::atomic<uint64_t> received{0};  // Bytes.
-};
+class KeyRing;
 
 /// One TCP connection between two daemons: handshake, reading of frames, and a write queue. Runs on
 /// the strand of its socket; Send() and Close() may be called from any thread.
@@ -30,7 +26,7 @@
  public:
   /// @param socket Socket on a strand; connected or to be connected by Connect().
   /// @param traffic Counters.
-  PeerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<PeerTraffic> traffic);
+  PeerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<TrafficCounter> traffic);
 
   /// Connects and authenticates both sides.
   /// @param address "IP:port".
@@ -74,7 +70,7 @@
 
   boost::asio::ip::tcp::socket socket;
   boost::asio::steady_timer handshake_timer;
-  std::shared_ptr<PeerTraffic> traffic;
+  std::shared_ptr<TrafficCounter> traffic;
   std::string peer_name;
   std::string remote_address;
   std::string input;    // Read buffer; bytes from `consumed` to `filled` are not used yet.
--- a/net/peer_network.cc
+++ b/net/peer_network.cc
@@ -13,6 +13,7 @@
 #include "net/peer_connection.h"
 #include "net/peer_frame.h"
 #include "net/strand.h"
+#include "net/traffic_counter.h"
 #include "telemetry/log.h"
 
 namespace poplarmoor {
@@ -27,6 +28,7 @@
 constexpr Duration kIdleCheck = 5s;               // Time between two checks for idle connections.
 constexpr int kMaxCalls = 8192;                   // Calls of one peer that are not answered yet.
 constexpr size_t kMaxAccepted = 16384;            // Accepted connections.
+constexpr std::string_view kForward = "forward";  // Type of a call with a caller's request.
 constexpr std::string_view kRefused = "refused";  // Type of an answer: the call did not run.
 constexpr std::string_view kFailed = "failed";    // Type of an answer: the handler failed.
 
@@ -91,7 +93,8 @@
   tcp::acceptor acceptor;
   asio::steady_timer idle_timer;
   std::map<std::string, Handler> handlers;
-  std::shared_ptr<PeerTraffic> traffic = std::make_shared<PeerTraffic>();
+  std::shared_ptr<TrafficCounter> traffic = std::make_shared<TrafficCounter>();
+  TrafficCounter forwarded;  // Part of `traffic` that belongs to requests of callers.
   std::atomic<bool> stopping{false};
   std::atomic<bool> checks_idle{false};
   std::mutex mutex;
@@ -129,8 +132,13 @@
   return FormatAddress(this->impl->acceptor.local_endpoint());
 }
 
-std::pair<uint64_t, uint64_t> PeerNetwork::traffic() const {
-  return {this->impl->traffic->sent.load(), this->impl->traffic->received.load()};
+std::pair<uint64_t, uint64_t> PeerNetwork::control_traffic() const {
+  // The counters are read one after the other, so that a forward in between can be missing.
+  const auto difference = [](uint64_t all, uint64_t forwarded) {
+    return all > forwarded ? all - forwarded : 0;
+  };
+  return {difference(this->impl->traffic->sent, this->impl->forwarded.sent),
+          difference(this->impl->traffic->received, this->impl->forwarded.received)};
 }
 
 void PeerNetwork::Stop() {
@@ -210,6 +218,10 @@
                                                 PeerFrame frame,
                                                 std::shared_ptr<std::atomic<int>> active) {
   PeerFrame answer{frame.id, {}};
+  const bool is_forward = frame.message.type == kForward;
+  if (is_forward) {
+    this->forwarded.received += frame.message.body.size();
+  }
   const auto found = this->handlers.find(frame.message.type);
   if (found == this->handlers.end()) {
     answer.message = {std::string(kRefused), "unknown message type " + frame.message.type};
@@ -229,6 +241,9 @@
   } catch (const std::exception& error) {
     bytes = EncodePeerFrame({answer.id, {std::string(kFailed), error.what()}});
   }
+  if (is_forward) {
+    this->forwarded.sent += bytes.size();
+  }
   connection->Send(std::move(bytes));
 }
 
--- a/net/peer_network.h
+++ b/net/peer_network.h
@@ -71,8 +71,8 @@
   /// Closes the listener and all connections.
   void Stop();
 
-  /// @returns Bytes sent and received since the start.
-  std::pair<uint64_t, uint64_t> traffic() const;
+  /// @returns Bytes sent and received since the start, without the requests of callers.
+  std::pair<uint64_t, uint64_t> control_traffic() const;
 
  private:
   struct Impl;
