kernel: add section indexes to the two longest sources

Cause: the style asks for an index in long files. Change: comments only. Conclusion: no change of behaviour is intended.

--- a/kernel/ranked_admission.cc
+++ b/kernel/ranked_admission.cc
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <memory>
 
+// Sections: interface, keys and prediction, choice between ranks, bookkeeping.
+
 namespace poplarmoor {
 
 namespace {
@@ -31,6 +33,8 @@
 
 }  // namespace
 
+// --- Interface -----------------------------------------------------------------------------------
+
 RankedAdmission::RankedAdmission(const Traits& traits) : traits(traits) {
   this->Configure(AdmissionSettings());
 }
@@ -144,6 +148,8 @@
   return this->waiting[static_cast<size_t>(rank)];
 }
 
+// --- Keys and prediction -------------------------------------------------------------------------
+
 size_t RankedAdmission::ClassOf(Rank rank) const {
   return this->traits.ranks ? static_cast<size_t>(rank) : 0;
 }
@@ -202,6 +208,8 @@
   return FromMicros(first_free + wait);
 }
 
+// --- Choice between ranks ------------------------------------------------------------------------
+
 size_t RankedAdmission::ChooseClass() const {
   size_t highest = kRankCount;
   for (size_t index = 0; index < kRankCount; ++index) {
@@ -242,6 +250,8 @@
   return service > 0.0 ? service : kUnmeasured;
 }
 
+// --- Bookkeeping ---------------------------------------------------------------------------------
+
 double RankedAdmission::ArrivalRate(const Class& queue, TimePoint now) {
   if (!queue.first_arrival) {
     return 0.0;
--- a/kernel/request_machine.cc
+++ b/kernel/request_machine.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+// Sections: events, rules, reactions to losses and refusals, sending and waiting, final answer.
+
 namespace poplarmoor {
 
 namespace {
@@ -32,6 +34,8 @@
 
 }  // namespace
 
+// --- Events --------------------------------------------------------------------------------------
+
 RequestMachine::RequestMachine(StatementRequest request, RequestOptions options)
     : request(std::move(request)), options(std::move(options)) {
   assert(IsPinned(this->request.operation) == !this->options.pinned_endpoint.empty() &&
@@ -102,6 +106,8 @@
   return this->TrySend(context);
 }
 
+// --- Rules ---------------------------------------------------------------------------------------
+
 RequestMachine::Reaction RequestMachine::ReactionTo(Reason reason, bool needs_primary) {
   switch (reason) {
     case Reason::kNoPrimary:
@@ -154,6 +160,8 @@
   });
 }
 
+// --- Reactions to losses and refusals ------------------------------------------------------------
+
 RequestAction RequestMachine::OnLost(const Attempt& attempt,
                                      const StatementResult& result,
                                      const RequestContext& context) {
@@ -232,6 +240,8 @@
   return this->TrySend(context);
 }
 
+// --- Sending and waiting -------------------------------------------------------------------------
+
 std::string RequestMachine::ChooseEndpoint(const RequestContext& context) {
   if (!this->options.pinned_endpoint.empty()) {
     return this->options.pinned_endpoint;
@@ -327,6 +337,8 @@
                          Duration(static_cast<int64_t>(half + context.random % (half + 1))));
 }
 
+// --- Final answer --------------------------------------------------------------------------------
+
 RequestAction RequestMachine::GiveUp(Reason reason) {
   if (this->HasOutstanding()) {
     return this->Finish(MakeResult(Verdict::kMayHaveRun, Reason::kTimeout));
