--- a/cli/daemon_commands.cc
+++ b/cli/daemon_commands.cc
@@ -68,6 +68,7 @@
       all_answer = false;
       row = {{"state", answer.status == 0 ? "unreachable" : "error"},
              {"message", NoAnswerMessage(answer)}};
+      this->err << "poplarmoor: " << NoAnswerMessage(answer) << "\n";
     }
     row["address"] = answer.address;
     rows.push_back(std::move(row));
