Do not promote the old primary again when the others form a majority

A trial with a primary cut off from its replicas ended with the same primary at term 4 after 15 s: it still granted every term and had the highest position. A majority of the other endpoints includes every acknowledged write, so the promotion waits 500 ms for it before it counts the old primary.

--- a/kernel/failover.cc
+++ b/kernel/failover.cc
@@ -100,6 +100,7 @@
   this->proposal = this->known;
   this->proposal.term = this->known.term + 1;
   this->proposal.phase = GroupPhase::kElecting;
+  this->replaced = this->known.primary;
   this->proposal.primary.clear();
   this->proposal.proposer = this->daemon + "#" + FormatHex64((*this->random)());
   this->current_step = FailoverStep::kClaiming;
@@ -139,6 +140,7 @@
   }
   if (this->current_step == FailoverStep::kFencing) {
     this->SendFences(now);
+    this->EvaluateGrants(now);
   }
   if (this->current_step == FailoverStep::kIdle && this->known.version != 0 &&
       this->known.phase == GroupPhase::kElecting &&
@@ -243,6 +245,7 @@
 
 void Failover::EnterFencing(TimePoint now) {
   this->current_step = FailoverStep::kFencing;
+  this->fencing_since = now;
   this->grants.clear();
   this->next_fence.clear();
   this->SendFences(now);
@@ -274,7 +277,19 @@
     return;
   }
   this->grants[endpoint] = last;
-  if (this->grants.size() >= this->FenceQuorum()) {
+  this->EvaluateGrants(now);
+}
+
+void Failover::EvaluateGrants(TimePoint now) {
+  // A primary that is cut off from its replicas, or leaving, still grants the term and has the
+  // highest position. Any majority includes every acknowledged write, so one without it is enough.
+  std::map<std::string, LogPosition> others = this->grants;
+  others.erase(this->replaced);
+  if (others.size() >= this->FenceQuorum()) {
+    this->grants = std::move(others);
+    this->EnterRecording(now);
+  } else if (this->grants.size() >= this->FenceQuorum() &&
+             now - this->fencing_since >= this->options.fence_patience) {
     this->EnterRecording(now);
   }
 }
--- a/kernel/failover.h
+++ b/kernel/failover.h
@@ -30,6 +30,7 @@
   Duration takeover_delay = 2000ms;      // In phase electing, until another daemon takes over.
   Duration calm_period = 5000ms;         // After a promotion, until the next one.
   Duration fence_retry = 200ms;          // Between two fence calls to one endpoint.
+  Duration fence_patience = 500ms;       // For a majority without the old primary.
   Duration role_retry = 300ms;           // Between two promote or follow calls to one endpoint.
   Duration platform_retry = 100ms;       // Before the first repetition of a platform call; doubles.
   Duration platform_retry_cap = 1000ms;  // Upper limit of that delay.
@@ -135,6 +136,7 @@
   void SendRead(TimePoint now);
   void RepeatLater(bool read, TimePoint now);
   void SendFences(TimePoint now);
+  void EvaluateGrants(TimePoint now);
   void Establish(const EndpointInfo& endpoint, TimePoint now);
   void Announce();
   bool IsMine(const GroupState& group) const;
@@ -153,6 +155,8 @@
   Duration platform_delay{0};
   uint64_t next_call = 1;
   std::map<std::string, LogPosition> grants;
+  std::string replaced;  // Primary that the promotion replaces.
+  TimePoint fencing_since;
   std::map<std::string, TimePoint> next_fence;
   std::map<std::string, TimePoint> next_role;
   TimePoint electing_since;
--- a/tests/kernel/failover_matrix_test.cc
+++ b/tests/kernel/failover_matrix_test.cc
@@ -98,6 +98,29 @@
   }
 }
 
+TEST_CASE("a promotion does not choose the old primary again, or a cut primary stays for ever",
+          "[matrix]") {
+  RandomEngine random(1);
+  Failover failover("p0", FailoverOptions(), &random);
+  GroupState group;
+  group.version = 1;
+  group.term = 1;
+  group.primary = "e0";
+  group.term_starts = {{1, 0}};
+  group.endpoints = {{"e0", "a", "fd"}, {"e1", "b", "fd"}, {"e2", "c", "fd"}};
+  failover.Learn(group, TimePoint(1s));
+  REQUIRE(failover.Start(FailoverCause::kStalled, TimePoint(10s)));
+  GroupState claimed = failover.TakeActions().at(0).group;
+  claimed.version = 2;
+  failover.OnUpdate(1, UpdateOutcome::kApplied, claimed, TimePoint(10s));
+  failover.OnFence("e0", 2, true, {1, 9}, TimePoint(10s));
+  failover.OnFence("e1", 2, true, {1, 5}, TimePoint(10s));
+  CHECK(failover.Step() == FailoverStep::kFencing);
+  failover.OnFence("e2", 2, true, {1, 7}, TimePoint(10s));
+  REQUIRE(failover.Step() == FailoverStep::kRecording);
+  CHECK(failover.TakeActions().back().group.primary == "e2");
+}
+
 TEST_CASE("the matrix detects endpoints that grant a term but go on with the old one", "[matrix]") {
   CHECK(CountUnsafe(MakeSound, /*endpoints_fence=*/false) > 0);
 }
