--- a/net/peer_connection.cc
+++ b/net/peer_connection.cc
@@ -1,5 +1,7 @@
 #include "net/peer_connection.h"
 
+#include "net/traffic_counter.h"
+
 #include <openssl/rand.h>
 #include <boost/asio.hpp>
 #include <cstring>
