--- a/daemon/endpoint_owner.cc
+++ b/daemon/endpoint_owner.cc
@@ -20,6 +20,13 @@
 constexpr Duration kTransactionIdleLimit = 30s;  // Between two statements.
 constexpr Duration kTransactionAgeLimit = 300s;  // From begin to commit.
 constexpr Duration kRetryBegin = 20ms;           // Hint when transactions hold all connections.
+constexpr Duration kLongestRefusalTime = 100ms;  // For a refusal to reach the entry.
+
+/// @returns When a request that still waits is refused: early enough that the refusal reaches the
+///     entry before the deadline. Without it, the entry has to answer kMayHaveRun.
+TimePoint QueueLimit(TimePoint now, TimePoint deadline) {
+  return deadline - std::clamp<Duration>((deadline - now) / 8, 0ms, kLongestRefusalTime);
+}
 
 AdmissionSettings MakeAdmissionSettings(const ServiceSettings& settings) {
   AdmissionSettings admission;
@@ -120,7 +127,7 @@
   AdmissionItem item;
   item.rank = request.rank;
   item.site = request.site;
-  item.deadline = request.deadline;
+  item.deadline = QueueLimit(now, request.deadline);
   Waiter waiter;
   waiter.slot = std::make_shared<Slot>(co_await asio::this_coro::executor);
   waiter.rank = request.rank;
@@ -156,7 +163,7 @@
     this->Pump(now, &work);
   }
   this->Perform(std::move(work));
-  std::optional<Grant> grant = co_await slot->Wait(request.deadline);
+  std::optional<Grant> grant = co_await slot->Wait(item.deadline);
   if (grant) {
     co_return std::move(*grant);
   }
