daemon: test against the control plane, and require a site that may reach the service

Cause: the daemon test seeded no configuration, which the control plane needs, and waited for ever; a site that may not reach a service was answered as an unknown service. Change: the fixture seeds configuration units and waits at most 60 s for a state; a missing or foreign site is refused as bad_request with field 'site'.

--- a/daemon/entry_service.cc
+++ b/daemon/entry_service.cc
@@ -69,14 +69,14 @@
                             const std::string& service,
                             const std::string& site) {
   std::optional<ServiceSettings> settings = view.FindSettings(service, site);
-  if (!settings) {
-    throw UnknownService(service, view);
-  }
-  if (!settings->sites.empty() &&
-      std::find(settings->sites.begin(), settings->sites.end(), site) == settings->sites.end()) {
+  // FindSettings() accepts an empty site for operators; a caller has to name one.
+  if (view.FindSettings(service, "") && (!settings || site.empty())) {
     throw Rejection{400, Reason::kBadRequest, "site",
                     "site '" + site + "' may not reach service " + service};
   }
+  if (!settings) {
+    throw UnknownService(service, view);
+  }
   return std::move(*settings);
 }
 
--- a/tests/daemon/daemon_test.cc
+++ b/tests/daemon/daemon_test.cc
@@ -85,10 +85,16 @@
                                     {"address", this->endpoints[i]->address()},
                                     {"failure_domain", domains[i]}});
     }
-    this->platform.Seed(json{
-        {"objects", {{{"kind", "group"}, {"name", "ledger"}, {"value", group}}}},
-        {"vms",
-         json::array()}}.dump());
+    const json common{
+        {"deployment", "test"},
+        {"sites", {{{"name", "s1"}, {"failure_domain", "a"}}}},
+        {"pools", {{{"name", "p"}, {"slots", 3}, {"connections", 25}, {"connect_ms", 1}}}}};
+    const json service{{"name", "ledger"}, {"pool", "p"}, {"sites", {"s1"}}};
+    json objects = json::array();
+    objects.push_back({{"kind", "group"}, {"name", "ledger"}, {"value", group}});
+    objects.push_back({{"kind", "config"}, {"name", "common"}, {"value", common}});
+    objects.push_back({{"kind", "config"}, {"name", "service.ledger"}, {"value", service}});
+    this->platform.Seed(json{{"objects", objects}, {"vms", json::array()}}.dump());
     this->platform.Start("127.0.0.1:0");
     const std::vector<SeedPeer> peers{{"d1", FindFreeAddress(), "a"},
                                       {"d2", FindFreeAddress(), "b"}};
@@ -106,13 +112,24 @@
       this->daemons.push_back(std::make_unique<Daemon>(settings, keys, kToken));
       this->daemons.back()->Start();
     }
+    const auto limit = std::chrono::steady_clock::now() + 60s;
     for (const auto& daemon : this->daemons) {
-      while (daemon->view().ServiceNames().empty()) {
+      while (!IsReady(daemon->view())) {
+        if (std::chrono::steady_clock::now() > limit) {
+          throw std::runtime_error("a daemon has no configuration after 60 s");
+        }
         std::this_thread::sleep_for(1ms);
       }
     }
   }
 
+  /// @returns Whether a daemon knows the service, its group and both daemons.
+  static bool IsReady(ControlPlane& view) {
+    const auto group = view.FindGroup("ledger");
+    return view.FindSettings("ledger", "s1") && group && view.Members().size() == 2 &&
+           view.OwnersOf(group->endpoints[0]).size() == 2;
+  }
+
   void StartEndpoint(const std::string& name,
                      const std::string& failure_domain,
                      const std::string& primary_address) {
@@ -130,7 +147,7 @@
   std::string At(int daemon) { return this->daemons[daemon - 1]->callers_address(); }
 
   static json Statement(const std::string& kind, const json& statement) {
-    return {{"service", "ledger"}, {"site", ""},           {"rank", "urgent"},
+    return {{"service", "ledger"}, {"site", "s1"},         {"rank", "urgent"},
             {"kind", kind},        {"deadline_ms", 20000}, {"statement", statement}};
   }
 
@@ -182,7 +199,8 @@
 }
 
 TEST_CASE_METHOD(FleetFixture, "a transaction runs through both daemons and commits once") {
-  const Answer begun = Post(this->At(2), "/v1/transactions", {{"service", "ledger"}});
+  const Answer begun =
+      Post(this->At(2), "/v1/transactions", {{"service", "ledger"}, {"site", "s1"}});
   REQUIRE(begun.status == 200);
   const std::string transaction = begun.body["transaction"];
   const auto add = [&](int daemon, int sequence) {
@@ -225,6 +243,15 @@
   CHECK(error_of(answer)["reason"] == "unknown_service");
   CHECK(error_of(answer)["message"].get<std::string>().find("ledger") != std::string::npos);
 
+  // A site that may not reach the service must not look like an unknown service.
+  for (const char* site : {"elsewhere", ""}) {
+    body = Statement("read", 1);
+    body["site"] = site;
+    answer = Post(this->At(1), "/v1/statements", body);
+    CHECK(answer.status == 400);
+    CHECK(error_of(answer)["field"] == "site");
+  }
+
   body = Statement("read", std::string(2 << 20, 'x'));
   CHECK(Post(this->At(1), "/v1/statements", body).status == 413);
 
