--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -23,6 +23,7 @@
 
 namespace {
 
+constexpr std::chrono::seconds kMetricsWindow{60};       // Age limit of observed latencies.
 constexpr size_t kPlatformConnections = 8;               // Idle connections kept to the platform.
 constexpr std::chrono::milliseconds kUnreadyTime{1000};  // For the load balancer to notice.
 constexpr std::chrono::milliseconds kStopCheck{10};      // Between looks at what is in progress.
@@ -114,6 +115,15 @@
       });
 }
 
+asio::awaitable<void> Daemon::RotateMetrics() {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (true) {
+    timer.expires_after(kMetricsWindow);
+    co_await timer.async_wait(asio::use_awaitable);
+    this->observers.metrics.StartWindow();
+  }
+}
+
 void Daemon::Start() {
   this->ServePeers();
   this->peers.Listen(this->settings.listen.peers);
@@ -121,6 +131,7 @@
   this->operators->Listen(this->settings.listen.operators);
   this->cluster->Start();
   this->owner->Start();
+  asio::co_spawn(this->context, this->RotateMetrics(), asio::detached);
   this->running = true;
   for (int i = 0; i < this->threads_count; ++i) {
     this->threads.emplace_back([this] { this->context.run(); });
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -64,6 +64,7 @@
   bool IsIdle() const;
   void WaitUntilIdle(bool with_transactions, std::chrono::steady_clock::time_point limit);
   void ServePeers();
+  boost::asio::awaitable<void> RotateMetrics();
   std::unique_ptr<EndpointDriver> MakeDriver();
   std::pair<uint64_t, uint64_t> ControlTraffic() const;
   void MakeOperatorsApi();
