cli: share the query of all daemons between endpoints and metrics

Cause: both commands had the same loop that reports daemons without an answer. Change: Cli::AskAllOrReport() serves both.

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -53,6 +53,12 @@
   Deployment ReadFiles() const;
   PlatformSession& Platform();
   OperatorsClient& Daemons();
+
+  /// Asks all daemons and prints an error for each that does not answer with status 200.
+  /// @param path Path of the operators' API.
+  /// @param[out] all_answer Set to false when a daemon did not; otherwise unchanged.
+  /// @returns The answers with status 200.
+  std::vector<DaemonAnswer> AskAllOrReport(const std::string& path, bool* all_answer);
   // Waits until all daemons report at least this revision of the configuration.
   ExitCode WaitInForce(uint64_t revision);
   // Sends an order to any daemon and reports its answer.
--- a/cli/daemon_commands.cc
+++ b/cli/daemon_commands.cc
@@ -90,18 +90,25 @@
   return ExitCode::kOk;
 }
 
+std::vector<DaemonAnswer> Cli::AskAllOrReport(const std::string& path, bool* all_answer) {
+  std::vector<DaemonAnswer> answers = this->Daemons().AskAll(path);
+  RequireAnyAnswer(answers);
+  std::erase_if(answers, [&](const DaemonAnswer& answer) {
+    if (answer.status == 200) {
+      return false;
+    }
+    *all_answer = false;
+    this->err << "poplarmoor: " << NoAnswerMessage(answer) << "\n";
+    return true;
+  });
+  return answers;
+}
+
 ExitCode Cli::Endpoints() {
   // A daemon reports the endpoints that it owns, so only all daemons together know all endpoints.
-  const auto answers = this->Daemons().AskAll("/v1/endpoints");
-  RequireAnyAnswer(answers);
-  json rows = json::array();
   bool all_answer = true;
-  for (const DaemonAnswer& answer : answers) {
-    if (answer.status != 200) {
-      all_answer = false;
-      this->err << "poplarmoor: " << NoAnswerMessage(answer) << "\n";
-      continue;
-    }
+  json rows = json::array();
+  for (const DaemonAnswer& answer : this->AskAllOrReport("/v1/endpoints", &all_answer)) {
     for (json row : RequireJson(answer).value("endpoints", json::array())) {
       row["owner"] = answer.address;
       rows.push_back(std::move(row));
@@ -191,16 +198,9 @@
 }
 
 ExitCode Cli::Metrics() {
-  const auto answers = this->Daemons().AskAll("/metrics");
-  RequireAnyAnswer(answers);
-  json by_daemon = json::object();
   bool all_answer = true;
-  for (const DaemonAnswer& answer : answers) {
-    if (answer.status != 200) {
-      all_answer = false;
-      this->err << "poplarmoor: " << NoAnswerMessage(answer) << "\n";
-      continue;
-    }
+  json by_daemon = json::object();
+  for (const DaemonAnswer& answer : this->AskAllOrReport("/metrics", &all_answer)) {
     by_daemon[answer.address] = answer.body;
     if (this->options.output == OutputFormat::kTable) {
       this->out << "# daemon " << answer.address << "\n" << answer.body;
