--- /dev/null
+++ b/kernel/freshness_log.cc
@@ -0,0 +1,50 @@
+#include "kernel/freshness_log.h"
+
+#include <algorithm>
+
+namespace poplarmoor {
+
+void FreshnessLog::Record(TimePoint sent, LogPosition position) {
+  if (position < this->highest_position) {
+    return;  // A later answer overtook this one, or the endpoint has lost the lead since.
+  }
+  this->highest_position = position;
+  if (!this->entries.empty() && sent <= this->entries.back().sent) {
+    return;
+  }
+  // The entry before the last one is the newest that has left the spacing.
+  const size_t size = this->entries.size();
+  if (size >= 2 && this->entries[size - 1].sent - this->entries[size - 2].sent < kSpacing) {
+    this->entries.back() = {sent, position};
+    return;
+  }
+  this->entries.push_back({sent, position});
+  if (this->entries.size() > kMaxEntries) {
+    this->entries.pop_front();
+  }
+}
+
+std::optional<LogPosition> FreshnessLog::Demand(TimePoint since,
+                                                Duration preferred,
+                                                TimePoint now) const {
+  std::optional<LogPosition> oldest_usable;
+  for (auto entry = this->entries.rbegin(); entry != this->entries.rend(); ++entry) {
+    if (entry->sent < since) {
+      break;
+    }
+    oldest_usable = entry->position;
+    if (now - entry->sent >= preferred) {
+      break;
+    }
+  }
+  return oldest_usable;
+}
+
+std::optional<TimePoint> FreshnessLog::newest() const {
+  if (this->entries.empty()) {
+    return std::nullopt;
+  }
+  return this->entries.back().sent;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/read_placement.cc
@@ -0,0 +1,45 @@
+#include "kernel/read_placement.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarmoor {
+
+namespace {
+
+// Traffic between failure domains is paid for; a read crosses only to avoid a queue of about the
+// time of one short statement.
+constexpr Duration kCrossDomainPenalty = 10ms;
+// The primary alone can serve writes, so reads leave it free while a replica is not loaded.
+constexpr Duration kPrimaryPenalty = 30ms;
+
+Duration ExpectedDelay(const ReadCandidate& candidate) {
+  const auto limit = std::max<uint32_t>(candidate.limit, 1);
+  Duration delay = candidate.service_time * (candidate.busy + limit) / limit;
+  if (!candidate.same_failure_domain) {
+    delay += kCrossDomainPenalty;
+  }
+  if (candidate.is_primary) {
+    delay += kPrimaryPenalty;
+  }
+  return delay;
+}
+
+}  // namespace
+
+std::vector<std::string> OrderForRead(const std::vector<ReadCandidate>& candidates) {
+  std::vector<std::pair<Duration, std::string>> order;
+  for (const ReadCandidate& candidate : candidates) {
+    if (candidate.usable) {
+      order.emplace_back(ExpectedDelay(candidate), candidate.id);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<std::string> ids;
+  for (auto& [delay, id] : order) {
+    ids.push_back(std::move(id));
+  }
+  return ids;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/statement_queue.cc
@@ -0,0 +1,100 @@
+#include "kernel/statement_queue.h"
+
+#include <algorithm>
+
+namespace poplarmoor {
+
+namespace {
+
+// From this rank on, a share of the connections stays free for more urgent statements.
+constexpr int kFirstRestrictedRank = 2;
+constexpr uint32_t kRestrictedDivisor = 3;  // One connection in three is kept free of them.
+constexpr int kSmoothing = 8;               // Weight of the history against one sample.
+
+}  // namespace
+
+void StatementQueue::SetLimits(uint32_t single_limit, uint32_t total_limit) {
+  this->singles_allowed = std::max<uint32_t>(single_limit, 1);
+  this->total_allowed = std::max(total_limit, this->singles_allowed);
+}
+
+bool StatementQueue::MayStart(int rank, bool transaction) const {
+  if (this->singles + this->transactions >= this->total_allowed) {
+    return false;
+  }
+  // A transaction mostly idles between statements, so that it takes no single statement's place.
+  if (transaction) {
+    return true;
+  }
+  const uint32_t kept_free =
+      rank >= kFirstRestrictedRank ? this->singles_allowed / kRestrictedDivisor : 0;
+  return this->singles + kept_free < this->singles_allowed;
+}
+
+void StatementQueue::Start(bool transaction) {
+  ++(transaction ? this->transactions : this->singles);
+}
+
+StatementQueue::Decision StatementQueue::Enter(Ticket ticket,
+                                               int rank,
+                                               bool transaction,
+                                               Duration patience) {
+  bool overtakes = true;
+  for (const auto& [waiting_rank, queue] : this->waiting) {
+    overtakes = overtakes && (waiting_rank > rank || queue.empty());
+  }
+  if (overtakes && this->MayStart(rank, transaction)) {
+    this->Start(transaction);
+    return Decision::kStart;
+  }
+  if (this->PredictedWait(rank) > patience) {
+    return Decision::kRefuse;
+  }
+  this->waiting[rank].push_back({ticket, transaction});
+  return Decision::kWait;
+}
+
+void StatementQueue::Withdraw(Ticket ticket) {
+  for (auto& [rank, queue] : this->waiting) {
+    std::erase_if(queue, [ticket](const Waiter& waiter) { return waiter.ticket == ticket; });
+  }
+}
+
+void StatementQueue::Leave(bool transaction, Duration held) {
+  --(transaction ? this->transactions : this->singles);
+  if (!transaction) {
+    this->smoothed_hold += (held - this->smoothed_hold) / kSmoothing;
+  }
+}
+
+std::optional<StatementQueue::Ticket> StatementQueue::Next() {
+  for (auto& [rank, queue] : this->waiting) {
+    for (auto waiter = queue.begin(); waiter != queue.end(); ++waiter) {
+      if (this->MayStart(rank, waiter->transaction)) {
+        const Ticket ticket = waiter->ticket;
+        this->Start(waiter->transaction);
+        queue.erase(waiter);
+        return ticket;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+Duration StatementQueue::PredictedWait(int rank) const {
+  size_t ahead = 1;
+  for (const auto& [waiting_rank, queue] : this->waiting) {
+    ahead += waiting_rank <= rank ? queue.size() : 0;
+  }
+  return this->smoothed_hold * ahead / this->singles_allowed;
+}
+
+uint32_t StatementQueue::busy() const {
+  size_t count = this->singles + this->transactions;
+  for (const auto& [rank, queue] : this->waiting) {
+    count += queue.size();
+  }
+  return static_cast<uint32_t>(count);
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/caller_session.cc
@@ -0,0 +1,331 @@
+#include "session/caller_session.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "session/boot_clock.h"
+#include "session/cluster.h"
+#include "session/session_codec.h"
+#include "telemetry/log.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A caller that has connected must introduce itself within this time.
+constexpr Duration kOpenLimit = 10s;
+// A caller closes after 2 s without an answer to its introduction.
+constexpr Duration kFirstConfigurationWait = 1500ms;
+// Bytes read at once; the buffer is shared by all sessions of the thread.
+constexpr size_t kReadSize = 16 << 10;
+
+StatementAnswer Success(TransactionState state) {
+  StatementAnswer answer;
+  answer.signature = "-";
+  answer.state = state;
+  return answer;
+}
+
+StatementAnswer Failure(StatementError error, std::string_view text, TransactionState state) {
+  StatementAnswer answer;
+  answer.error = error;
+  answer.error_text = text;
+  answer.state = state;
+  return answer;
+}
+
+}  // namespace
+
+CallerSession::CallerSession(asio::ip::tcp::socket socket,
+                             uint64_t number,
+                             Cluster* cluster,
+                             StatementRunner* runner,
+                             const SessionCodec* codec)
+    : socket(std::move(socket)),
+      timer(this->socket.get_executor()),
+      cluster(cluster),
+      runner(runner),
+      codec(codec) {
+  this->state.session = number;
+}
+
+// -----------------------------------------------------------------------------
+// Life of the session
+
+asio::awaitable<void> CallerSession::Serve() {
+  const auto self = this->shared_from_this();
+  boost::system::error_code ignored;
+  this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  this->socket.non_blocking(true, ignored);
+  if (co_await this->Open()) {
+    while (!(this->draining && this->IsIdle())) {
+      auto line = co_await this->ReadLine();
+      if (!line) {
+        break;
+      }
+      CallerMessage message = this->codec->DecodeCaller(*line);
+      line.reset();
+      if (message.kind == CallerMessage::Kind::kClose) {
+        break;
+      }
+      const StatementAnswer answer = co_await this->Answer(std::move(message));
+      if (!co_await this->Write(this->codec->EncodeAnswer(answer))) {
+        break;
+      }
+    }
+  }
+  if (this->transaction) {
+    this->runner->Discard(&*this->transaction);
+  }
+  this->socket.close(ignored);
+}
+
+asio::awaitable<bool> CallerSession::Open() {
+  const auto line = co_await this->ReadLine();
+  if (!line) {
+    co_return false;
+  }
+  const CallerMessage message = this->codec->DecodeCaller(*line);
+  std::string refusal;
+  if (message.kind != CallerMessage::Kind::kOpen) {
+    refusal = this->codec->EncodeRefusal(StatementError::kMalformed,
+                                         "a session starts with the name of its database");
+  } else if (!co_await this->cluster->AwaitReady(kFirstConfigurationWait)) {
+    refusal = this->codec->EncodeRefusal(StatementError::kOverloaded,
+                                         "this daemon has no configuration yet");
+  } else if (this->cluster->routes().Find(message.database) == nullptr) {
+    refusal = this->codec->EncodeRefusal(StatementError::kUnknownDatabase, message.database);
+  }
+  if (!refusal.empty()) {
+    Log(LogLevel::kInfo, "session refused",
+        {{"database", message.database},
+         {"cause", refusal.substr(0, refusal.find('\r'))},
+         {"config_version", this->cluster->routes().version}});
+    co_await this->Write(refusal);
+    co_return false;
+  }
+  this->database = message.database;
+  this->opened = true;
+  co_return co_await this->Write(this->codec->EncodeOpened());
+}
+
+bool CallerSession::IsIdle() const {
+  return !this->transaction && this->buffer.empty();
+}
+
+void CallerSession::Drain() {
+  this->draining = true;
+  if (this->waiting && this->IsIdle()) {
+    this->socket.cancel();
+  }
+}
+
+void CallerSession::EndTransaction() {
+  if (this->waiting && this->transaction && !this->transaction->finished) {
+    this->runner->Discard(&*this->transaction);
+  }
+}
+
+// -----------------------------------------------------------------------------
+// Messages
+
+asio::awaitable<std::optional<std::string>> CallerSession::ReadLine() {
+  static thread_local std::array<char, kReadSize> chunk;
+  size_t scanned = 0;
+  for (;;) {
+    const size_t end = this->buffer.find("\r\n", scanned);
+    if (end != std::string::npos) {
+      std::string line = this->buffer.substr(0, end);
+      this->buffer.erase(0, end + 2);
+      co_return line;
+    }
+    if (this->buffer.size() > this->codec->max_message()) {
+      Log(LogLevel::kWarn, "message above the size limit, session closed",
+          {{"database", this->database}, {"bytes", this->buffer.size()}});
+      co_await this->Write(this->codec->EncodeRefusal(StatementError::kTooLarge,
+                                                      "the message exceeds the size limit"));
+      co_return std::nullopt;
+    }
+    scanned = this->buffer.empty() ? 0 : this->buffer.size() - 1;
+    const bool holds_connection = this->transaction && !this->transaction->finished &&
+                                  this->transaction->lease.connection != nullptr;
+    const bool limited = !this->opened || holds_connection;
+    if (limited) {
+      this->timer.expires_after(this->opened ? this->cluster->routes().transaction_idle_limit
+                                             : kOpenLimit);
+      this->timer.async_wait([weak = this->weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (error || self == nullptr) {
+          return;
+        }
+        if (self->opened) {
+          Log(LogLevel::kInfo, "idle transaction ended",
+              {{"database", self->database}, {"session", self->state.session}});
+          self->EndTransaction();
+        } else {
+          self->socket.cancel();
+        }
+      });
+    }
+    boost::system::error_code error;
+    this->waiting = true;
+    co_await this->socket.async_wait(asio::ip::tcp::socket::wait_read,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    this->waiting = false;
+    if (limited) {
+      this->timer.cancel();
+    }
+    if (error) {
+      co_return std::nullopt;
+    }
+    const size_t size = this->socket.read_some(asio::buffer(chunk), error);
+    if (error && error != asio::error::would_block) {
+      co_return std::nullopt;
+    }
+    this->buffer.append(chunk.data(), size);
+  }
+}
+
+asio::awaitable<bool> CallerSession::Write(std::string text) {
+  boost::system::error_code error;
+  co_await asio::async_write(this->socket, asio::buffer(text),
+                             asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
+}
+
+TransactionState CallerSession::State() const {
+  if (!this->transaction) {
+    return TransactionState::kNone;
+  }
+  return this->transaction->finished ? TransactionState::kFailed : TransactionState::kOpen;
+}
+
+// -----------------------------------------------------------------------------
+// Statements
+
+asio::awaitable<StatementAnswer> CallerSession::Answer(CallerMessage message) {
+  if (message.kind != CallerMessage::Kind::kStatement) {
+    co_return Failure(StatementError::kMalformed, "a statement is expected", this->State());
+  }
+  const DatabaseRoute* route =
+      this->transaction ? &*this->transaction_route : this->cluster->routes().Find(this->database);
+  if (route == nullptr) {
+    co_return Failure(StatementError::kUnknownDatabase, this->database, TransactionState::kNone);
+  }
+  const DatabaseRoute current = *route;  // A reload may replace the table during the statement.
+  StatementAnswer answer;
+  switch (message.verb) {
+    case StatementVerb::kCommit:
+    case StatementVerb::kRollback:
+      co_return co_await this->AnswerEnd(std::move(message), current);
+    case StatementVerb::kUnknown:
+      co_return Failure(StatementError::kMalformed, "unknown statement", this->State());
+    default:
+      break;
+  }
+  if (this->State() == TransactionState::kFailed) {
+    co_return Failure(
+        this->transaction->reported ? StatementError::kMalformed : StatementError::kAborted,
+        "the transaction has failed", TransactionState::kFailed);
+  }
+  if (message.verb == StatementVerb::kBegin) {
+    if (this->transaction) {
+      co_return Failure(StatementError::kMalformed, "a transaction is open already",
+                        TransactionState::kOpen);
+    }
+    this->transaction.emplace();
+    this->transaction->read_only = message.read_only;
+    this->transaction_route = current;
+    co_return Success(TransactionState::kOpen);
+  }
+  if (message.verb == StatementVerb::kRead || message.verb == StatementVerb::kWrite ||
+      message.verb == StatementVerb::kExecute) {
+    co_return co_await this->AnswerStatement(std::move(message), current);
+  }
+  co_return co_await this->AnswerSetting(std::move(message));
+}
+
+asio::awaitable<StatementAnswer> CallerSession::AnswerStatement(CallerMessage message,
+                                                                const DatabaseRoute& route) {
+  StatementJob job;
+  job.arrived = BootNow();
+  job.deadline = job.arrived + route.statement_timeout;
+  job.id = std::move(message.id);
+  job.route = &route;
+  job.writes = message.verb == StatementVerb::kWrite;
+  job.text = std::move(message.text);
+  if (message.verb == StatementVerb::kExecute) {
+    const auto found = this->state.prepared.find(message.name);
+    if (found == this->state.prepared.end()) {
+      co_return Failure(StatementError::kUnknownStatement, message.name, this->State());
+    }
+    job.prepared = found->second;
+    job.writes = !found->second.read_only;
+    job.text =
+        this->codec->ExecuteText(ConnectionState::PooledName(found->second), message.argument);
+  }
+  StatementAnswer answer;
+  if (this->transaction) {
+    answer =
+        co_await this->runner->RunInTransaction(std::move(job), &this->state, &*this->transaction);
+    this->transaction->reported = this->transaction->finished;
+  } else {
+    answer = co_await this->runner->Run(std::move(job), &this->state);
+  }
+  answer.state = this->State();
+  co_return answer;
+}
+
+asio::awaitable<StatementAnswer> CallerSession::AnswerEnd(CallerMessage message,
+                                                          const DatabaseRoute& route) {
+  const bool commit = message.verb == StatementVerb::kCommit;
+  if (!this->transaction) {
+    co_return Failure(StatementError::kMalformed, "no transaction is open",
+                      TransactionState::kNone);
+  }
+  StatementAnswer answer;
+  if (commit && this->transaction->finished) {
+    answer = Failure(StatementError::kAborted, "the transaction has failed and was rolled back",
+                     TransactionState::kNone);
+  } else if (commit) {
+    StatementJob job;
+    job.arrived = BootNow();
+    job.deadline = job.arrived + route.statement_timeout;
+    job.id = std::move(message.id);
+    job.text = std::move(message.text);
+    job.route = &route;
+    answer = co_await this->runner->Commit(std::move(job), &this->state, &*this->transaction);
+  } else {
+    this->runner->Discard(&*this->transaction);
+    answer = Success(TransactionState::kNone);
+  }
+  this->transaction.reset();
+  co_return answer;
+}
+
+asio::awaitable<StatementAnswer> CallerSession::AnswerSetting(CallerMessage message) {
+  if (message.verb == StatementVerb::kPrepare) {
+    this->state.prepared[message.name] = {message.read_only, message.argument};
+  } else if (message.verb == StatementVerb::kDeallocate) {
+    this->state.prepared.erase(message.name);
+  } else {
+    this->state.values[message.name] = message.argument;
+    ++this->state.values_version;
+    if (this->transaction && this->transaction->lease.connection != nullptr) {
+      const SetupStep step{SetupStep::Kind::kSetValue, message.name, message.argument, {}};
+      if (!co_await this->runner->SetInTransaction(step, this->state, &*this->transaction)) {
+        this->transaction->reported = true;
+        co_return Failure(StatementError::kAborted, "the transaction's connection was lost",
+                          TransactionState::kFailed);
+      }
+    }
+  }
+  co_return Success(this->State());
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/caller_session.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "session/caller_message.h"
+#include "session/statement_runner.h"
+
+namespace poplarmoor {
+
+/// One caller's session: a connection with values, prepared statements and at most one transaction.
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+ public:
+  CallerSession(boost::asio::ip::tcp::socket socket,
+                uint64_t number,
+                Cluster* cluster,
+                StatementRunner* runner,
+                const SessionCodec* codec);
+
+  /// Serves the session until it ends.
+  boost::asio::awaitable<void> Serve();
+
+  /// Closes the session as soon as no request and no transaction is open.
+  void Drain();
+
+  /// Ends an idle transaction, whose caller gets an error on its next statement.
+  void EndTransaction();
+
+  bool InTransaction() const { return this->transaction.has_value(); }
+
+ private:
+  boost::asio::awaitable<bool> Open();
+  boost::asio::awaitable<std::optional<std::string>> ReadLine();
+  boost::asio::awaitable<bool> Write(std::string text);
+  boost::asio::awaitable<StatementAnswer> Answer(CallerMessage message);
+  boost::asio::awaitable<StatementAnswer> AnswerStatement(CallerMessage message,
+                                                          const DatabaseRoute& route);
+  boost::asio::awaitable<StatementAnswer> AnswerEnd(CallerMessage message,
+                                                    const DatabaseRoute& route);
+  boost::asio::awaitable<StatementAnswer> AnswerSetting(CallerMessage message);
+  TransactionState State() const;
+  bool IsIdle() const;
+
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer timer;  // Limits the wait for the caller's next message.
+  Cluster* cluster;
+  StatementRunner* runner;
+  const SessionCodec* codec;
+  SessionState state;
+  std::string database;
+  std::string buffer;
+  std::optional<SessionTransaction> transaction;
+  std::optional<DatabaseRoute> transaction_route;  // As of the transaction's begin.
+  bool opened = false;
+  bool waiting = false;  // For the caller's next message.
+  bool draining = false;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/cluster.cc
@@ -0,0 +1,164 @@
+#include "session/cluster.h"
+
+#include <algorithm>
+
+#include "session/boot_clock.h"
+#include "telemetry/log.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Entries that lapsed during an outage of the registry are back within 2 s of its return.
+constexpr Duration kMissingGrace = 2500ms;
+// Until the daemons are counted; the usual fleet has 7 or 8.
+constexpr uint32_t kAssumedDaemons = 8;
+// Connections of an endpoint that no daemon's share includes, for orders and takeovers.
+constexpr uint32_t kReservedConnections = 2;
+// Idle connections above the share are closed after this time, so that other daemons get them.
+constexpr Duration kSurplusIdleAge = 500ms;
+// Statements at an endpoint, in multiples of its slots, that all daemons together keep there.
+constexpr uint32_t kStatementsPerSlot = 6;
+
+}  // namespace
+
+Cluster::Cluster(asio::any_io_executor executor,
+                 const SessionCodec* codec,
+                 std::string failure_domain)
+    : executor(executor),
+      codec(codec),
+      own_domain(std::move(failure_domain)),
+      daemons(kAssumedDaemons),
+      changed(executor) {}
+
+void Cluster::ApplyRoutes(RouteTable table) {
+  if (table.version <= this->table.version) {
+    return;
+  }
+  Log(LogLevel::kInfo, "configuration in force",
+      {{"version", table.version},
+       {"previous", this->table.version},
+       {"routes", table.routes.size()}});
+  this->table = std::move(table);
+  for (auto& [service, group] : this->by_service) {
+    for (auto& [id, pool] : group->members) {
+      this->SetLimits(pool.get());
+    }
+  }
+  this->changed.NotifyAll();
+}
+
+void Cluster::ApplyEndpoint(const EndpointRecord& record) {
+  this->missing_since.erase(record.id);
+  ServiceGroup* group = this->EnsureGroup(record.service);
+  auto& pool = group->members[record.id];
+  if (pool == nullptr) {
+    pool = std::make_shared<EndpointPool>(this->executor, this->codec, record);
+    Log(LogLevel::kInfo, "endpoint registered",
+        {{"service", record.service}, {"endpoint", record.id}, {"address", record.address}});
+  } else {
+    if (record.leaving && !pool->record().leaving) {
+      Log(LogLevel::kInfo, "endpoint leaves",
+          {{"service", record.service}, {"endpoint", record.id}, {"revision", record.revision}});
+    }
+    pool->Update(record);
+  }
+  this->SetLimits(pool.get());
+  group->OnRegistryRole(record);
+  this->changed.NotifyAll();
+}
+
+void Cluster::EndpointMissing(const std::string& id) {
+  if (this->FindEndpoint(id) != nullptr) {
+    this->missing_since.emplace(id, BootNow());
+  }
+}
+
+void Cluster::Sweep() {
+  const TimePoint now = BootNow();
+  for (auto& [service, group] : this->by_service) {
+    for (auto& [id, pool] : group->members) {
+      pool->CloseIdle(kSurplusIdleAge);
+    }
+  }
+  for (auto missing = this->missing_since.begin(); missing != this->missing_since.end();) {
+    if (now - missing->second < kMissingGrace) {
+      ++missing;
+      continue;
+    }
+    for (auto& [service, group] : this->by_service) {
+      if (group->members.contains(missing->first)) {
+        Log(LogLevel::kInfo, "endpoint gone", {{"service", service}, {"endpoint", missing->first}});
+        group->LosePrimary(missing->first, "its registry entry is gone");
+        group->members.at(missing->first)->Abandon();
+        group->members.erase(missing->first);
+      }
+    }
+    missing = this->missing_since.erase(missing);
+  }
+}
+
+void Cluster::SetDaemonCount(uint32_t count) {
+  this->daemons = std::max<uint32_t>(count, 1);
+  for (auto& [service, group] : this->by_service) {
+    for (auto& [id, pool] : group->members) {
+      this->SetLimits(pool.get());
+    }
+  }
+}
+
+void Cluster::SetLimits(EndpointPool* pool) {
+  const auto service = this->table.services.find(pool->record().service);
+  if (service == this->table.services.end()) {
+    return;
+  }
+  const uint32_t limit = service->second.max_connections;
+  const uint32_t usable = limit > kReservedConnections ? limit - kReservedConnections : 1;
+  const uint32_t useful =
+      (pool->record().slots * kStatementsPerSlot + this->daemons - 1) / this->daemons;
+  const uint32_t share = std::clamp<uint32_t>(usable / this->daemons, 1, std::max(useful, 1U));
+  // Transactions hold connections while they idle. They may exceed the share, because few daemons
+  // have many at once; the endpoint's own limit ends the excess.
+  pool->SetLimits(share, std::max(share, usable / 2));
+}
+
+ServiceGroup* Cluster::FindGroup(const std::string& service) {
+  const auto found = this->by_service.find(service);
+  return found == this->by_service.end() ? nullptr : found->second.get();
+}
+
+ServiceGroup* Cluster::EnsureGroup(const std::string& service) {
+  auto& group = this->by_service[service];
+  if (group == nullptr) {
+    group = std::make_unique<ServiceGroup>(this->executor, service);
+  }
+  return group.get();
+}
+
+std::shared_ptr<EndpointPool> Cluster::FindEndpoint(const std::string& id) {
+  for (auto& [service, group] : this->by_service) {
+    const auto found = group->members.find(id);
+    if (found != group->members.end()) {
+      return found->second;
+    }
+  }
+  return nullptr;
+}
+
+bool Cluster::IsReady() const {
+  return this->table.version != 0 &&
+         std::any_of(this->by_service.begin(), this->by_service.end(),
+                     [](const auto& entry) { return !entry.second->members.empty(); });
+}
+
+asio::awaitable<bool> Cluster::AwaitReady(Duration patience) {
+  const TimePoint limit = BootNow() + patience;
+  while (!this->IsReady() && BootNow() < limit) {
+    co_await this->changed.Wait(limit - BootNow());
+  }
+  co_return this->IsReady();
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/cluster.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "kernel/route_table.h"
+#include "session/service_group.h"
+
+namespace poplarmoor {
+
+class SessionCodec;
+
+/// Routes, services and endpoints as this daemon knows them. For one thread.
+class Cluster {
+ public:
+  /// @param executor Executor of the I/O thread.
+  /// @param codec Session protocol; must outlive this object.
+  /// @param failure_domain Of this daemon.
+  Cluster(boost::asio::any_io_executor executor,
+          const SessionCodec* codec,
+          std::string failure_domain);
+
+  /// Takes a configuration over unless it is older than the one in force.
+  void ApplyRoutes(RouteTable table);
+
+  /// Adds or changes an endpoint.
+  void ApplyEndpoint(const EndpointRecord& record);
+
+  /// The registry has no entry for the endpoint. It is kept for a while, because entries also
+  /// lapse while the registry is out of order.
+  void EndpointMissing(const std::string& id);
+
+  /// Drops endpoints that have been missing for too long and closes surplus idle connections.
+  void Sweep();
+
+  /// Sets the number of daemons that share the endpoints' connections.
+  void SetDaemonCount(uint32_t count);
+
+  /// @param service Name.
+  /// @returns The service's group, or null when no endpoint of it was ever registered.
+  ServiceGroup* FindGroup(const std::string& service);
+
+  /// @returns The service's group, created if needed.
+  ServiceGroup* EnsureGroup(const std::string& service);
+
+  /// @param id Endpoint.
+  /// @returns Its pool, or null.
+  std::shared_ptr<EndpointPool> FindEndpoint(const std::string& id);
+
+  const RouteTable& routes() const { return this->table; }
+  std::map<std::string, std::unique_ptr<ServiceGroup>>& groups() { return this->by_service; }
+  const std::string& failure_domain() const { return this->own_domain; }
+
+  /// Waits until routes and endpoints are known.
+  /// @param patience Longest wait.
+  boost::asio::awaitable<bool> AwaitReady(Duration patience);
+
+  /// @returns Whether routes and endpoints are known.
+  bool IsReady() const;
+
+ private:
+  void SetLimits(EndpointPool* pool);
+
+  boost::asio::any_io_executor executor;
+  const SessionCodec* codec;
+  std::string own_domain;
+  RouteTable table;
+  std::map<std::string, std::unique_ptr<ServiceGroup>> by_service;
+  std::map<std::string, TimePoint> missing_since;  // By endpoint.
+  uint32_t daemons;
+  WaitList changed;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/endpoint_line.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "kernel/log_position.h"
+#include "session/statement_error.h"
+
+namespace poplarmoor {
+
+/// State of a connection's transaction.
+enum class TransactionState { kNone, kOpen, kFailed };
+
+/// One line of an endpoint's answer, decoded.
+struct EndpointLine {
+  enum class Kind { kRow, kComplete, kError, kReady, kMalformed };
+
+  Kind kind = Kind::kMalformed;
+  std::string text;  // Of kRow, kComplete and kError: what follows the word.
+  StatementError error = StatementError::kOther;
+  TransactionState state = TransactionState::kNone;  // Of kReady.
+  std::optional<LogPosition> position;               // Of kReady: end of the endpoint's log.
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/endpoint_pool.cc
@@ -0,0 +1,226 @@
+#include "session/endpoint_pool.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "session/boot_clock.h"
+#include "session/statement_answer.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A connection opens in two round trips and the endpoint's login time; a lost packet adds a second.
+constexpr Duration kOpenLimit = 600ms;
+// After a refusal at the endpoint's limit, other daemons need time to close idle connections.
+constexpr Duration kGrowthPause = 300ms;
+
+}  // namespace
+
+struct EndpointPool::Waiter {
+  explicit Waiter(asio::any_io_executor executor) : timer(std::move(executor)) {}
+
+  asio::steady_timer timer;
+  bool granted = false;
+};
+
+EndpointPool::EndpointPool(asio::any_io_executor executor,
+                           const SessionCodec* codec,
+                           EndpointRecord record)
+    : executor(std::move(executor)), codec(codec), current(std::move(record)) {}
+
+EndpointPool::~EndpointPool() = default;
+
+asio::awaitable<EndpointLease> EndpointPool::Acquire(int rank,
+                                                     bool transaction,
+                                                     Duration patience,
+                                                     const SessionState& session) {
+  const auto self = this->shared_from_this();
+  const TimePoint entered = BootNow();
+  const StatementQueue::Ticket ticket = this->next_ticket++;
+  const auto decision = this->admission.Enter(ticket, rank, transaction, patience);
+  EndpointLease lease;
+  lease.transaction = transaction;
+  if (decision == StatementQueue::Decision::kRefuse) {
+    lease.failure = AcquireFailure::kOverloaded;
+    co_return lease;
+  }
+  if (decision == StatementQueue::Decision::kWait) {
+    Waiter waiter(this->executor);
+    waiter.timer.expires_after(patience);
+    this->waiters[ticket] = &waiter;
+    boost::system::error_code error;
+    co_await waiter.timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    this->waiters.erase(ticket);
+    if (!waiter.granted) {
+      this->admission.Withdraw(ticket);
+      lease.failure = AcquireFailure::kOverloaded;
+      co_return lease;
+    }
+  }
+  lease.since = BootNow();
+  lease.connection = this->TakeIdle(session.session);
+  if (lease.connection != nullptr) {
+    co_return lease;
+  }
+  const Duration left = patience - (lease.since - entered);
+  co_return co_await this->OpenFor(std::move(lease), std::clamp(left, Duration(1ms), kOpenLimit));
+}
+
+asio::awaitable<EndpointLease> EndpointPool::OpenFor(EndpointLease lease, Duration limit) {
+  auto connection =
+      std::make_unique<EndpointSession>(this->executor, this->codec, this->current.address);
+  try {
+    const StatementAnswer answer =
+        co_await connection->Open(this->current.service, this->current.id, limit);
+    if (!answer.error) {
+      this->down = false;
+      this->last_answer = BootNow();
+      ++this->opened;
+      lease.connection = std::move(connection);
+      co_return lease;
+    }
+    if (*answer.error == StatementError::kTooManyConnections) {
+      lease.failure = AcquireFailure::kTooMany;
+      this->limited_until = BootNow() + kGrowthPause;
+    } else if (*answer.error == StatementError::kWrongEndpoint) {
+      lease.failure = AcquireFailure::kWrongEndpoint;
+    } else {
+      lease.failure = AcquireFailure::kOverloaded;
+    }
+  } catch (const EndpointSessionError&) {
+    lease.failure = AcquireFailure::kUnreachable;  // The caller logs it with the statement's id.
+  }
+  this->Leave(lease.transaction, lease.since);
+  co_return lease;
+}
+
+void EndpointPool::Release(EndpointLease lease) {
+  if (lease.connection != nullptr && lease.connection->is_open()) {
+    this->idle.push_back({std::move(lease.connection), BootNow()});
+  }
+  this->Leave(lease.transaction, lease.since);
+}
+
+void EndpointPool::Leave(bool transaction, TimePoint since) {
+  this->admission.Leave(transaction, BootNow() - since);
+  this->WakeNext();
+}
+
+void EndpointPool::WakeNext() {
+  while (const auto ticket = this->admission.Next()) {
+    Waiter* waiter = this->waiters.at(*ticket);
+    waiter->granted = true;
+    waiter->timer.cancel();
+  }
+}
+
+std::unique_ptr<EndpointSession> EndpointPool::TakeIdle(uint64_t session) {
+  while (!this->idle.empty()) {
+    auto place = std::find_if(
+        this->idle.begin(), this->idle.end(),
+        [session](const IdleConnection& entry) { return entry.connection->used_by == session; });
+    if (place == this->idle.end()) {
+      place = this->idle.end() - 1;
+    }
+    auto connection = std::move(place->connection);
+    this->idle.erase(place);
+    if (connection->IsReusable()) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+asio::awaitable<EndpointReport> EndpointPool::Order(EndpointOrder order,
+                                                    uint64_t term,
+                                                    Duration limit,
+                                                    bool fresh) {
+  const auto self = this->shared_from_this();
+  std::unique_ptr<EndpointSession> connection = fresh ? nullptr : this->TakeIdle(0);
+  if (connection == nullptr) {
+    connection =
+        std::make_unique<EndpointSession>(this->executor, this->codec, this->current.address);
+    const StatementAnswer opened =
+        co_await connection->Open(this->current.service, this->current.id, limit);
+    ++this->opened;
+    if (opened.error) {
+      throw std::runtime_error("the endpoint refused the connection: " +
+                               std::string(kStatementErrorNames.NameOf(*opened.error)));
+    }
+  }
+  std::vector<std::string> messages;
+  messages.push_back(this->codec->EncodeOrder(order, term));
+  const auto answers = co_await connection->Exchange(std::move(messages), limit);
+  const StatementAnswer& answer = answers.front();
+  if (connection->is_open()) {
+    this->idle.push_back({std::move(connection), BootNow()});
+  }
+  if (answer.error || answer.rows.empty()) {
+    throw std::runtime_error(
+        "the endpoint refused the order: " +
+        (answer.error ? std::string(kStatementErrorNames.NameOf(*answer.error)) : "no row"));
+  }
+  this->down = false;
+  this->last_answer = BootNow();
+  co_return this->codec->DecodeReport(answer.rows.front());
+}
+
+void EndpointPool::Update(const EndpointRecord& record) {
+  const bool reborn = record.incarnation_ms != this->current.incarnation_ms ||
+                      record.address != this->current.address;
+  this->current = record;
+  if (reborn) {
+    this->idle.clear();
+    this->down = false;
+  }
+}
+
+void EndpointPool::SetLimits(uint32_t singles, uint32_t total) {
+  this->single_limit = singles;
+  this->total_limit = total;
+  this->admission.SetLimits(singles, total);
+  this->WakeNext();
+}
+
+void EndpointPool::CloseIdle(Duration age) {
+  const TimePoint now = BootNow();
+  const size_t kept = now < this->limited_until ? 0 : this->single_limit;
+  // The front entries have been idle for the longest time.
+  while (this->idle.size() > kept && now - this->idle.front().since > age) {
+    this->idle.erase(this->idle.begin());
+  }
+}
+
+void EndpointPool::Abandon() {
+  this->idle.clear();
+  for (auto& [connection, since] : this->in_progress) {
+    connection->Abort();
+  }
+}
+
+void EndpointPool::OnSent(EndpointSession* connection) {
+  this->in_progress[connection] = BootNow();
+}
+
+void EndpointPool::OnAnswered(EndpointSession* connection) {
+  this->in_progress.erase(connection);
+  if (connection->is_open()) {
+    this->last_answer = BootNow();
+  }
+}
+
+Duration EndpointPool::Silence() const {
+  Duration longest{};
+  const TimePoint now = BootNow();
+  for (const auto& [connection, since] : this->in_progress) {
+    longest = std::max(longest, now - std::max(since, this->last_answer));
+  }
+  return longest;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/endpoint_pool.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "kernel/endpoint_record.h"
+#include "kernel/name_table.h"
+#include "kernel/session_state.h"
+#include "kernel/statement_queue.h"
+#include "session/endpoint_session.h"
+#include "session/session_codec.h"
+
+namespace poplarmoor {
+
+/// Why no connection could be had.
+enum class AcquireFailure {
+  kNone,
+  kOverloaded,     // The wait would exceed the patience, or did.
+  kUnreachable,    // No connection could be opened.
+  kTooMany,        // The endpoint's connection limit is reached.
+  kWrongEndpoint,  // Another endpoint lives at the address.
+};
+
+inline constexpr NameTable<AcquireFailure, 5> kAcquireFailureNames{{{
+    {AcquireFailure::kNone, "none"},
+    {AcquireFailure::kOverloaded, "overloaded"},
+    {AcquireFailure::kUnreachable, "unreachable"},
+    {AcquireFailure::kTooMany, "too_many_connections"},
+    {AcquireFailure::kWrongEndpoint, "wrong_endpoint"},
+}}};
+
+/// A connection lent to one statement or transaction.
+struct EndpointLease {
+  std::unique_ptr<EndpointSession> connection;
+  bool transaction = false;
+  TimePoint since;
+  AcquireFailure failure = AcquireFailure::kNone;  // Without a connection.
+};
+
+/// This daemon's connections to one endpoint, and what it has observed of the endpoint.
+class EndpointPool : public std::enable_shared_from_this<EndpointPool> {
+ public:
+  EndpointPool(boost::asio::any_io_executor executor,
+               const SessionCodec* codec,
+               EndpointRecord record);
+  ~EndpointPool();
+
+  /// Lends a connection.
+  /// @param rank 0 is the most urgent.
+  /// @param transaction Whether it is kept until a transaction ends.
+  /// @param patience Longest wait.
+  /// @param session Session that will use it; one that it used before is preferred.
+  boost::asio::awaitable<EndpointLease> Acquire(int rank,
+                                                bool transaction,
+                                                Duration patience,
+                                                const SessionState& session);
+
+  /// Takes a connection back. It is kept when it is open.
+  void Release(EndpointLease lease);
+
+  /// Sends one order over a connection of its own or an idle one.
+  /// @param fresh Whether it must be a new connection.
+  /// @throws EndpointSessionError, std::runtime_error.
+  boost::asio::awaitable<EndpointReport> Order(EndpointOrder order,
+                                               uint64_t term,
+                                               Duration limit,
+                                               bool fresh);
+
+  /// Replaces the registry's view. A new life of the endpoint closes the connections.
+  void Update(const EndpointRecord& record);
+
+  /// Sets how many connections this daemon may use.
+  void SetLimits(uint32_t singles, uint32_t total);
+
+  /// Closes idle connections above the limit that have been idle for longer than the age.
+  void CloseIdle(Duration age);
+
+  /// Closes all connections; exchanges in progress fail.
+  void Abandon();
+
+  /// Records that a statement is in progress, for the silence check.
+  void OnSent(EndpointSession* connection);
+  void OnAnswered(EndpointSession* connection);
+
+  /// @returns How long the oldest exchange has been waiting without any answer of the endpoint.
+  Duration Silence() const;
+
+  /// @returns The executor of the I/O thread.
+  const boost::asio::any_io_executor& io_executor() const { return this->executor; }
+
+  const EndpointRecord& record() const { return this->current; }
+  StatementQueue& queue() { return this->admission; }
+  const StatementQueue& queue() const { return this->admission; }
+
+  bool down = false;  // No fresh connection can be opened.
+  TimePoint down_since;
+  bool probing = false;       // A check over fresh connections is in progress.
+  TimePoint avoid_until;      // It was overloaded; other endpoints go first until then.
+  TimePoint behind_until;     // It lacked a demanded position; others go first until then.
+  Duration behind_backoff{};  // Grows while it stays behind.
+  uint64_t opened = 0;        // Connections opened so far.
+
+ private:
+  struct Waiter;
+  struct IdleConnection {
+    std::unique_ptr<EndpointSession> connection;
+    TimePoint since;
+  };
+
+  boost::asio::awaitable<EndpointLease> OpenFor(EndpointLease lease, Duration limit);
+  std::unique_ptr<EndpointSession> TakeIdle(uint64_t session);
+  void Leave(bool transaction, TimePoint since);
+  void WakeNext();
+
+  boost::asio::any_io_executor executor;
+  const SessionCodec* codec;
+  EndpointRecord current;
+  StatementQueue admission;
+  std::vector<IdleConnection> idle;
+  std::map<StatementQueue::Ticket, Waiter*> waiters;
+  std::map<EndpointSession*, TimePoint> in_progress;  // By connection: when it was sent.
+  TimePoint last_answer;
+  StatementQueue::Ticket next_ticket = 1;
+  uint32_t single_limit = 1;
+  uint32_t total_limit = 1;
+  TimePoint limited_until;  // The endpoint refused a connection: no growth until then.
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/endpoint_session.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "kernel/session_state.h"
+#include "kernel/time.h"
+#include "session/statement_answer.h"
+
+namespace poplarmoor {
+
+class SessionCodec;
+
+/// Failure of a connection to an endpoint. The connection is closed.
+class EndpointSessionError : public std::runtime_error {
+ public:
+  enum class Kind {
+    kRefused,   // No listener, or the endpoint closed the connection.
+    kTimeout,   // No answer within the time limit.
+    kProtocol,  // An answer that cannot be read.
+  };
+
+  EndpointSessionError(Kind kind, const std::string& message)
+      : std::runtime_error(message), kind(kind) {}
+
+  Kind kind;
+};
+
+/// One connection to an endpoint.
+class EndpointSession {
+ public:
+  /// @param executor Executor of the I/O thread.
+  /// @param codec Encoding; must outlive this object.
+  /// @param address "IP:port".
+  EndpointSession(boost::asio::any_io_executor executor,
+                  const SessionCodec* codec,
+                  std::string address);
+
+  /// Connects and introduces itself.
+  /// @param service Service that the endpoint must belong to.
+  /// @param endpoint Identity that the endpoint must confirm.
+  /// @param limit Time limit of both.
+  /// @returns The endpoint's answer; with an error the connection is closed.
+  /// @throws EndpointSessionError.
+  boost::asio::awaitable<StatementAnswer> Open(std::string service,
+                                               std::string endpoint,
+                                               Duration limit);
+
+  /// Sends messages at once and reads an answer to each.
+  /// @param messages Encoded messages.
+  /// @param limit Time limit of the whole exchange.
+  /// @returns One answer for each message.
+  /// @throws EndpointSessionError; any of the messages may have run.
+  boost::asio::awaitable<std::vector<StatementAnswer>> Exchange(std::vector<std::string> messages,
+                                                                Duration limit);
+
+  /// @returns Whether nothing has arrived since the last answer, a close included.
+  bool IsReusable();
+
+  void Close();
+
+  bool is_open() const { return this->open; }
+
+  /// Ends an exchange in progress with an error.
+  void Abort() { this->Close(); }
+
+  ConnectionState held;  // Values and prepared statements of the connection.
+  uint64_t used_by = 0;  // Session that used the connection last.
+
+ private:
+  boost::asio::awaitable<StatementAnswer> ReadAnswer(bool opening);
+  [[noreturn]] void Fail(EndpointSessionError::Kind kind, const std::string& message);
+
+  const SessionCodec* codec;
+  std::string address;
+  boost::beast::tcp_stream stream;
+  std::string buffer;
+  bool open = false;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/group_keeper.cc
@@ -0,0 +1,437 @@
+#include "session/group_keeper.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <exception>
+
+#include "session/boot_clock.h"
+#include "session/cluster.h"
+#include "session/object_store.h"
+#include "session/promotion_api.h"
+#include "telemetry/log.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration kCheckInterval = 50ms;
+// Silence of an endpoint with statements in progress; above the slowest usual statement (45 ms) and
+// a full queue in front of it.
+constexpr Duration kSuspiciousSilence = 250ms;
+// Commits that are not acknowledged for this time on a primary that answers otherwise.
+constexpr Duration kStalledCommit = 500ms;
+// Two fresh connections must fail; the second one covers a lost packet.
+constexpr Duration kProbeLimit = 300ms;
+constexpr int kProbeAttempts = 2;
+constexpr Duration kProbeGap = 20ms;
+constexpr Duration kDownProbeInterval = 400ms;  // An endpoint that is down is asked this often.
+constexpr Duration kSeekInterval = 60ms;
+constexpr Duration kSeekLimit = 250ms;  // Of one status call.
+// A claim is respected for this time; its holder has died or lost the store after it. Above the
+// platform's time for a promotion (1 s).
+constexpr Duration kClaimValidity = 2500ms;
+constexpr Duration kTakeoverLimit = 5s;    // Of a takeover before its promotion is ordered.
+constexpr Duration kRoundInterval = 30ms;  // Between two rounds of status calls.
+constexpr Duration kOrderLimit = 300ms;    // Of one order to an endpoint.
+constexpr Duration kPromotionLimit = 10s;  // Until an order without an answer is given up.
+// The daemons spread their claims, so that mostly one of them pays for a call.
+constexpr Duration kUrgentJitter = 40ms;
+constexpr Duration kPlannedJitter = 400ms;
+// A fresh primary is not replaced for stalled commits while replicas turn to it.
+constexpr Duration kFreshPrimary = 2s;
+// Without any primary in the registry, members are asked for this time before one is promoted.
+constexpr Duration kNoPrimaryLimit = 1s;
+
+}  // namespace
+
+GroupKeeper::GroupKeeper(asio::any_io_executor executor,
+                         Cluster* cluster,
+                         ObjectStore* store,
+                         PromotionApi* promotions,
+                         std::string daemon)
+    : executor(std::move(executor)),
+      cluster(cluster),
+      store(store),
+      promotions(promotions),
+      daemon(std::move(daemon)),
+      random(std::random_device{}()) {}
+
+void GroupKeeper::Spawn(asio::awaitable<void> work) {
+  asio::co_spawn(this->executor, std::move(work), [](std::exception_ptr failure) {
+    if (failure) {
+      std::rethrow_exception(failure);
+    }
+  });
+}
+
+void GroupKeeper::Start() {
+  this->Spawn(this->Run());
+}
+
+// -----------------------------------------------------------------------------
+// Watching
+
+asio::awaitable<void> GroupKeeper::Run() {
+  for (;;) {
+    this->cluster->Sweep();
+    for (auto& [service, group] : this->cluster->groups()) {
+      this->Check(group.get());
+    }
+    co_await Pause(kCheckInterval);
+  }
+}
+
+void GroupKeeper::Check(ServiceGroup* group) {
+  const TimePoint now = BootNow();
+  for (auto& [id, pool] : group->members) {
+    const bool due = pool->down ? now - pool->down_since > kDownProbeInterval
+                                : pool->Silence() > kSuspiciousSilence;
+    if (due && !pool->probing) {
+      pool->probing = true;
+      this->Spawn(this->Probe(group, pool));
+    }
+  }
+  const auto primary = group->Primary();
+  if (primary == nullptr) {
+    if (!group->seeking && !group->members.empty()) {
+      group->seeking = true;
+      this->Spawn(this->Seek(group));
+    }
+    return;
+  }
+  if (group->taking_over || this->stopping) {
+    return;
+  }
+  if (primary->record().leaving) {
+    group->taking_over = true;
+    this->Spawn(this->TakeOver(group, TakeoverReason::kPrimaryLeaving));
+    return;
+  }
+  TimePoint oldest = now;
+  for (const auto& [connection, sent] : group->commits) {
+    oldest = std::min(oldest, sent);
+  }
+  if (now - oldest > kStalledCommit && now - group->primary_since > kFreshPrimary) {
+    group->taking_over = true;
+    this->Spawn(this->TakeOver(group, TakeoverReason::kReplicationStalled));
+  }
+}
+
+asio::awaitable<void> GroupKeeper::Probe(ServiceGroup* group, std::shared_ptr<EndpointPool> pool) {
+  std::string cause;
+  const bool was_down = pool->down;
+  bool answers = false;
+  for (int attempt = 0; attempt < kProbeAttempts && !answers; ++attempt) {
+    try {
+      co_await pool->Order(EndpointOrder::kStatus, 0, kProbeLimit, true);
+      answers = true;
+    } catch (const std::runtime_error& error) {
+      cause = error.what();
+    }
+    if (!answers) {
+      co_await Pause(kProbeGap);
+    }
+  }
+  pool->probing = false;
+  if (answers) {
+    if (was_down) {
+      Log(LogLevel::kInfo, "endpoint regained",
+          {{"service", group->name}, {"endpoint", pool->record().id}});
+    }
+    co_return;
+  }
+  pool->down = true;
+  pool->down_since = BootNow();
+  if (was_down) {
+    co_return;
+  }
+  Log(LogLevel::kWarn, "endpoint lost",
+      {{"service", group->name}, {"endpoint", pool->record().id}, {"cause", cause}});
+  pool->Abandon();
+  const bool led = group->Primary() == pool;
+  group->LosePrimary(pool->record().id, "it does not answer on fresh connections");
+  if (led && !group->taking_over && !this->stopping) {
+    group->taking_over = true;
+    co_await this->TakeOver(group, TakeoverReason::kPrimaryLost);
+  }
+}
+
+asio::awaitable<std::vector<MemberStatus>> GroupKeeper::Statuses(ServiceGroup* group,
+                                                                 Duration limit) {
+  struct Round {
+    std::vector<MemberStatus> statuses;
+    size_t pending = 0;
+    WaitList changed;
+  };
+  const auto round = std::make_shared<Round>(Round{{}, 0, WaitList(this->executor)});
+  const auto ask = [](std::shared_ptr<Round> round, std::shared_ptr<EndpointPool> pool,
+                      size_t place, Duration limit) -> asio::awaitable<void> {
+    MemberStatus status;
+    status.id = pool->record().id;
+    status.leaving = pool->record().leaving;
+    try {
+      const EndpointReport report =
+          co_await pool->Order(EndpointOrder::kStatus, 0, limit, pool->down);
+      status.reachable = true;
+      status.is_primary = report.is_primary;
+      status.term = report.term;
+      status.received = report.received;
+      status.held_term = report.held_term;
+    } catch (const std::runtime_error& error) {
+      Log(LogLevel::kDebug, "status unknown", {{"endpoint", status.id}, {"cause", error.what()}});
+    }
+    round->statuses[place] = std::move(status);
+    --round->pending;
+    round->changed.NotifyAll();
+  };
+  round->statuses.resize(group->members.size());
+  round->pending = group->members.size();
+  size_t place = 0;
+  for (const auto& [id, pool] : group->members) {
+    this->Spawn(ask(round, pool, place++, limit));
+  }
+  while (round->pending > 0) {
+    co_await round->changed.Wait(limit);
+  }
+  co_return round->statuses;
+}
+
+asio::awaitable<void> GroupKeeper::Seek(ServiceGroup* group) {
+  const TimePoint started = BootNow();
+  while (group->Primary() == nullptr && !group->members.empty()) {
+    const auto statuses = co_await this->Statuses(group, kSeekLimit);
+    const MemberStatus* leader = nullptr;
+    for (const MemberStatus& status : statuses) {
+      if (status.reachable && status.is_primary &&
+          (leader == nullptr || status.term > leader->term)) {
+        leader = &status;
+      }
+    }
+    if (leader != nullptr && leader->term >= group->term) {
+      group->SetPrimary(leader->id, leader->term, "status");
+      break;
+    }
+    const bool idle = !group->taking_over && !this->stopping && !this->IsClaimed(*group);
+    if (idle && BootNow() - started > kNoPrimaryLimit) {
+      group->taking_over = true;
+      co_await this->TakeOver(group, group->old_primary.empty() ? TakeoverReason::kNoPrimary
+                                                                : TakeoverReason::kPrimaryLost);
+    }
+    co_await Pause(kSeekInterval);
+  }
+  group->seeking = false;
+}
+
+// -----------------------------------------------------------------------------
+// Takeover
+
+bool GroupKeeper::IsClaimed(const ServiceGroup& group) const {
+  const bool open =
+      group.claim.phase == TakeoverPhase::kClaimed || group.claim.phase == TakeoverPhase::kOrdered;
+  return open && BootNow() - group.claim_seen < kClaimValidity;
+}
+
+asio::awaitable<void> GroupKeeper::TakeOver(ServiceGroup* group, TakeoverReason reason) {
+  const bool planned = reason == TakeoverReason::kPrimaryLeaving;
+  co_await Pause(RandomDuration(&this->random, planned ? kPlannedJitter : kUrgentJitter));
+  if (!this->IsClaimed(*group) && co_await this->Claim(group, reason)) {
+    co_await this->Compare(group, reason, group->claim.revision);
+  } else {
+    // Another daemon acts, or the store cannot be reached.
+    co_await Pause(kSuspiciousSilence);
+  }
+  group->taking_over = false;
+}
+
+asio::awaitable<bool> GroupKeeper::Claim(ServiceGroup* group, TakeoverReason reason) {
+  TakeoverClaim claim;
+  claim.service = group->name;
+  claim.phase = TakeoverPhase::kClaimed;
+  claim.holder = this->daemon;
+  claim.nonce = this->random();
+  std::string cause;
+  bool conflict = false;
+  try {
+    claim.revision = co_await this->store->Put(kTakeoverKind, group->name,
+                                               EncodeTakeoverClaim(claim), group->claim.revision);
+  } catch (const StoreError& error) {
+    cause = error.what();
+    conflict = error.failure != StoreFailure::kRefused;
+  }
+  if (conflict) {
+    // The claim of another daemon came first, or the answer to this one was lost.
+    try {
+      const auto stored = co_await this->store->Get(kTakeoverKind, group->name);
+      if (stored) {
+        const TakeoverClaim current = DecodeTakeoverClaim(stored->value, stored->revision);
+        if (current.holder == this->daemon && current.nonce == claim.nonce) {
+          claim.revision = current.revision;
+        } else {
+          group->OnClaim(current);
+        }
+      }
+    } catch (const std::runtime_error& error) {
+      cause = error.what();
+    }
+  }
+  Log(LogLevel::kInfo, claim.revision != 0 ? "takeover claimed" : "takeover not claimed",
+      {{"service", group->name},
+       {"reason", kTakeoverReasonNames.NameOf(reason)},
+       {"old_primary", group->old_primary},
+       {"token", claim.revision},
+       {"cause", cause}});
+  if (claim.revision == 0) {
+    co_return false;
+  }
+  group->OnClaim(claim);
+  co_return true;
+}
+
+asio::awaitable<void> GroupKeeper::Compare(ServiceGroup* group,
+                                           TakeoverReason reason,
+                                           uint64_t token) {
+  TakeoverView view;
+  view.reason = reason;
+  view.old_primary = group->old_primary;
+  std::vector<std::string> paused;
+  const TimePoint limit = BootNow() + kTakeoverLimit;
+  std::string last_cause;
+  while (BootNow() < limit && group->claim.revision == token) {
+    view.members = co_await this->Statuses(group, kOrderLimit);
+    uint64_t newest = group->term;
+    for (const MemberStatus& member : view.members) {
+      newest = std::max(newest, member.term);
+    }
+    view.pause_term = std::max(view.pause_term, newest + 1);
+    const TakeoverStep step = NextTakeoverStep(view);
+    if (step.cause != last_cause) {
+      last_cause = step.cause;
+      Log(LogLevel::kInfo, "takeover step",
+          {{"service", group->name},
+           {"endpoint", step.endpoint},
+           {"cause", step.cause},
+           {"term", view.pause_term},
+           {"token", token}});
+    }
+    if (step.kind == TakeoverStep::Kind::kAbandon) {
+      break;
+    }
+    if (step.kind == TakeoverStep::Kind::kPromote) {
+      if (co_await this->Promote(group, step.endpoint, token)) {
+        co_return;
+      }
+      break;
+    }
+    if (step.kind == TakeoverStep::Kind::kWait) {
+      co_await Pause(kRoundInterval);
+      continue;
+    }
+    const auto pool = this->cluster->FindEndpoint(step.endpoint);
+    if (pool == nullptr) {
+      continue;
+    }
+    const bool pause = step.kind == TakeoverStep::Kind::kPause;
+    bool accepted = false;
+    try {
+      co_await pool->Order(pause ? EndpointOrder::kPause : EndpointOrder::kStepDown,
+                           view.pause_term, kOrderLimit, false);
+      accepted = true;
+    } catch (const std::runtime_error& error) {
+      // The order may be carried out later; the next status shows it.
+      Log(LogLevel::kWarn, "order without effect",
+          {{"service", group->name}, {"endpoint", step.endpoint}, {"cause", error.what()}});
+    }
+    if (!accepted) {
+      co_await Pause(kRoundInterval);
+    }
+    if (pause) {
+      paused.push_back(step.endpoint);
+    }
+  }
+  co_await this->Abandon(group, std::move(paused), view.pause_term);
+}
+
+asio::awaitable<void> GroupKeeper::Abandon(ServiceGroup* group,
+                                           std::vector<std::string> paused,
+                                           uint64_t term) {
+  Log(LogLevel::kInfo, "takeover abandoned",
+      {{"service", group->name}, {"paused", paused.size()}, {"holder", group->claim.holder}});
+  if (group->claim.holder != this->daemon) {
+    co_return;  // The newer holder decides about the paused replicas.
+  }
+  for (const std::string& endpoint : paused) {
+    const auto pool = this->cluster->FindEndpoint(endpoint);
+    try {
+      if (pool != nullptr) {
+        co_await pool->Order(EndpointOrder::kResume, term, kOrderLimit, false);
+      }
+    } catch (const std::runtime_error& error) {
+      Log(LogLevel::kWarn, "replica not resumed",
+          {{"service", group->name}, {"endpoint", endpoint}, {"cause", error.what()}});
+    }
+  }
+  TakeoverClaim claim = group->claim;
+  claim.phase = TakeoverPhase::kAbandoned;
+  try {
+    claim.revision = co_await this->store->Put(kTakeoverKind, group->name,
+                                               EncodeTakeoverClaim(claim), claim.revision);
+    group->OnClaim(claim);
+  } catch (const StoreError& error) {
+    Log(LogLevel::kInfo, "claim not withdrawn",
+        {{"service", group->name}, {"cause", error.what()}});
+  }
+}
+
+asio::awaitable<bool> GroupKeeper::Promote(ServiceGroup* group,
+                                           std::string endpoint,
+                                           uint64_t token) {
+  const TimePoint started = BootNow();
+  PromotionOutcome outcome = PromotionOutcome::kUnknown;
+  while (outcome == PromotionOutcome::kUnknown && BootNow() - started < kPromotionLimit &&
+         group->claim.revision == token) {
+    outcome = co_await this->promotions->Promote(group->name, endpoint, token);
+    Log(LogLevel::kInfo, "promotion ordered",
+        {{"service", group->name},
+         {"endpoint", endpoint},
+         {"token", token},
+         {"outcome", kPromotionOutcomeNames.NameOf(outcome)}});
+  }
+  if (outcome != PromotionOutcome::kAccepted) {
+    co_return false;
+  }
+  group->promotion_ordered = BootNow();
+  TakeoverClaim claim = group->claim;
+  claim.phase = TakeoverPhase::kOrdered;
+  claim.endpoint = endpoint;
+  try {
+    claim.revision = co_await this->store->Put(kTakeoverKind, group->name,
+                                               EncodeTakeoverClaim(claim), claim.revision);
+    group->OnClaim(claim);
+  } catch (const StoreError& error) {
+    Log(LogLevel::kInfo, "promotion not announced",
+        {{"service", group->name}, {"cause", error.what()}});
+  }
+  while (BootNow() - started < kClaimValidity) {
+    const auto pool = this->cluster->FindEndpoint(endpoint);
+    if (pool == nullptr) {
+      break;
+    }
+    try {
+      const EndpointReport report =
+          co_await pool->Order(EndpointOrder::kStatus, 0, kOrderLimit, false);
+      if (report.is_primary) {
+        group->SetPrimary(endpoint, report.term, "promotion");
+        break;
+      }
+    } catch (const std::runtime_error& error) {
+      Log(LogLevel::kDebug, "status unknown", {{"endpoint", endpoint}, {"cause", error.what()}});
+    }
+    co_await Pause(kSeekInterval);
+  }
+  co_return true;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/group_keeper.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "kernel/random.h"
+#include "kernel/takeover_plan.h"
+#include "session/service_group.h"
+
+namespace poplarmoor {
+
+class Cluster;
+class ObjectStore;
+class PromotionApi;
+
+/// Watches the endpoints, finds primaries and replaces those that are lost or leave.
+class GroupKeeper {
+ public:
+  /// @param cluster,store,promotions Must outlive this object.
+  /// @param daemon Name of this daemon.
+  GroupKeeper(boost::asio::any_io_executor executor,
+              Cluster* cluster,
+              ObjectStore* store,
+              PromotionApi* promotions,
+              std::string daemon);
+
+  void Start();
+
+  /// Takes no further takeovers on.
+  void Stop() { this->stopping = true; }
+
+ private:
+  boost::asio::awaitable<void> Run();
+  void Check(ServiceGroup* group);
+  boost::asio::awaitable<void> Probe(ServiceGroup* group, std::shared_ptr<EndpointPool> pool);
+  boost::asio::awaitable<void> Seek(ServiceGroup* group);
+  boost::asio::awaitable<void> TakeOver(ServiceGroup* group, TakeoverReason reason);
+  boost::asio::awaitable<bool> Claim(ServiceGroup* group, TakeoverReason reason);
+  boost::asio::awaitable<void> Compare(ServiceGroup* group, TakeoverReason reason, uint64_t token);
+  boost::asio::awaitable<bool> Promote(ServiceGroup* group, std::string endpoint, uint64_t token);
+  boost::asio::awaitable<void> Abandon(ServiceGroup* group,
+                                       std::vector<std::string> paused,
+                                       uint64_t term);
+  boost::asio::awaitable<std::vector<MemberStatus>> Statuses(ServiceGroup* group, Duration limit);
+  bool IsClaimed(const ServiceGroup& group) const;
+  void Spawn(boost::asio::awaitable<void> work);
+
+  boost::asio::any_io_executor executor;
+  Cluster* cluster;
+  ObjectStore* store;
+  PromotionApi* promotions;
+  std::string daemon;
+  RandomEngine random;
+  bool stopping = false;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/object_store.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "kernel/name_table.h"
+
+namespace poplarmoor {
+
+/// One object of the store.
+struct StoredObject {
+  std::string name;
+  uint64_t revision = 0;  // Of its last change.
+  std::string value;      // JSON text.
+  bool deleted = false;   // In the result of a watch.
+};
+
+/// Objects of one kind, or the changes of a kind, as of a revision of the store.
+struct StoreSnapshot {
+  uint64_t revision = 0;
+  std::vector<StoredObject> objects;
+};
+
+/// Why a store call failed.
+enum class StoreFailure {
+  kUnreachable,  // No answer: a write may have taken effect.
+  kRefused,      // Nothing was done: overload or outage.
+  kConflict,     // The object has another revision than the write expected.
+  kHistoryGone,  // A watch asked for changes that the store has forgotten.
+  kBadAnswer,    // The answer does not follow the protocol.
+};
+
+inline constexpr NameTable<StoreFailure, 5> kStoreFailureNames{{{
+    {StoreFailure::kUnreachable, "unreachable"},
+    {StoreFailure::kRefused, "refused"},
+    {StoreFailure::kConflict, "conflict"},
+    {StoreFailure::kHistoryGone, "history_gone"},
+    {StoreFailure::kBadAnswer, "bad_answer"},
+}}};
+
+/// Failure of a store call.
+class StoreError : public std::runtime_error {
+ public:
+  StoreError(StoreFailure failure, const std::string& message)
+      : std::runtime_error(message), failure(failure) {}
+
+  StoreFailure failure;
+};
+
+/// Versioned objects with conditional updates and watches. Calls neither retry nor back off.
+class ObjectStore {
+ public:
+  virtual ~ObjectStore() = default;
+
+  /// @param kind Kind of the objects.
+  /// @param stale_ok Whether seconds-old data will do, which costs less.
+  /// @returns All objects of the kind.
+  /// @throws StoreError.
+  virtual boost::asio::awaitable<StoreSnapshot> List(std::string kind, bool stale_ok) = 0;
+
+  /// Waits for changes.
+  /// @param kind Kind of the objects.
+  /// @param since Revision after which changes are reported.
+  /// @param wait Longest time without a change.
+  /// @returns The changes; none when the time passed.
+  /// @throws StoreError.
+  virtual boost::asio::awaitable<StoreSnapshot> Watch(std::string kind,
+                                                      uint64_t since,
+                                                      std::chrono::milliseconds wait) = 0;
+
+  /// @returns The object, or nothing when it does not exist.
+  /// @throws StoreError.
+  virtual boost::asio::awaitable<std::optional<StoredObject>> Get(std::string kind,
+                                                                  std::string name) = 0;
+
+  /// Stores an object if it has the expected revision.
+  /// @param expected Revision of its last change; 0: it must not exist.
+  /// @returns The revision of this change.
+  /// @throws StoreError; after kUnreachable, read the object back.
+  virtual boost::asio::awaitable<uint64_t> Put(std::string kind,
+                                               std::string name,
+                                               std::string value,
+                                               uint64_t expected) = 0;
+
+  /// Stores an object, whatever its revision.
+  /// @throws StoreError.
+  virtual boost::asio::awaitable<void> Set(std::string kind,
+                                           std::string name,
+                                           std::string value) = 0;
+
+  /// Removes an object, whatever its revision.
+  /// @throws StoreError.
+  virtual boost::asio::awaitable<void> Remove(std::string kind, std::string name) = 0;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/process_settings.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace poplarmoor {
+
+/// What a session daemon learns from its platform at its start and on a reload.
+struct ProcessSettings {
+  std::string daemon;  // Name of this daemon.
+  std::string failure_domain;
+  std::string caller_address;          // "IP:port" of the session listener.
+  std::string ready_address;           // "IP:port" of the readiness probe.
+  std::string store_address;           // "IP:port" of the object store.
+  std::string promotion_address;       // "IP:port" of the promotion call; empty: none.
+  std::string metrics_address;         // "IP:port"; empty: none.
+  std::chrono::seconds stop_grace{6};  // From the stop signal to the kill.
+  uint32_t max_descriptors = 1024;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/registry_codec.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "kernel/endpoint_record.h"
+#include "kernel/route_table.h"
+
+namespace poplarmoor {
+
+struct StoredObject;
+
+/// Decodes the platform's own objects.
+class RegistryCodec {
+ public:
+  virtual ~RegistryCodec() = default;
+
+  /// @returns Kind of the endpoints' registry entries.
+  virtual std::string endpoint_kind() const = 0;
+
+  /// @returns Kind of the object that holds the routes.
+  virtual std::string routes_kind() const = 0;
+
+  /// @returns Name of that object.
+  virtual std::string routes_name() const = 0;
+
+  /// @param object Registry entry.
+  /// @returns The endpoint, or nothing when the entry is malformed and names no endpoint to use.
+  virtual std::optional<EndpointRecord> DecodeEndpoint(const StoredObject& object) const = 0;
+
+  /// @param object The routes.
+  /// @throws std::runtime_error when the object is malformed.
+  virtual RouteTable DecodeRoutes(const StoredObject& object) const = 0;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/service_group.cc
@@ -0,0 +1,157 @@
+#include "session/service_group.h"
+
+#include <algorithm>
+
+#include "session/boot_clock.h"
+#include "telemetry/log.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Expected time from the loss of a primary to the order of a promotion: detection, claim and
+// comparison of the replicas.
+constexpr Duration kExpectedDecision = 300ms;
+// First estimate of the platform's time from the order to the lead; measured ones replace it.
+constexpr Duration kInitialPromotionTime = 1000ms;
+// Beyond this the promotion has failed, and nothing tells when a primary will lead.
+constexpr Duration kOverduePromotion = 2000ms;
+
+}  // namespace
+
+ServiceGroup::ServiceGroup(asio::any_io_executor executor, std::string name)
+    : name(std::move(name)), promotion_time(kInitialPromotionTime), changed(std::move(executor)) {}
+
+std::shared_ptr<EndpointPool> ServiceGroup::Primary() const {
+  const auto found = this->members.find(this->primary);
+  return found == this->members.end() ? nullptr : found->second;
+}
+
+void ServiceGroup::SetPrimary(const std::string& endpoint,
+                              uint64_t term,
+                              std::string_view evidence) {
+  if (term != 0 && term < this->term) {
+    return;
+  }
+  this->term = std::max(this->term, term);
+  if (this->primary == endpoint) {
+    return;
+  }
+  const TimePoint now = BootNow();
+  const Duration outage = this->outage_since ? now - *this->outage_since : Duration{};
+  if (this->promotion_ordered) {
+    this->promotion_time = (this->promotion_time + (now - *this->promotion_ordered)) / 2;
+  }
+  Log(LogLevel::kInfo, "endpoint leads",
+      {{"service", this->name},
+       {"endpoint", endpoint},
+       {"previous", this->primary},
+       {"term", term},
+       {"evidence", evidence},
+       {"outage_ms", ToMillis(outage)}});
+  this->primary = endpoint;
+  this->old_primary = endpoint;
+  this->primary_since = now;
+  this->outage_since.reset();
+  this->promotion_ordered.reset();
+  this->commits.clear();
+  this->changed.NotifyAll();
+}
+
+void ServiceGroup::LosePrimary(const std::string& endpoint, std::string_view evidence) {
+  if (endpoint != this->primary || endpoint.empty()) {
+    return;
+  }
+  Log(LogLevel::kWarn, "endpoint no longer leads",
+      {{"service", this->name}, {"endpoint", endpoint}, {"evidence", evidence}});
+  this->primary.clear();
+  this->outage_since = BootNow();
+}
+
+void ServiceGroup::OnRegistryRole(const EndpointRecord& record) {
+  if (record.claims_primary && record.revision > this->registry_revision) {
+    this->registry_revision = record.revision;
+    this->SetPrimary(record.id, 0, "registry");
+  } else if (!record.claims_primary && record.id == this->primary &&
+             record.revision > this->registry_revision) {
+    this->registry_revision = record.revision;
+    this->LosePrimary(record.id, "registry");
+  }
+}
+
+void ServiceGroup::OnClaim(TakeoverClaim newer) {
+  if (newer.revision <= this->claim.revision) {
+    return;
+  }
+  // The first claim read after a start may be long past.
+  const bool is_news = this->claim.revision != 0 || newer.phase == TakeoverPhase::kClaimed;
+  this->claim = std::move(newer);
+  this->claim_seen = BootNow();
+  Log(LogLevel::kInfo, "takeover claim",
+      {{"service", this->name},
+       {"phase", kTakeoverPhaseNames.NameOf(this->claim.phase)},
+       {"holder", this->claim.holder},
+       {"endpoint", this->claim.endpoint},
+       {"revision", this->claim.revision}});
+  if (is_news && this->claim.phase == TakeoverPhase::kOrdered && this->Primary() == nullptr) {
+    this->promotion_ordered = this->claim_seen;
+  }
+}
+
+Duration ServiceGroup::ExpectedOutage() const {
+  if (this->Primary() != nullptr) {
+    return {};
+  }
+  const TimePoint now = BootNow();
+  if (this->promotion_ordered) {
+    const Duration elapsed = now - *this->promotion_ordered;
+    return elapsed > kOverduePromotion ? Duration::max()
+                                       : std::max<Duration>(this->promotion_time - elapsed, 50ms);
+  }
+  const Duration elapsed = this->outage_since ? now - *this->outage_since : Duration{};
+  if (elapsed > kOverduePromotion) {
+    return Duration::max();
+  }
+  return std::max<Duration>(kExpectedDecision - elapsed, Duration{}) + this->promotion_time;
+}
+
+asio::awaitable<std::shared_ptr<EndpointPool>> ServiceGroup::AwaitPrimary(Duration patience) {
+  const TimePoint limit = BootNow() + patience;
+  for (;;) {
+    if (auto leading = this->Primary()) {
+      co_return leading;
+    }
+    const Duration left = limit - BootNow();
+    if (left <= Duration{} || this->ExpectedOutage() > left) {
+      co_return nullptr;
+    }
+    co_await this->changed.Wait(std::min<Duration>(left, 100ms));
+  }
+}
+
+std::vector<std::shared_ptr<EndpointPool>> ServiceGroup::ReadOrder(
+    const std::string& own_domain) const {
+  const TimePoint now = BootNow();
+  std::vector<ReadCandidate> candidates;
+  for (const auto& [id, pool] : this->members) {
+    ReadCandidate candidate;
+    candidate.id = id;
+    candidate.same_failure_domain = pool->record().failure_domain == own_domain;
+    candidate.is_primary = id == this->primary;
+    candidate.usable = !pool->down && !pool->record().leaving && now >= pool->behind_until &&
+                       now >= pool->avoid_until;
+    candidate.busy = pool->queue().busy();
+    candidate.limit = pool->queue().single_limit();
+    candidate.service_time = pool->queue().service_time();
+    candidates.push_back(std::move(candidate));
+  }
+  std::vector<std::shared_ptr<EndpointPool>> order;
+  for (const std::string& id : OrderForRead(candidates)) {
+    order.push_back(this->members.at(id));
+  }
+  return order;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/session_codec.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include "kernel/log_position.h"
+#include "kernel/session_state.h"
+#include "session/caller_message.h"
+#include "session/endpoint_line.h"
+
+namespace poplarmoor {
+
+struct StatementAnswer;
+
+/// Orders to an endpoint beside statements.
+enum class EndpointOrder { kStatus, kPause, kResume, kStepDown };
+
+inline constexpr NameTable<EndpointOrder, 4> kEndpointOrderNames{{{
+    {EndpointOrder::kStatus, "status"},
+    {EndpointOrder::kPause, "pause"},
+    {EndpointOrder::kResume, "resume"},
+    {EndpointOrder::kStepDown, "step_down"},
+}}};
+
+/// What an endpoint reports on an order.
+struct EndpointReport {
+  bool is_primary = false;
+  uint64_t term = 0;
+  LogPosition received;
+  uint64_t held_term = 0;  // Term of the pause order that it obeys; 0: none.
+};
+
+/// Encoding of the session protocol between callers, daemons and endpoints. One message is one
+/// line.
+class SessionCodec {
+ public:
+  virtual ~SessionCodec() = default;
+
+  /// Messages above this size are refused, in bytes.
+  virtual size_t max_message() const = 0;
+
+  // Callers.
+  virtual CallerMessage DecodeCaller(std::string_view line) const = 0;
+  virtual std::string EncodeOpened() const = 0;
+  virtual std::string EncodeRefusal(StatementError error, std::string_view text) const = 0;
+  virtual std::string EncodeAnswer(const StatementAnswer& answer) const = 0;
+
+  // Endpoints.
+  virtual std::string EncodeOpen(std::string_view service, std::string_view endpoint) const = 0;
+
+  /// @param id Caller's id, or empty for a statement of this program.
+  /// @param text Statement.
+  /// @param demanded Position that the endpoint's log must hold; {0, 0}: none.
+  virtual std::string EncodeStatement(std::string_view id,
+                                      std::string_view text,
+                                      LogPosition demanded) const = 0;
+  virtual std::string EncodeSetup(const SetupStep& step) const = 0;
+  virtual std::string EncodeBegin() const = 0;
+
+  /// @param demanded Position that the endpoint's log must hold.
+  virtual std::string EncodeReadOnlyBegin(LogPosition demanded) const = 0;
+  virtual std::string EncodeRollback() const = 0;
+  virtual std::string EncodeClose() const = 0;
+
+  /// @param name Name of the prepared statement at the endpoint.
+  /// @param argument Arguments as the caller sent them.
+  /// @returns Text of the statement.
+  virtual std::string ExecuteText(std::string_view name, std::string_view argument) const = 0;
+  virtual std::string EncodeOrder(EndpointOrder order, uint64_t term) const = 0;
+  virtual EndpointLine DecodeEndpoint(std::string_view line) const = 0;
+
+  /// @param row Row of the answer to an order.
+  /// @returns The report.
+  /// @throws std::runtime_error when the row is malformed.
+  virtual EndpointReport DecodeReport(std::string_view row) const = 0;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/session_daemon.cc
@@ -0,0 +1,138 @@
+#include "session/session_daemon.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+
+#include "net/http_message.h"
+#include "net/http_server.h"
+#include "session/boot_clock.h"
+#include "session/cluster.h"
+#include "session/group_keeper.h"
+#include "session/session_server.h"
+#include "session/statement_runner.h"
+#include "session/store_sync.h"
+#include "telemetry/log.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// The balancer asks once a second and takes a daemon out after two misses.
+constexpr Duration kOutOfRotation = 2200ms;
+// The process ends this long before it would be killed.
+constexpr Duration kStopReserve = 500ms;
+constexpr Duration kStopPoll = 20ms;
+// Descriptors that sessions leave to endpoints, the store and files.
+constexpr uint32_t kReservedDescriptors = 400;
+
+void Rethrow(std::exception_ptr failure) {
+  if (failure) {
+    std::rethrow_exception(failure);
+  }
+}
+
+}  // namespace
+
+struct SessionDaemon::Parts {
+  Parts(asio::any_io_executor executor,
+        const ProcessSettings& settings,
+        const PlatformAdapter& adapter)
+      : cluster(executor, adapter.sessions, settings.failure_domain),
+        runner(&this->cluster, adapter.sessions),
+        sync(adapter.store, adapter.registry, &this->cluster, settings.daemon),
+        keeper(executor, &this->cluster, adapter.store, adapter.promotions, settings.daemon),
+        server(executor, &this->cluster, &this->runner, adapter.sessions) {}
+
+  Cluster cluster;
+  StatementRunner runner;
+  StoreSync sync;
+  GroupKeeper keeper;
+  SessionServer server;
+  std::shared_ptr<HttpServer> readiness;
+};
+
+SessionDaemon::SessionDaemon(asio::io_context* context,
+                             ProcessSettings settings,
+                             PlatformAdapter adapter)
+    : context(context),
+      settings(std::move(settings)),
+      adapter(std::move(adapter)),
+      parts(std::make_unique<Parts>(context->get_executor(), this->settings, this->adapter)),
+      stop_signals(*context, SIGTERM, SIGINT),
+      reload_signals(*context, SIGHUP) {}
+
+SessionDaemon::~SessionDaemon() = default;
+
+void SessionDaemon::Start() {
+  Log(LogLevel::kInfo, "daemon starts",
+      {{"daemon", this->settings.daemon},
+       {"failure_domain", this->settings.failure_domain},
+       {"version", POPLARMOOR_VERSION}});
+  this->parts->readiness = std::make_shared<HttpServer>(
+      this->context->get_executor(),
+      [this](HttpRequest request, ConnectionId) -> asio::awaitable<HttpResponse> {
+        HttpResponse response;
+        if (request.target != this->adapter.ready_path) {
+          response.status = 404;
+        } else if (this->stopping || !this->parts->cluster.IsReady()) {
+          response.status = 503;
+        }
+        co_return response;
+      });
+  this->parts->readiness->Listen(this->settings.ready_address);
+  const uint32_t descriptors = this->settings.max_descriptors;
+  this->parts->server.Listen(this->settings.caller_address, descriptors > 2 * kReservedDescriptors
+                                                                ? descriptors - kReservedDescriptors
+                                                                : descriptors / 2);
+  this->parts->sync.Start(this->context->get_executor());
+  this->parts->keeper.Start();
+  asio::co_spawn(*this->context, this->AwaitStop(), Rethrow);
+  asio::co_spawn(*this->context, this->AwaitReload(), Rethrow);
+}
+
+asio::awaitable<void> SessionDaemon::AwaitReload() {
+  for (;;) {
+    co_await this->reload_signals.async_wait(asio::use_awaitable);
+    try {
+      ProcessSettings next = this->adapter.reload_settings();
+      const bool moved = next.caller_address != this->settings.caller_address ||
+                         next.ready_address != this->settings.ready_address ||
+                         next.store_address != this->settings.store_address;
+      this->settings.stop_grace = next.stop_grace;
+      Log(LogLevel::kInfo, "settings reloaded",
+          {{"stop_grace_s", next.stop_grace.count()}, {"needs_restart", moved}});
+    } catch (const std::runtime_error& error) {
+      Log(LogLevel::kError, "settings not reloaded, the previous ones stay in force",
+          {{"cause", error.what()}});
+    }
+  }
+}
+
+asio::awaitable<void> SessionDaemon::AwaitStop() {
+  co_await this->stop_signals.async_wait(asio::use_awaitable);
+  const TimePoint begun = BootNow();
+  const Duration grace = this->settings.stop_grace;
+  this->stopping = true;
+  this->parts->keeper.Stop();
+  Log(LogLevel::kInfo, "daemon stops", {{"sessions", this->parts->server.size()}});
+  asio::co_spawn(*this->context, this->parts->sync.Leave(), Rethrow);
+  co_await Pause(std::min<Duration>(kOutOfRotation, grace / 3));
+  this->parts->server.Drain();
+  bool transactions_ended = false;
+  while (this->parts->server.size() > 0 && BootNow() - begun < grace - kStopReserve) {
+    if (!transactions_ended && BootNow() - begun > grace / 2) {
+      transactions_ended = true;
+      this->parts->server.EndIdleTransactions();
+    }
+    co_await Pause(kStopPoll);
+  }
+  Log(LogLevel::kInfo, "daemon stopped",
+      {{"sessions_left", this->parts->server.size()}, {"elapsed_ms", ToMillis(BootNow() - begun)}});
+  this->context->stop();
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/session_server.cc
@@ -0,0 +1,90 @@
+#include "session/session_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <stdexcept>
+
+#include "net/address.h"
+#include "session/caller_session.h"
+#include "session/wait_list.h"
+#include "telemetry/log.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration kAcceptRetry = 50ms;  // After a failed accept, for example without descriptors.
+
+}  // namespace
+
+SessionServer::SessionServer(asio::any_io_executor executor,
+                             Cluster* cluster,
+                             StatementRunner* runner,
+                             const SessionCodec* codec)
+    : executor(executor), cluster(cluster), runner(runner), codec(codec), acceptor(executor) {}
+
+void SessionServer::Listen(const std::string& address, size_t max_sessions) {
+  const auto endpoint = ParseAddress(address);
+  try {
+    this->acceptor.open(endpoint.protocol());
+    this->acceptor.set_option(asio::socket_base::reuse_address(true));
+    this->acceptor.bind(endpoint);
+    this->acceptor.listen();
+  } catch (const boost::system::system_error& error) {
+    throw std::runtime_error("cannot listen on " + address + ": " + error.what());
+  }
+  asio::co_spawn(this->executor, this->Accept(max_sessions), [](std::exception_ptr failure) {
+    if (failure) {
+      std::rethrow_exception(failure);
+    }
+  });
+}
+
+asio::awaitable<void> SessionServer::Accept(size_t max_sessions) {
+  while (this->acceptor.is_open()) {
+    boost::system::error_code error;
+    auto socket =
+        co_await this->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      Log(LogLevel::kWarn, "connection not accepted", {{"cause", error.message()}});
+      co_await Pause(kAcceptRetry);
+      continue;
+    }
+    if (this->sessions.size() >= max_sessions) {
+      Log(LogLevel::kWarn, "connection closed: too many sessions", {{"limit", max_sessions}});
+      continue;
+    }
+    const uint64_t number = this->next_number++;
+    auto session = std::make_shared<CallerSession>(std::move(socket), number, this->cluster,
+                                                   this->runner, this->codec);
+    this->sessions.emplace(number, session);
+    asio::co_spawn(this->executor, session->Serve(), [this, number](std::exception_ptr failure) {
+      this->sessions.erase(number);
+      if (failure) {
+        std::rethrow_exception(failure);
+      }
+    });
+  }
+}
+
+void SessionServer::Drain() {
+  boost::system::error_code ignored;
+  this->acceptor.close(ignored);
+  for (const auto& [number, session] : this->sessions) {
+    session->Drain();
+  }
+}
+
+void SessionServer::EndIdleTransactions() {
+  for (const auto& [number, session] : this->sessions) {
+    session->EndTransaction();
+  }
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/session_server.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "kernel/time.h"
+
+namespace poplarmoor {
+
+class CallerSession;
+class Cluster;
+class SessionCodec;
+class StatementRunner;
+
+/// Accepts callers' connections and ends them gracefully.
+class SessionServer {
+ public:
+  /// @param cluster,runner,codec Must outlive this object.
+  SessionServer(boost::asio::any_io_executor executor,
+                Cluster* cluster,
+                StatementRunner* runner,
+                const SessionCodec* codec);
+
+  /// Starts to listen.
+  /// @param address "IP:port".
+  /// @param max_sessions Connections above it are closed at once.
+  /// @throws std::runtime_error when the address is in use.
+  void Listen(const std::string& address, size_t max_sessions);
+
+  /// Stops accepting and closes each session that has nothing open, the others once they are done.
+  void Drain();
+
+  /// Ends transactions whose callers are idle.
+  void EndIdleTransactions();
+
+  /// @returns Open sessions.
+  size_t size() const { return this->sessions.size(); }
+
+ private:
+  boost::asio::awaitable<void> Accept(size_t max_sessions);
+
+  boost::asio::any_io_executor executor;
+  Cluster* cluster;
+  StatementRunner* runner;
+  const SessionCodec* codec;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::map<uint64_t, std::shared_ptr<CallerSession>> sessions;  // By number.
+  uint64_t next_number = 1;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/statement_runner.cc
@@ -0,0 +1,576 @@
+#include "session/statement_runner.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "session/boot_clock.h"
+#include "session/cluster.h"
+#include "session/session_codec.h"
+#include "telemetry/log.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Longest preparation of a connection: two round trips, and room for one lost packet's retransmit.
+constexpr Duration kSetupLimit = 500ms;
+// Evidence of this age is within the usual delay of a replica (mean 20 ms, tail 120 ms).
+constexpr Duration kUsualReplicaDelay = 150ms;
+// The time of a caller's first byte is known only up to scheduling delays.
+constexpr Duration kStalenessMargin = 50ms;
+// A replica that lacked a position is asked again after this time, doubled up to the maximum.
+constexpr Duration kFirstBehindPause = 50ms;
+constexpr Duration kMaxBehindPause = 800ms;
+// An endpoint with a full queue is left alone for about the time of one statement.
+constexpr Duration kOverloadPause = 20ms;
+// A read whose answer is lost is repeated elsewhere after this time and several usual ones.
+constexpr Duration kMinReadPatience = 300ms;
+constexpr int kReadPatienceFactor = 5;
+// Rollback of a connection that goes back to the pool.
+constexpr Duration kCleanUpLimit = 1s;
+
+bool ChangesNothing(StatementError error) {
+  switch (error) {
+    case StatementError::kOverloaded:
+    case StatementError::kBehind:
+    case StatementError::kReadOnly:
+    case StatementError::kUnknownStatement:
+    case StatementError::kAborted:
+    case StatementError::kWrongEndpoint:
+    case StatementError::kTooManyConnections:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+// -----------------------------------------------------------------------------
+// Sending one statement
+
+asio::awaitable<StatementRunner::Attempt> StatementRunner::Send(const StatementJob& job,
+                                                                std::string message,
+                                                                std::string begin,
+                                                                const SessionState& state,
+                                                                ServiceGroup* group,
+                                                                std::shared_ptr<EndpointPool> pool,
+                                                                EndpointLease* lease,
+                                                                Duration limit) {
+  Attempt attempt;
+  EndpointSession* connection = lease->connection.get();
+  const PreparedStatement* prepared = job.prepared ? &*job.prepared : nullptr;
+  std::vector<std::string> setup;
+  for (const SetupStep& step : connection->held.StepsFor(state, prepared)) {
+    setup.push_back(this->codec->EncodeSetup(step));
+  }
+  const bool begins = !begin.empty();
+  if (begins) {
+    setup.push_back(std::move(begin));
+  }
+  if (!setup.empty()) {
+    const TimePoint sent = BootNow();
+    pool->OnSent(connection);
+    try {
+      const auto answers =
+          co_await connection->Exchange(std::move(setup), std::min(limit, kSetupLimit));
+      pool->OnAnswered(connection);
+      for (const StatementAnswer& answer : answers) {
+        if (answer.error) {
+          attempt.answer = answer;
+          attempt.cause = "the endpoint refused the preparation: " + answer.error_text;
+          if (!begins || &answer != &answers.back()) {
+            connection->Close();  // Its values are unknown.
+          } else {
+            connection->held.Apply(state, prepared);
+            connection->used_by = state.session;
+          }
+          co_return attempt;
+        }
+      }
+      if (begins && group != nullptr && answers.back().position) {
+        group->freshness.Record(sent, *answers.back().position);
+      }
+      connection->held.Apply(state, prepared);
+      connection->used_by = state.session;
+    } catch (const EndpointSessionError& error) {
+      pool->OnAnswered(connection);
+      attempt.cause = error.what();
+      co_return attempt;
+    }
+  }
+  connection->used_by = state.session;
+  pool->OnSent(connection);
+  const TimePoint sent = BootNow();
+  if (job.commits) {
+    group->commits[connection] = sent;
+  }
+  try {
+    std::vector<std::string> messages;
+    messages.push_back(std::move(message));
+    auto answers = co_await connection->Exchange(std::move(messages), limit);
+    attempt.answer = std::move(answers.front());
+    attempt.outcome = Outcome::kAnswered;
+  } catch (const EndpointSessionError& error) {
+    attempt.outcome = Outcome::kLost;
+    attempt.cause = error.what();
+  }
+  pool->OnAnswered(connection);
+  if (job.commits) {
+    group->commits.erase(connection);
+    if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error && attempt.answer.position) {
+      group->freshness.Record(sent, *attempt.answer.position);
+    }
+  }
+  co_return attempt;
+}
+
+void StatementRunner::NoteRefusal(EndpointPool* pool, StatementError error) {
+  const TimePoint now = BootNow();
+  if (error == StatementError::kBehind) {
+    pool->behind_backoff = pool->behind_backoff == Duration{}
+                               ? kFirstBehindPause
+                               : std::min(pool->behind_backoff * 2, kMaxBehindPause);
+    pool->behind_until = now + pool->behind_backoff;
+  } else if (error == StatementError::kOverloaded) {
+    pool->avoid_until = now + kOverloadPause;
+  }
+}
+
+StatementAnswer StatementRunner::Fail(const StatementJob& job,
+                                      StatementError error,
+                                      std::string_view cause,
+                                      const EndpointPool* pool) {
+  Log(LogLevel::kWarn, "statement not served",
+      {{"request_id", job.id},
+       {"service", job.route->service},
+       {"route", job.route->name},
+       {"rank", job.route->rank},
+       {"writes", job.writes},
+       {"outcome", kStatementErrorNames.NameOf(error)},
+       {"cause", cause},
+       {"endpoint", pool == nullptr ? "" : pool->record().id},
+       {"elapsed_ms", ToMillis(BootNow() - job.arrived)},
+       {"config_version", this->cluster->routes().version}});
+  StatementAnswer answer;
+  answer.error = error;
+  answer.error_text = cause;
+  return answer;
+}
+
+void StatementRunner::CleanUp(std::shared_ptr<EndpointPool> pool, EndpointLease lease) {
+  if (lease.connection == nullptr || !lease.connection->is_open()) {
+    pool->Release(std::move(lease));
+    return;
+  }
+  const auto work = [](StatementRunner* self, std::shared_ptr<EndpointPool> pool,
+                       EndpointLease lease) -> asio::awaitable<void> {
+    try {
+      std::vector<std::string> messages;
+      messages.push_back(self->codec->EncodeRollback());
+      const auto answers = co_await lease.connection->Exchange(std::move(messages), kCleanUpLimit);
+      if (answers.front().error || answers.front().state != TransactionState::kNone) {
+        lease.connection->Close();
+      }
+    } catch (const EndpointSessionError& error) {
+      Log(LogLevel::kDebug, "rollback failed, connection closed",
+          {{"endpoint", pool->record().id}, {"cause", error.what()}});
+    }
+    pool->Release(std::move(lease));
+  };
+  asio::co_spawn(pool->io_executor(), work(this, pool, std::move(lease)), asio::detached);
+}
+
+// -----------------------------------------------------------------------------
+// Statements outside transactions
+
+asio::awaitable<StatementAnswer> StatementRunner::Run(StatementJob job, SessionState* state) {
+  if (job.writes || job.route->consistency == Consistency::kPrimary) {
+    co_return co_await this->RunAtPrimary(std::move(job), state);
+  }
+  co_return co_await this->RunRead(std::move(job), state);
+}
+
+std::optional<LogPosition> StatementRunner::DemandFor(const StatementJob& job,
+                                                      const SessionState& state,
+                                                      ServiceGroup* group) {
+  const Duration bound = job.route->max_staleness;
+  this->RefreshEvidence(group, bound / 2);
+  auto demand = group->freshness.Demand(job.arrived - bound + kStalenessMargin, kUsualReplicaDelay,
+                                        BootNow());
+  if (demand && job.route->consistency == Consistency::kOwnWrites) {
+    demand = std::max(*demand, state.last_commit);
+  }
+  return demand;
+}
+
+asio::awaitable<StatementAnswer> StatementRunner::RunRead(StatementJob job, SessionState* state) {
+  ServiceGroup* group = this->cluster->FindGroup(job.route->service);
+  if (group == nullptr) {
+    co_return this->Fail(job, StatementError::kOverloaded, "the service has no endpoint", nullptr);
+  }
+  std::string cause = "no endpoint is fresh enough";
+  const EndpointPool* last = nullptr;
+  for (int round = 0; round < 4; ++round) {
+    const auto demand = this->DemandFor(job, *state, group);
+    if (!demand) {
+      break;
+    }
+    bool tried = false;
+    for (const auto& pool : group->ReadOrder(this->cluster->failure_domain())) {
+      const Duration left = job.deadline - BootNow();
+      if (left <= 1ms) {
+        co_return this->Fail(job, StatementError::kOverloaded, "deadline: " + cause, last);
+      }
+      last = pool.get();
+      EndpointLease lease = co_await pool->Acquire(job.route->rank, false, left - 1ms, *state);
+      if (lease.connection == nullptr) {
+        cause = kAcquireFailureNames.NameOf(lease.failure);
+        continue;
+      }
+      const Duration patience =
+          std::min<Duration>(std::max<Duration>(job.deadline - BootNow(), 1ms),
+                             kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
+      Attempt attempt =
+          co_await this->Send(job, this->codec->EncodeStatement(job.id, job.text, *demand), "",
+                              *state, group, pool, &lease, patience);
+      pool->Release(std::move(lease));
+      tried = true;
+      if (attempt.outcome != Outcome::kAnswered) {
+        cause = attempt.cause;
+        continue;
+      }
+      if (!attempt.answer.error) {
+        pool->behind_backoff = {};
+        co_return attempt.answer;
+      }
+      if (!ChangesNothing(*attempt.answer.error)) {
+        co_return this->Fail(job, *attempt.answer.error, attempt.answer.error_text, last);
+      }
+      this->NoteRefusal(pool.get(), *attempt.answer.error);
+      cause = kStatementErrorNames.NameOf(*attempt.answer.error);
+    }
+    if (!tried) {
+      co_await Pause(kOverloadPause);
+    }
+  }
+  // Without evidence, or when all replicas are behind, the primary serves the read.
+  co_return co_await this->RunAtPrimary(std::move(job), state);
+}
+
+asio::awaitable<StatementAnswer> StatementRunner::RunAtPrimary(StatementJob job,
+                                                               SessionState* state) {
+  ServiceGroup* group = this->cluster->FindGroup(job.route->service);
+  job.commits = job.writes;
+  std::string cause = "no primary is known";
+  std::shared_ptr<EndpointPool> pool;
+  for (;;) {
+    const Duration left = job.deadline - BootNow();
+    if (group == nullptr || left <= 1ms) {
+      break;
+    }
+    pool = co_await group->AwaitPrimary(left);
+    if (pool == nullptr) {
+      cause = "no primary is expected in time; last: " + cause;
+      break;
+    }
+    EndpointLease lease =
+        co_await pool->Acquire(job.route->rank, false, job.deadline - BootNow(), *state);
+    if (lease.connection == nullptr) {
+      cause = kAcquireFailureNames.NameOf(lease.failure);
+      if (lease.failure == AcquireFailure::kOverloaded) {
+        break;
+      }
+      co_await Pause(kOverloadPause);
+      continue;
+    }
+    // A read at a server that has lost the lead is refused only inside a transaction that may
+    // write.
+    Attempt attempt =
+        co_await this->Send(job, this->codec->EncodeStatement(job.id, job.text, {}),
+                            job.writes ? std::string() : this->codec->EncodeBegin(), *state, group,
+                            pool, &lease, std::max<Duration>(job.deadline - BootNow(), 1ms));
+    if (attempt.outcome == Outcome::kAnswered && !job.writes) {
+      this->CleanUp(pool, std::move(lease));
+      attempt.answer.state = TransactionState::kNone;
+    } else {
+      pool->Release(std::move(lease));
+    }
+    if (attempt.outcome == Outcome::kLost && job.writes) {
+      co_return this->Fail(job, StatementError::kInDoubt, attempt.cause, pool.get());
+    }
+    if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
+      if (job.writes && attempt.answer.position) {
+        state->last_commit = std::max(state->last_commit, *attempt.answer.position);
+      }
+      co_return attempt.answer;
+    }
+    if (!attempt.answer.error) {
+      cause = attempt.cause;
+      continue;
+    }
+    const StatementError error = *attempt.answer.error;
+    if (!ChangesNothing(error)) {
+      co_return this->Fail(job, error, attempt.answer.error_text, pool.get());
+    }
+    cause = kStatementErrorNames.NameOf(error);
+    if (error == StatementError::kReadOnly) {
+      group->LosePrimary(pool->record().id, "it refused a write");
+    } else {
+      this->NoteRefusal(pool.get(), error);
+      co_await Pause(kOverloadPause);
+    }
+  }
+  co_return this->Fail(job, StatementError::kOverloaded, cause, pool.get());
+}
+
+void StatementRunner::RefreshEvidence(ServiceGroup* group, Duration max_age) {
+  const auto newest = group->freshness.newest();
+  const auto pool = group->Primary();
+  if (group->refreshing || pool == nullptr || (newest && BootNow() - *newest < max_age)) {
+    return;
+  }
+  const auto work = [](StatementRunner* self, ServiceGroup* group,
+                       std::shared_ptr<EndpointPool> pool) -> asio::awaitable<void> {
+    const SessionState none;
+    EndpointLease lease = co_await pool->Acquire(0, false, kSetupLimit, none);
+    if (lease.connection != nullptr) {
+      const TimePoint sent = BootNow();
+      try {
+        std::vector<std::string> messages;
+        messages.push_back(self->codec->EncodeBegin());
+        messages.push_back(self->codec->EncodeRollback());
+        const auto answers = co_await lease.connection->Exchange(std::move(messages), kSetupLimit);
+        if (answers.back().error) {
+          lease.connection->Close();
+        }
+        if (!answers.front().error && answers.front().position) {
+          group->freshness.Record(sent, *answers.front().position);
+        } else if (answers.front().error == StatementError::kReadOnly) {
+          group->LosePrimary(pool->record().id, "it refused a transaction that may write");
+        }
+      } catch (const EndpointSessionError& error) {
+        Log(LogLevel::kInfo, "no evidence of the primary's position",
+            {{"service", group->name}, {"endpoint", pool->record().id}, {"cause", error.what()}});
+      }
+      pool->Release(std::move(lease));
+    }
+    group->refreshing = false;
+  };
+  group->refreshing = true;
+  asio::co_spawn(pool->io_executor(), work(this, group, pool), asio::detached);
+}
+
+// -----------------------------------------------------------------------------
+// Transactions
+
+asio::awaitable<StatementAnswer> StatementRunner::RunInTransaction(
+    StatementJob job,
+    SessionState* state,
+    SessionTransaction* transaction) {
+  if (transaction->lease.connection == nullptr) {
+    const bool at_replica =
+        transaction->read_only && job.route->consistency != Consistency::kPrimary;
+    if (at_replica) {
+      co_return co_await this->BeginAtReplica(std::move(job), state, transaction);
+    }
+    co_return co_await this->BeginAtPrimary(std::move(job), state, transaction);
+  }
+  ServiceGroup* group = this->cluster->FindGroup(job.route->service);
+  const auto pool = transaction->pool;
+  for (;;) {
+    const Duration left = std::max<Duration>(job.deadline - BootNow(), 1ms);
+    Attempt attempt = co_await this->Send(job, this->codec->EncodeStatement(job.id, job.text, {}),
+                                          "", *state, group, pool, &transaction->lease, left);
+    if (attempt.outcome != Outcome::kAnswered) {
+      this->Discard(transaction);
+      co_return this->Fail(job, StatementError::kAborted, attempt.cause, pool.get());
+    }
+    StatementAnswer& answer = attempt.answer;
+    if (!answer.error) {
+      transaction->wrote = transaction->wrote || job.writes;
+      co_return answer;
+    }
+    const bool retriable = *answer.error == StatementError::kOverloaded &&
+                           answer.state == TransactionState::kOpen && left > 2 * kOverloadPause;
+    if (retriable) {
+      co_await Pause(kOverloadPause);
+      continue;
+    }
+    if (*answer.error == StatementError::kReadOnly && !transaction->read_only) {
+      group->LosePrimary(pool->record().id, "it refused a transaction's statement");
+    }
+    // The connection is rolled back, so that the promise of any of these errors holds.
+    this->Discard(transaction);
+    co_return this->Fail(job,
+                         ChangesNothing(*answer.error) ? StatementError::kAborted : *answer.error,
+                         answer.error_text, pool.get());
+  }
+}
+
+asio::awaitable<StatementAnswer> StatementRunner::BeginAtPrimary(StatementJob job,
+                                                                 SessionState* state,
+                                                                 SessionTransaction* transaction) {
+  ServiceGroup* group = this->cluster->FindGroup(job.route->service);
+  std::string cause = "no primary is known";
+  std::shared_ptr<EndpointPool> pool;
+  for (;;) {
+    const Duration left = job.deadline - BootNow();
+    if (group == nullptr || left <= 1ms) {
+      break;
+    }
+    pool = co_await group->AwaitPrimary(left);
+    if (pool == nullptr) {
+      cause = "no primary is expected in time; last: " + cause;
+      break;
+    }
+    EndpointLease lease =
+        co_await pool->Acquire(job.route->rank, true, job.deadline - BootNow(), *state);
+    if (lease.connection == nullptr) {
+      cause = kAcquireFailureNames.NameOf(lease.failure);
+      if (lease.failure == AcquireFailure::kOverloaded) {
+        break;
+      }
+      co_await Pause(kOverloadPause);
+      continue;
+    }
+    Attempt attempt = co_await this->Send(job, this->codec->EncodeStatement(job.id, job.text, {}),
+                                          this->codec->EncodeBegin(), *state, group, pool, &lease,
+                                          std::max<Duration>(job.deadline - BootNow(), 1ms));
+    if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
+      transaction->wrote = job.writes;
+      transaction->pool = pool;
+      transaction->lease = std::move(lease);
+      co_return attempt.answer;
+    }
+    this->CleanUp(pool, std::move(lease));
+    const auto error = attempt.answer.error;
+    cause = error ? std::string(kStatementErrorNames.NameOf(*error)) : attempt.cause;
+    if (error && !ChangesNothing(*error)) {
+      transaction->finished = true;
+      co_return this->Fail(job, *error, attempt.answer.error_text, pool.get());
+    }
+    if (error == StatementError::kReadOnly) {
+      group->LosePrimary(pool->record().id, "it refused a transaction that may write");
+    } else if (error) {
+      this->NoteRefusal(pool.get(), *error);
+      co_await Pause(kOverloadPause);
+    }
+  }
+  transaction->finished = true;
+  co_return this->Fail(job, StatementError::kOverloaded, cause, pool.get());
+}
+
+asio::awaitable<StatementAnswer> StatementRunner::BeginAtReplica(StatementJob job,
+                                                                 SessionState* state,
+                                                                 SessionTransaction* transaction) {
+  ServiceGroup* group = this->cluster->FindGroup(job.route->service);
+  const auto demand = group == nullptr ? std::nullopt : this->DemandFor(job, *state, group);
+  if (demand) {
+    for (const auto& pool : group->ReadOrder(this->cluster->failure_domain())) {
+      const Duration left = job.deadline - BootNow();
+      if (left <= 1ms) {
+        break;
+      }
+      EndpointLease lease = co_await pool->Acquire(job.route->rank, true, left - 1ms, *state);
+      if (lease.connection == nullptr) {
+        continue;
+      }
+      const Duration patience =
+          std::min<Duration>(std::max<Duration>(job.deadline - BootNow(), 1ms),
+                             kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
+      Attempt attempt = co_await this->Send(job, this->codec->EncodeStatement(job.id, job.text, {}),
+                                            this->codec->EncodeReadOnlyBegin(*demand), *state,
+                                            nullptr, pool, &lease, patience);
+      if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
+        transaction->pool = pool;
+        transaction->lease = std::move(lease);
+        pool->behind_backoff = {};
+        co_return attempt.answer;
+      }
+      this->CleanUp(pool, std::move(lease));
+      if (attempt.answer.error) {
+        this->NoteRefusal(pool.get(), *attempt.answer.error);
+      }
+    }
+  }
+  co_return co_await this->BeginAtPrimary(std::move(job), state, transaction);
+}
+
+asio::awaitable<StatementAnswer> StatementRunner::Commit(StatementJob job,
+                                                         SessionState* state,
+                                                         SessionTransaction* transaction) {
+  if (transaction->lease.connection == nullptr) {
+    // The commit of an empty transaction also needs an endpoint's signature.
+    StatementAnswer answer = co_await this->RunInTransaction(std::move(job), state, transaction);
+    if (!answer.error) {
+      transaction->pool->Release(std::move(transaction->lease));
+      *transaction = {};
+    }
+    answer.state = TransactionState::kNone;
+    co_return answer;
+  }
+  ServiceGroup* group = this->cluster->FindGroup(job.route->service);
+  const auto pool = transaction->pool;
+  const bool wrote = transaction->wrote;
+  job.commits = wrote;
+  Attempt attempt = co_await this->Send(job, this->codec->EncodeStatement(job.id, job.text, {}), "",
+                                        *state, group, pool, &transaction->lease,
+                                        std::max<Duration>(job.deadline - BootNow(), 1ms));
+  StatementAnswer answer = std::move(attempt.answer);
+  if (attempt.outcome == Outcome::kLost) {
+    answer = this->Fail(job, wrote ? StatementError::kInDoubt : StatementError::kAborted,
+                        attempt.cause, pool.get());
+  } else if (attempt.outcome == Outcome::kNotSent) {
+    answer = this->Fail(job, StatementError::kAborted, attempt.cause, pool.get());
+  } else if (answer.error) {
+    const bool promise = ChangesNothing(*answer.error);
+    answer = this->Fail(job, promise ? StatementError::kAborted : *answer.error, answer.error_text,
+                        pool.get());
+  } else if (wrote && answer.position) {
+    state->last_commit = std::max(state->last_commit, *answer.position);
+  }
+  if (answer.error) {
+    this->Discard(transaction);
+  } else {
+    pool->Release(std::move(transaction->lease));
+  }
+  *transaction = {};
+  answer.state = TransactionState::kNone;
+  co_return answer;
+}
+
+void StatementRunner::Discard(SessionTransaction* transaction) {
+  if (transaction->lease.connection != nullptr) {
+    this->CleanUp(transaction->pool, std::move(transaction->lease));
+  }
+  transaction->lease = {};
+  transaction->pool = nullptr;
+  transaction->finished = true;
+}
+
+asio::awaitable<bool> StatementRunner::SetInTransaction(const SetupStep& step,
+                                                        const SessionState& state,
+                                                        SessionTransaction* transaction) {
+  EndpointSession* connection = transaction->lease.connection.get();
+  try {
+    std::vector<std::string> messages;
+    messages.push_back(this->codec->EncodeSetup(step));
+    const auto answers = co_await connection->Exchange(std::move(messages), kSetupLimit);
+    if (!answers.front().error) {
+      connection->held.ApplyValue(state);
+      co_return true;
+    }
+    connection->Close();
+  } catch (const EndpointSessionError& error) {
+    Log(LogLevel::kWarn, "a transaction's connection was lost",
+        {{"endpoint", transaction->pool->record().id}, {"cause", error.what()}});
+  }
+  this->Discard(transaction);
+  co_return false;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/statement_runner.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "kernel/route_table.h"
+#include "kernel/session_state.h"
+#include "session/endpoint_pool.h"
+#include "session/service_group.h"
+#include "session/statement_answer.h"
+
+namespace poplarmoor {
+
+class Cluster;
+class SessionCodec;
+
+/// One statement of a caller, ready to be sent.
+struct StatementJob {
+  std::string id;    // Caller's id of the statement.
+  std::string text;  // As the endpoint receives it.
+  bool writes = false;
+  bool commits = false;                       // Its success is acknowledged by a replica.
+  std::optional<PreparedStatement> prepared;  // That the text executes.
+  const DatabaseRoute* route = nullptr;
+  TimePoint arrived;
+  TimePoint deadline;
+};
+
+/// A caller's transaction at an endpoint.
+struct SessionTransaction {
+  bool read_only = false;
+  bool wrote = false;
+  bool finished = false;  // Lost its connection or failed; only its end is accepted.
+  bool reported = false;  // The caller knows that it has failed.
+  std::shared_ptr<EndpointPool> pool;
+  EndpointLease lease;  // Empty until the first statement.
+};
+
+/// Chooses endpoints for statements and retries those that have not run. It logs each statement
+/// that was not served, with the cause.
+class StatementRunner {
+ public:
+  StatementRunner(Cluster* cluster, const SessionCodec* codec) : cluster(cluster), codec(codec) {}
+
+  /// Runs a statement outside a transaction.
+  /// @param job The statement.
+  /// @param state Session; last_commit follows an acknowledged write.
+  /// @returns The endpoint's answer, or an error whose promise about the statement holds.
+  boost::asio::awaitable<StatementAnswer> Run(StatementJob job, SessionState* state);
+
+  /// Runs a statement inside a transaction; the first one opens the transaction at an endpoint.
+  boost::asio::awaitable<StatementAnswer> RunInTransaction(StatementJob job,
+                                                           SessionState* state,
+                                                           SessionTransaction* transaction);
+
+  /// Commits a transaction.
+  boost::asio::awaitable<StatementAnswer> Commit(StatementJob job,
+                                                 SessionState* state,
+                                                 SessionTransaction* transaction);
+
+  /// Ends a transaction without a commit; the connection is cleaned in the background.
+  void Discard(SessionTransaction* transaction);
+
+  /// Sends changed values to the transaction's connection.
+  /// @returns Whether the endpoint has accepted them.
+  boost::asio::awaitable<bool> SetInTransaction(const SetupStep& step,
+                                                const SessionState& state,
+                                                SessionTransaction* transaction);
+
+  /// Asks the primary for its position when the newest evidence is old.
+  void RefreshEvidence(ServiceGroup* group, Duration max_age);
+
+ private:
+  enum class Outcome {
+    kAnswered,  // The endpoint answered the statement.
+    kNotSent,   // The statement was not sent.
+    kLost,      // It was sent and no complete answer came.
+  };
+
+  struct Attempt {
+    Outcome outcome = Outcome::kNotSent;
+    StatementAnswer answer;
+    std::string cause;
+  };
+
+  // Prepares the connection for the session, begins a transaction if asked, and sends the
+  // statement.
+  boost::asio::awaitable<Attempt> Send(const StatementJob& job,
+                                       std::string message,
+                                       std::string begin,
+                                       const SessionState& state,
+                                       ServiceGroup* group,
+                                       std::shared_ptr<EndpointPool> pool,
+                                       EndpointLease* lease,
+                                       Duration limit);
+
+  boost::asio::awaitable<StatementAnswer> RunRead(StatementJob job, SessionState* state);
+  boost::asio::awaitable<StatementAnswer> RunAtPrimary(StatementJob job, SessionState* state);
+  boost::asio::awaitable<StatementAnswer> BeginAtPrimary(StatementJob job,
+                                                         SessionState* state,
+                                                         SessionTransaction* transaction);
+  boost::asio::awaitable<StatementAnswer> BeginAtReplica(StatementJob job,
+                                                         SessionState* state,
+                                                         SessionTransaction* transaction);
+  std::optional<LogPosition> DemandFor(const StatementJob& job,
+                                       const SessionState& state,
+                                       ServiceGroup* group);
+  void NoteRefusal(EndpointPool* pool, StatementError error);
+  StatementAnswer Fail(const StatementJob& job,
+                       StatementError error,
+                       std::string_view cause,
+                       const EndpointPool* pool);
+  void CleanUp(std::shared_ptr<EndpointPool> pool, EndpointLease lease);
+
+  Cluster* cluster;
+  const SessionCodec* codec;
+};
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/takeover_claim.cc
@@ -0,0 +1,37 @@
+#include "session/takeover_claim.h"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace poplarmoor {
+
+std::string EncodeTakeoverClaim(const TakeoverClaim& claim) {
+  return nlohmann::json{{"service", claim.service},
+                        {"phase", kTakeoverPhaseNames.NameOf(claim.phase)},
+                        {"holder", claim.holder},
+                        {"nonce", claim.nonce},
+                        {"endpoint", claim.endpoint}}
+      .dump();
+}
+
+TakeoverClaim DecodeTakeoverClaim(const std::string& text, uint64_t revision) {
+  try {
+    const nlohmann::json body = nlohmann::json::parse(text);
+    TakeoverClaim claim;
+    claim.service = body.at("service");
+    const auto phase = kTakeoverPhaseNames.Find(body.at("phase").get<std::string>());
+    if (!phase) {
+      throw std::runtime_error("unknown phase " + body.at("phase").dump());
+    }
+    claim.phase = *phase;
+    claim.holder = body.at("holder");
+    claim.nonce = body.at("nonce");
+    claim.endpoint = body.at("endpoint");
+    claim.revision = revision;
+    return claim;
+  } catch (const nlohmann::json::exception& error) {
+    throw std::runtime_error(std::string("malformed takeover claim: ") + error.what());
+  }
+}
+
+}  // namespace poplarmoor
--- a/telemetry/log.cc
+++ b/telemetry/log.cc
@@ -130,7 +130,7 @@
   state.logger.setLogLevel(log4cplus::ALL_LOG_LEVEL);
   log4cplus::SharedAppenderPtr appender;
   if (settings.file.empty()) {
-    appender = new log4cplus::ConsoleAppender(true, true);
+    appender = new log4cplus::ConsoleAppender(!settings.standard_output, true);
   } else {
     // log4cplus reports a file that it cannot open only on stderr and then drops all lines.
     if (std::ofstream(settings.file, std::ios_base::app).fail()) {
