--- a/session/caller_session.cc
+++ b/session/caller_session.cc
@@ -74,7 +74,9 @@
         break;
       }
       const StatementAnswer answer = co_await this->Answer(std::move(message));
-      if (!co_await this->Write(this->codec->EncodeAnswer(answer))) {
+      std::string text = this->codec->EncodeAnswer(answer);
+      const bool written = co_await this->Write(std::move(text));
+      if (!written) {
         break;
       }
     }
@@ -111,7 +113,8 @@
   }
   this->database = message.database;
   this->opened = true;
-  co_return co_await this->Write(this->codec->EncodeOpened());
+  std::string text = this->codec->EncodeOpened();
+  co_return co_await this->Write(std::move(text));
 }
 
 bool CallerSession::IsIdle() const {
@@ -147,8 +150,9 @@
     if (this->buffer.size() > this->codec->max_message()) {
       Log(LogLevel::kWarn, "message above the size limit, session closed",
           {{"database", this->database}, {"bytes", this->buffer.size()}});
-      co_await this->Write(this->codec->EncodeRefusal(StatementError::kTooLarge,
-                                                      "the message exceeds the size limit"));
+      std::string refusal = this->codec->EncodeRefusal(StatementError::kTooLarge,
+                                                       "the message exceeds the size limit");
+      co_await this->Write(std::move(refusal));
       co_return std::nullopt;
     }
     scanned = this->buffer.empty() ? 0 : this->buffer.size() - 1;
--- a/session/endpoint_session.cc
+++ b/session/endpoint_session.cc
@@ -50,7 +50,8 @@
   }
   this->open = true;
   this->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
-  co_await asio::async_write(this->stream, asio::buffer(this->codec->EncodeOpen(service, endpoint)),
+  const std::string introduction = this->codec->EncodeOpen(service, endpoint);
+  co_await asio::async_write(this->stream, asio::buffer(introduction),
                              asio::redirect_error(asio::use_awaitable, error));
   if (error) {
     this->Fail(KindOf(error), "cannot open the session: " + error.message());
--- a/session/group_keeper.cc
+++ b/session/group_keeper.cc
@@ -237,7 +237,11 @@
 asio::awaitable<void> GroupKeeper::TakeOver(ServiceGroup* group, TakeoverReason reason) {
   const bool planned = reason == TakeoverReason::kPrimaryLeaving;
   co_await Pause(RandomDuration(&this->random, planned ? kPlannedJitter : kUrgentJitter));
-  if (!this->IsClaimed(*group) && co_await this->Claim(group, reason)) {
+  bool claimed = !this->IsClaimed(*group);
+  if (claimed) {
+    claimed = co_await this->Claim(group, reason);
+  }
+  if (claimed) {
     co_await this->Compare(group, reason, group->claim.revision);
   } else {
     // Another daemon acts, or the store cannot be reached.
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -32,6 +32,10 @@
 // Rollback of a connection that goes back to the pool.
 constexpr Duration kCleanUpLimit = 1s;
 
+Duration TimeLeft(const StatementJob& job) {
+  return std::max<Duration>(job.deadline - BootNow(), 1ms);
+}
+
 bool ChangesNothing(StatementError error) {
   switch (error) {
     case StatementError::kOverloaded:
@@ -53,8 +57,8 @@
 // Sending one statement
 
 asio::awaitable<StatementRunner::Attempt> StatementRunner::Send(const StatementJob& job,
-                                                                std::string message,
-                                                                std::string begin,
+                                                                Opening opening,
+                                                                LogPosition demanded,
                                                                 const SessionState& state,
                                                                 ServiceGroup* group,
                                                                 std::shared_ptr<EndpointPool> pool,
@@ -67,9 +71,11 @@
   for (const SetupStep& step : connection->held.StepsFor(state, prepared)) {
     setup.push_back(this->codec->EncodeSetup(step));
   }
-  const bool begins = !begin.empty();
-  if (begins) {
-    setup.push_back(std::move(begin));
+  const bool begins = opening != Opening::kNone;
+  if (opening == Opening::kWritable) {
+    setup.push_back(this->codec->EncodeBegin());
+  } else if (opening == Opening::kReadOnly) {
+    setup.push_back(this->codec->EncodeReadOnlyBegin(demanded));
   }
   if (!setup.empty()) {
     const TimePoint sent = BootNow();
@@ -91,7 +97,7 @@
           co_return attempt;
         }
       }
-      if (begins && group != nullptr && answers.back().position) {
+      if (opening == Opening::kWritable && answers.back().position) {
         group->freshness.Record(sent, *answers.back().position);
       }
       connection->held.Apply(state, prepared);
@@ -110,7 +116,8 @@
   }
   try {
     std::vector<std::string> messages;
-    messages.push_back(std::move(message));
+    messages.push_back(
+        this->codec->EncodeStatement(job.id, job.text, begins ? LogPosition{} : demanded));
     auto answers = co_await connection->Exchange(std::move(messages), limit);
     attempt.answer = std::move(answers.front());
     attempt.outcome = Outcome::kAnswered;
@@ -231,12 +238,10 @@
         cause = kAcquireFailureNames.NameOf(lease.failure);
         continue;
       }
-      const Duration patience =
-          std::min<Duration>(std::max<Duration>(job.deadline - BootNow(), 1ms),
-                             kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
+      const Duration patience = std::min<Duration>(
+          TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
       Attempt attempt =
-          co_await this->Send(job, this->codec->EncodeStatement(job.id, job.text, *demand), "",
-                              *state, group, pool, &lease, patience);
+          co_await this->Send(job, Opening::kNone, *demand, *state, group, pool, &lease, patience);
       pool->Release(std::move(lease));
       tried = true;
       if (attempt.outcome != Outcome::kAnswered) {
@@ -265,6 +270,9 @@
                                                                SessionState* state) {
   ServiceGroup* group = this->cluster->FindGroup(job.route->service);
   job.commits = job.writes;
+  // A read at an endpoint that has lost the lead is refused only inside a transaction that may
+  // write.
+  const Opening opening = job.writes ? Opening::kNone : Opening::kWritable;
   std::string cause = "no primary is known";
   std::shared_ptr<EndpointPool> pool;
   for (;;) {
@@ -289,10 +297,8 @@
     }
     // A read at a server that has lost the lead is refused only inside a transaction that may
     // write.
-    Attempt attempt =
-        co_await this->Send(job, this->codec->EncodeStatement(job.id, job.text, {}),
-                            job.writes ? std::string() : this->codec->EncodeBegin(), *state, group,
-                            pool, &lease, std::max<Duration>(job.deadline - BootNow(), 1ms));
+    Attempt attempt = co_await this->Send(job, opening, LogPosition{}, *state, group, pool, &lease,
+                                          TimeLeft(job));
     if (attempt.outcome == Outcome::kAnswered && !job.writes) {
       this->CleanUp(pool, std::move(lease));
       attempt.answer.state = TransactionState::kNone;
@@ -382,9 +388,9 @@
   ServiceGroup* group = this->cluster->FindGroup(job.route->service);
   const auto pool = transaction->pool;
   for (;;) {
-    const Duration left = std::max<Duration>(job.deadline - BootNow(), 1ms);
-    Attempt attempt = co_await this->Send(job, this->codec->EncodeStatement(job.id, job.text, {}),
-                                          "", *state, group, pool, &transaction->lease, left);
+    const Duration left = TimeLeft(job);
+    Attempt attempt = co_await this->Send(job, Opening::kNone, LogPosition{}, *state, group, pool,
+                                          &transaction->lease, left);
     if (attempt.outcome != Outcome::kAnswered) {
       this->Discard(transaction);
       co_return this->Fail(job, StatementError::kAborted, attempt.cause, pool.get());
@@ -437,9 +443,8 @@
       co_await Pause(kOverloadPause);
       continue;
     }
-    Attempt attempt = co_await this->Send(job, this->codec->EncodeStatement(job.id, job.text, {}),
-                                          this->codec->EncodeBegin(), *state, group, pool, &lease,
-                                          std::max<Duration>(job.deadline - BootNow(), 1ms));
+    Attempt attempt = co_await this->Send(job, Opening::kWritable, LogPosition{}, *state, group,
+                                          pool, &lease, TimeLeft(job));
     if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
       transaction->wrote = job.writes;
       transaction->pool = pool;
@@ -479,12 +484,10 @@
       if (lease.connection == nullptr) {
         continue;
       }
-      const Duration patience =
-          std::min<Duration>(std::max<Duration>(job.deadline - BootNow(), 1ms),
-                             kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
-      Attempt attempt = co_await this->Send(job, this->codec->EncodeStatement(job.id, job.text, {}),
-                                            this->codec->EncodeReadOnlyBegin(*demand), *state,
-                                            nullptr, pool, &lease, patience);
+      const Duration patience = std::min<Duration>(
+          TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
+      Attempt attempt = co_await this->Send(job, Opening::kReadOnly, *demand, *state, group, pool,
+                                            &lease, patience);
       if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
         transaction->pool = pool;
         transaction->lease = std::move(lease);
@@ -517,9 +520,8 @@
   const auto pool = transaction->pool;
   const bool wrote = transaction->wrote;
   job.commits = wrote;
-  Attempt attempt = co_await this->Send(job, this->codec->EncodeStatement(job.id, job.text, {}), "",
-                                        *state, group, pool, &transaction->lease,
-                                        std::max<Duration>(job.deadline - BootNow(), 1ms));
+  Attempt attempt = co_await this->Send(job, Opening::kNone, LogPosition{}, *state, group, pool,
+                                        &transaction->lease, TimeLeft(job));
   StatementAnswer answer = std::move(attempt.answer);
   if (attempt.outcome == Outcome::kLost) {
     answer = this->Fail(job, wrote ? StatementError::kInDoubt : StatementError::kAborted,
--- a/session/statement_runner.h
+++ b/session/statement_runner.h
@@ -87,11 +87,18 @@
     std::string cause;
   };
 
+  // How a statement's transaction starts at the endpoint.
+  enum class Opening {
+    kNone,      // It has started already, or the statement runs outside of one.
+    kWritable,  // The endpoint must be the primary.
+    kReadOnly,  // The endpoint must hold the demanded position.
+  };
+
   // Prepares the connection for the session, begins a transaction if asked, and sends the
-  // statement.
+  // statement. `demanded` is the position that the endpoint must hold; {0, 0}: none.
   boost::asio::awaitable<Attempt> Send(const StatementJob& job,
-                                       std::string message,
-                                       std::string begin,
+                                       Opening opening,
+                                       LogPosition demanded,
                                        const SessionState& state,
                                        ServiceGroup* group,
                                        std::shared_ptr<EndpointPool> pool,
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -73,8 +73,12 @@
     std::string cause;
     try {
       const bool complete = revision == 0;
-      const StoreSnapshot snapshot = complete ? co_await this->store->List(kind, false)
-                                              : co_await this->store->Watch(kind, revision, wait);
+      StoreSnapshot snapshot;
+      if (complete) {
+        snapshot = co_await this->store->List(kind, false);
+      } else {
+        snapshot = co_await this->store->Watch(kind, revision, wait);
+      }
       revision = snapshot.revision;
       if (!reachable) {
         Log(LogLevel::kInfo, "store regained", {{"kind", kind}, {"revision", revision}});
