--- a/kernel/freshness_log.cc
+++ b/kernel/freshness_log.cc
@@ -24,20 +24,14 @@
   }
 }
 
-std::optional<LogPosition> FreshnessLog::Demand(TimePoint since,
-                                                Duration preferred,
-                                                TimePoint now) const {
-  std::optional<LogPosition> oldest_usable;
-  for (auto entry = this->entries.rbegin(); entry != this->entries.rend(); ++entry) {
-    if (entry->sent < since) {
-      break;
-    }
-    oldest_usable = entry->position;
-    if (now - entry->sent >= preferred) {
-      break;
-    }
+std::optional<FreshnessEvidence> FreshnessLog::Demand(TimePoint since) const {
+  const auto found = std::lower_bound(
+      this->entries.begin(), this->entries.end(), since,
+      [](const FreshnessEvidence& entry, TimePoint time) { return entry.sent < time; });
+  if (found == this->entries.end()) {
+    return std::nullopt;
   }
-  return oldest_usable;
+  return *found;
 }
 
 std::optional<TimePoint> FreshnessLog::newest() const {
--- a/kernel/freshness_log.h
+++ b/kernel/freshness_log.h
@@ -8,6 +8,12 @@
 
 namespace poplarmoor {
 
+/// A position that a group's primary had at a known time.
+struct FreshnessEvidence {
+  TimePoint sent;  // Every commit acknowledged before is within the position.
+  LogPosition position;
+};
+
 /// Positions that a group's primary had at known times. A replica that holds such a position lacks
 /// no commit acknowledged before that time.
 class FreshnessLog {
@@ -18,13 +24,12 @@
   /// @param position Position of the answer.
   void Record(TimePoint sent, LogPosition position);
 
-  /// Chooses the position to demand from a replica. An older one passes on more replicas.
+  /// Chooses the position to demand from a replica: the oldest one that covers `since`, because it
+  /// passes on the most replicas. What a replica returns is as fresh as its log, whatever is
+  /// demanded.
   /// @param since Commits acknowledged before this time must be covered.
-  /// @param preferred Age at which replicas usually hold a position; newer evidence is used only
-  ///     when there is none of this age.
-  /// @param now Current time.
-  /// @returns A position, or nothing without evidence that covers `since`.
-  std::optional<LogPosition> Demand(TimePoint since, Duration preferred, TimePoint now) const;
+  /// @returns The evidence, or nothing when none covers `since`.
+  std::optional<FreshnessEvidence> Demand(TimePoint since) const;
 
   /// @returns Time of the newest evidence.
   std::optional<TimePoint> newest() const;
@@ -33,16 +38,11 @@
   LogPosition highest() const { return this->highest_position; }
 
  private:
-  struct Evidence {
-    TimePoint sent;
-    LogPosition position;
-  };
-
   // Positions are kept at this distance, so that the log stays small.
   static constexpr Duration kSpacing = 50ms;
   static constexpr size_t kMaxEntries = 100;  // 5 s at the spacing: above the usual bounds.
 
-  std::deque<Evidence> entries;  // By time.
+  std::deque<FreshnessEvidence> entries;  // By time.
   LogPosition highest_position;
 };
 
--- a/kernel/session_state.h
+++ b/kernel/session_state.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "kernel/log_position.h"
+#include "kernel/time.h"
 
 namespace poplarmoor {
 
@@ -25,6 +26,7 @@
   std::map<std::string, std::string, std::less<>> values;
   std::map<std::string, PreparedStatement, std::less<>> prepared;  // By the caller's name.
   LogPosition last_commit;                                         // Newest acknowledged commit.
+  TimePoint last_commit_time;                                      // When it was acknowledged.
 };
 
 /// One step that prepares a connection for a session.
--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -18,6 +18,9 @@
 constexpr Duration kOpenLimit = 600ms;
 // After a refusal at the endpoint's limit, other daemons need time to close idle connections.
 constexpr Duration kGrowthPause = 300ms;
+// A replica that lacked a position is asked again after this time, doubled up to the maximum.
+constexpr Duration kFirstBehindPause = 50ms;
+constexpr Duration kMaxBehindPause = 400ms;
 
 }  // namespace
 
@@ -214,6 +217,29 @@
   }
 }
 
+void EndpointPool::NoteBehind(Duration age) {
+  const TimePoint now = BootNow();
+  if (now >= this->behind_until) {
+    this->behind_age = {};
+  }
+  this->behind_backoff = this->behind_backoff == Duration{}
+                             ? kFirstBehindPause
+                             : std::min(this->behind_backoff * 2, kMaxBehindPause);
+  this->behind_age = std::max(this->behind_age, age);
+  this->behind_until = now + this->behind_backoff;
+}
+
+void EndpointPool::NoteCaughtUp(Duration age) {
+  if (age <= this->behind_age) {
+    this->behind_backoff = {};
+    this->behind_until = {};
+  }
+}
+
+bool EndpointPool::IsFreshEnough(Duration age) const {
+  return age > this->behind_age || BootNow() >= this->behind_until;
+}
+
 Duration EndpointPool::Silence() const {
   Duration longest{};
   const TimePoint now = BootNow();
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -89,6 +89,17 @@
   void OnSent(EndpointSession* connection);
   void OnAnswered(EndpointSession* connection);
 
+  /// Records that it lacked a position.
+  /// @param age Age of the demanded evidence.
+  void NoteBehind(Duration age);
+
+  /// Records that it held a position.
+  void NoteCaughtUp(Duration age);
+
+  /// @param age Age of the evidence to demand.
+  /// @returns Whether it is likely to hold the position.
+  bool IsFreshEnough(Duration age) const;
+
   /// @returns How long the oldest exchange has been waiting without any answer of the endpoint.
   Duration Silence() const;
 
@@ -103,7 +114,8 @@
   TimePoint down_since;
   bool probing = false;       // A check over fresh connections is in progress.
   TimePoint avoid_until;      // It was overloaded; other endpoints go first until then.
-  TimePoint behind_until;     // It lacked a demanded position; others go first until then.
+  TimePoint behind_until;     // It lacked a demanded position: demands of the same age or younger
+  Duration behind_age{};      // are not sent to it until then.
   Duration behind_backoff{};  // Grows while it stays behind.
   uint64_t opened = 0;        // Connections opened so far.
 
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -131,8 +131,8 @@
   }
 }
 
-std::vector<std::shared_ptr<EndpointPool>> ServiceGroup::ReadOrder(
-    const std::string& own_domain) const {
+std::vector<std::shared_ptr<EndpointPool>> ServiceGroup::ReadOrder(const std::string& own_domain,
+                                                                   Duration demand_age) const {
   const TimePoint now = BootNow();
   std::vector<ReadCandidate> candidates;
   for (const auto& [id, pool] : this->members) {
@@ -140,7 +140,7 @@
     candidate.id = id;
     candidate.same_failure_domain = pool->record().failure_domain == own_domain;
     candidate.is_primary = id == this->primary;
-    candidate.usable = !pool->down && !pool->record().leaving && now >= pool->behind_until &&
+    candidate.usable = !pool->down && !pool->record().leaving && pool->IsFreshEnough(demand_age) &&
                        now >= pool->avoid_until;
     candidate.busy = pool->queue().busy();
     candidate.limit = pool->queue().single_limit();
--- a/session/service_group.h
+++ b/session/service_group.h
@@ -46,8 +46,10 @@
   Duration ExpectedOutage() const;
 
   /// @param own_domain Failure domain of this daemon.
+  /// @param demand_age Age of the position that the read demands.
   /// @returns Endpoints for a read, best first.
-  std::vector<std::shared_ptr<EndpointPool>> ReadOrder(const std::string& own_domain) const;
+  std::vector<std::shared_ptr<EndpointPool>> ReadOrder(const std::string& own_domain,
+                                                       Duration demand_age) const;
 
   std::string name;
   std::map<std::string, std::shared_ptr<EndpointPool>> members;  // By id.
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -17,13 +17,8 @@
 
 // Longest preparation of a connection: two round trips, and room for one lost packet's retransmit.
 constexpr Duration kSetupLimit = 500ms;
-// Evidence of this age is within the usual delay of a replica (mean 20 ms, tail 120 ms).
-constexpr Duration kUsualReplicaDelay = 150ms;
 // The time of a caller's first byte is known only up to scheduling delays.
 constexpr Duration kStalenessMargin = 50ms;
-// A replica that lacked a position is asked again after this time, doubled up to the maximum.
-constexpr Duration kFirstBehindPause = 50ms;
-constexpr Duration kMaxBehindPause = 800ms;
 // An endpoint with a full queue is left alone for about the time of one statement.
 constexpr Duration kOverloadPause = 20ms;
 // A read whose answer is lost is repeated elsewhere after this time and several usual ones.
@@ -136,14 +131,15 @@
 }
 
 void StatementRunner::NoteRefusal(EndpointPool* pool, StatementError error) {
-  const TimePoint now = BootNow();
-  if (error == StatementError::kBehind) {
-    pool->behind_backoff = pool->behind_backoff == Duration{}
-                               ? kFirstBehindPause
-                               : std::min(pool->behind_backoff * 2, kMaxBehindPause);
-    pool->behind_until = now + pool->behind_backoff;
-  } else if (error == StatementError::kOverloaded) {
-    pool->avoid_until = now + kOverloadPause;
+  if (error == StatementError::kOverloaded) {
+    pool->avoid_until = BootNow() + kOverloadPause;
+  }
+}
+
+void StatementRunner::NoteCommit(SessionState* state, const StatementAnswer& answer) {
+  if (answer.position) {
+    state->last_commit = std::max(state->last_commit, *answer.position);
+    state->last_commit_time = BootNow();
   }
 }
 
@@ -201,15 +197,15 @@
   co_return co_await this->RunRead(std::move(job), state);
 }
 
-std::optional<LogPosition> StatementRunner::DemandFor(const StatementJob& job,
-                                                      const SessionState& state,
-                                                      ServiceGroup* group) {
+std::optional<FreshnessEvidence> StatementRunner::DemandFor(const StatementJob& job,
+                                                            const SessionState& state,
+                                                            ServiceGroup* group) {
   const Duration bound = job.route->max_staleness;
   this->RefreshEvidence(group, bound / 2);
-  auto demand = group->freshness.Demand(job.arrived - bound + kStalenessMargin, kUsualReplicaDelay,
-                                        BootNow());
-  if (demand && job.route->consistency == Consistency::kOwnWrites) {
-    demand = std::max(*demand, state.last_commit);
+  auto demand = group->freshness.Demand(job.arrived - bound + kStalenessMargin);
+  if (demand && job.route->consistency == Consistency::kOwnWrites &&
+      state.last_commit > demand->position) {
+    demand = FreshnessEvidence{state.last_commit_time, state.last_commit};
   }
   return demand;
 }
@@ -227,7 +223,8 @@
       break;
     }
     bool tried = false;
-    for (const auto& pool : group->ReadOrder(this->cluster->failure_domain())) {
+    for (const auto& pool :
+         group->ReadOrder(this->cluster->failure_domain(), BootNow() - demand->sent)) {
       const Duration left = job.deadline - BootNow();
       if (left <= 1ms) {
         co_return this->Fail(job, StatementError::kOverloaded, "deadline: " + cause, last);
@@ -240,8 +237,8 @@
       }
       const Duration patience = std::min<Duration>(
           TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
-      Attempt attempt =
-          co_await this->Send(job, Opening::kNone, *demand, *state, group, pool, &lease, patience);
+      Attempt attempt = co_await this->Send(job, Opening::kNone, demand->position, *state, group,
+                                            pool, &lease, patience);
       pool->Release(std::move(lease));
       tried = true;
       if (attempt.outcome != Outcome::kAnswered) {
@@ -249,9 +246,12 @@
         continue;
       }
       if (!attempt.answer.error) {
-        pool->behind_backoff = {};
+        pool->NoteCaughtUp(BootNow() - demand->sent);
         co_return attempt.answer;
       }
+      if (*attempt.answer.error == StatementError::kBehind) {
+        pool->NoteBehind(BootNow() - demand->sent);
+      }
       if (!ChangesNothing(*attempt.answer.error)) {
         co_return this->Fail(job, *attempt.answer.error, attempt.answer.error_text, last);
       }
@@ -309,8 +309,8 @@
       co_return this->Fail(job, StatementError::kInDoubt, attempt.cause, pool.get());
     }
     if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
-      if (job.writes && attempt.answer.position) {
-        state->last_commit = std::max(state->last_commit, *attempt.answer.position);
+      if (job.writes) {
+        this->NoteCommit(state, attempt.answer);
       }
       co_return attempt.answer;
     }
@@ -475,7 +475,8 @@
   ServiceGroup* group = this->cluster->FindGroup(job.route->service);
   const auto demand = group == nullptr ? std::nullopt : this->DemandFor(job, *state, group);
   if (demand) {
-    for (const auto& pool : group->ReadOrder(this->cluster->failure_domain())) {
+    for (const auto& pool :
+         group->ReadOrder(this->cluster->failure_domain(), BootNow() - demand->sent)) {
       const Duration left = job.deadline - BootNow();
       if (left <= 1ms) {
         break;
@@ -486,15 +487,18 @@
       }
       const Duration patience = std::min<Duration>(
           TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
-      Attempt attempt = co_await this->Send(job, Opening::kReadOnly, *demand, *state, group, pool,
-                                            &lease, patience);
+      Attempt attempt = co_await this->Send(job, Opening::kReadOnly, demand->position, *state,
+                                            group, pool, &lease, patience);
       if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
         transaction->pool = pool;
         transaction->lease = std::move(lease);
-        pool->behind_backoff = {};
+        pool->NoteCaughtUp(BootNow() - demand->sent);
         co_return attempt.answer;
       }
       this->CleanUp(pool, std::move(lease));
+      if (attempt.answer.error == StatementError::kBehind) {
+        pool->NoteBehind(BootNow() - demand->sent);
+      }
       if (attempt.answer.error) {
         this->NoteRefusal(pool.get(), *attempt.answer.error);
       }
@@ -532,8 +536,8 @@
     const bool promise = ChangesNothing(*answer.error);
     answer = this->Fail(job, promise ? StatementError::kAborted : *answer.error, answer.error_text,
                         pool.get());
-  } else if (wrote && answer.position) {
-    state->last_commit = std::max(state->last_commit, *answer.position);
+  } else if (wrote) {
+    this->NoteCommit(state, answer);
   }
   if (answer.error) {
     this->Discard(transaction);
--- a/session/statement_runner.h
+++ b/session/statement_runner.h
@@ -113,10 +113,11 @@
   boost::asio::awaitable<StatementAnswer> BeginAtReplica(StatementJob job,
                                                          SessionState* state,
                                                          SessionTransaction* transaction);
-  std::optional<LogPosition> DemandFor(const StatementJob& job,
-                                       const SessionState& state,
-                                       ServiceGroup* group);
+  std::optional<FreshnessEvidence> DemandFor(const StatementJob& job,
+                                             const SessionState& state,
+                                             ServiceGroup* group);
   void NoteRefusal(EndpointPool* pool, StatementError error);
+  void NoteCommit(SessionState* state, const StatementAnswer& answer);
   StatementAnswer Fail(const StatementJob& job,
                        StatementError error,
                        std::string_view cause,
