--- a/kernel/statement_queue.cc
+++ b/kernel/statement_queue.cc
@@ -6,9 +6,9 @@
 
 namespace {
 
-// From this rank on, a share of the connections stays free for more urgent statements.
-constexpr int kFirstRestrictedRank = 2;
-constexpr uint32_t kRestrictedDivisor = 3;  // One connection in three is kept free of them.
+// The most urgent statements may exceed the limit by this number, so that they do not wait for a
+// slower statement of the same daemon.
+constexpr uint32_t kUrgentExtra = 1;
 constexpr int kSmoothing = 8;               // Weight of the history against one sample.
 
 }  // namespace
@@ -26,9 +26,7 @@
   if (transaction) {
     return true;
   }
-  const uint32_t kept_free =
-      rank >= kFirstRestrictedRank ? this->singles_allowed / kRestrictedDivisor : 0;
-  return this->singles + kept_free < this->singles_allowed;
+  return this->singles < this->singles_allowed + (rank == 0 ? kUrgentExtra : 0);
 }
 
 void StatementQueue::Start(bool transaction) {
--- a/kernel/statement_queue.h
+++ b/kernel/statement_queue.h
@@ -47,6 +47,9 @@
   /// @returns Requests that have a connection or wait for one.
   uint32_t busy() const;
 
+  /// @returns Connections in use.
+  uint32_t in_use() const { return this->singles + this->transactions; }
+
   uint32_t single_limit() const { return this->singles_allowed; }
   Duration service_time() const { return this->smoothed_hold; }
 
--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -18,9 +18,9 @@
 // Connections of an endpoint that no daemon's share includes, for orders and takeovers.
 constexpr uint32_t kReservedConnections = 2;
 // Idle connections above the share are closed after this time, so that other daemons get them.
-constexpr Duration kSurplusIdleAge = 500ms;
+constexpr Duration kSurplusIdleAge = 1s;
 // Statements at an endpoint, in multiples of its slots, that all daemons together keep there.
-constexpr uint32_t kStatementsPerSlot = 6;
+constexpr uint32_t kStatementsPerSlot = 3;
 
 }  // namespace
 
@@ -116,12 +116,11 @@
   }
   const uint32_t limit = service->second.max_connections;
   const uint32_t usable = limit > kReservedConnections ? limit - kReservedConnections : 1;
+  const uint32_t share = std::max<uint32_t>(usable / this->daemons, 1);
   const uint32_t useful =
       (pool->record().slots * kStatementsPerSlot + this->daemons - 1) / this->daemons;
-  const uint32_t share = std::clamp<uint32_t>(usable / this->daemons, 1, std::max(useful, 1U));
-  // Transactions hold connections while they idle. They may exceed the share, because few daemons
-  // have many at once; the endpoint's own limit ends the excess.
-  pool->SetLimits(share, std::max(share, usable / 2));
+  // Transactions hold connections while they idle, and few daemons have many at once.
+  pool->SetLimits(std::min(share, useful), share, std::max<uint32_t>(share / 2, 1));
 }
 
 ServiceGroup* Cluster::FindGroup(const std::string& service) {
--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -17,7 +17,7 @@
 // A connection opens in two round trips and the endpoint's login time; a lost packet adds a second.
 constexpr Duration kOpenLimit = 600ms;
 // After a refusal at the endpoint's limit, other daemons need time to close idle connections.
-constexpr Duration kGrowthPause = 300ms;
+constexpr Duration kGrowthPause = 3s;
 // A replica that lacked a position is asked again after this time, doubled up to the maximum.
 constexpr Duration kFirstBehindPause = 50ms;
 constexpr Duration kMaxBehindPause = 400ms;
@@ -89,14 +89,22 @@
     }
     if (*answer.error == StatementError::kTooManyConnections) {
       lease.failure = AcquireFailure::kTooMany;
-      this->limited_until = BootNow() + kGrowthPause;
+      this->NoteLimitReached();
     } else if (*answer.error == StatementError::kWrongEndpoint) {
       lease.failure = AcquireFailure::kWrongEndpoint;
     } else {
       lease.failure = AcquireFailure::kOverloaded;
     }
-  } catch (const EndpointSessionError&) {
-    lease.failure = AcquireFailure::kUnreachable;  // The caller logs it with the statement's id.
+  } catch (const EndpointSessionError& error) {
+    // The caller logs the failure with the statement's id. An endpoint also closes connections
+    // above its limit without an answer.
+    if (error.kind == EndpointSessionError::Kind::kClosed) {
+      lease.failure = AcquireFailure::kTooMany;
+      this->NoteLimitReached();
+    } else {
+      lease.failure = AcquireFailure::kUnreachable;
+    }
+    this->suspected = true;
   }
   this->Leave(lease.transaction, lease.since);
   co_return lease;
@@ -183,16 +191,36 @@
   }
 }
 
-void EndpointPool::SetLimits(uint32_t singles, uint32_t total) {
+void EndpointPool::SetLimits(uint32_t singles, uint32_t share, uint32_t borrowed) {
   this->single_limit = singles;
-  this->total_limit = total;
-  this->admission.SetLimits(singles, total);
+  this->share = share;
+  this->borrowed = borrowed;
+  this->ApplyLimits();
+}
+
+void EndpointPool::NoteLimitReached() {
+  const uint32_t in_use = this->admission.in_use();
+  this->reached_limit = static_cast<uint32_t>(this->idle.size()) + (in_use > 0 ? in_use - 1 : 0);
+  this->limited_until = BootNow() + kGrowthPause;
+  this->ApplyLimits();
+}
+
+void EndpointPool::ApplyLimits() {
+  uint32_t total = this->share + this->borrowed;
+  if (BootNow() < this->limited_until) {
+    total = std::clamp<uint32_t>(this->reached_limit, 1, this->share);
+  }
+  this->admission.SetLimits(std::min(this->single_limit, total), total);
   this->WakeNext();
 }
 
 void EndpointPool::CloseIdle(Duration age) {
   const TimePoint now = BootNow();
-  const size_t kept = now < this->limited_until ? 0 : this->single_limit;
+  if (this->limited_until != TimePoint{} && now >= this->limited_until) {
+    this->limited_until = {};
+    this->ApplyLimits();
+  }
+  const size_t kept = this->share;
   // The front entries have been idle for the longest time.
   while (this->idle.size() > kept && now - this->idle.front().since > age) {
     this->idle.erase(this->idle.begin());
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -77,7 +77,10 @@
   void Update(const EndpointRecord& record);
 
   /// Sets how many connections this daemon may use.
-  void SetLimits(uint32_t singles, uint32_t total);
+  /// @param singles Statements outside transactions that run at once.
+  /// @param share Connections that every daemon can have at the same time.
+  /// @param borrowed Connections beyond the share, while the endpoint accepts them.
+  void SetLimits(uint32_t singles, uint32_t share, uint32_t borrowed);
 
   /// Closes idle connections above the limit that have been idle for longer than the age.
   void CloseIdle(Duration age);
@@ -112,6 +115,7 @@
 
   bool down = false;  // No fresh connection can be opened.
   TimePoint down_since;
+  bool suspected = false;     // A connection failed; a probe has to tell why.
   bool probing = false;       // A check over fresh connections is in progress.
   TimePoint avoid_until;      // It was overloaded; other endpoints go first until then.
   TimePoint behind_until;     // It lacked a demanded position: demands of the same age or younger
@@ -130,6 +134,8 @@
   std::unique_ptr<EndpointSession> TakeIdle(uint64_t session);
   void Leave(bool transaction, TimePoint since);
   void WakeNext();
+  void NoteLimitReached();
+  void ApplyLimits();
 
   boost::asio::any_io_executor executor;
   const SessionCodec* codec;
@@ -141,8 +147,10 @@
   TimePoint last_answer;
   StatementQueue::Ticket next_ticket = 1;
   uint32_t single_limit = 1;
-  uint32_t total_limit = 1;
-  TimePoint limited_until;  // The endpoint refused a connection: no growth until then.
+  uint32_t share = 1;
+  uint32_t borrowed = 0;
+  uint32_t reached_limit = 0;  // Connections that it accepted when it refused one more; 0: unknown.
+  TimePoint limited_until;     // The endpoint refused a connection: no growth until then.
 };
 
 }  // namespace poplarmoor
--- a/session/endpoint_session.cc
+++ b/session/endpoint_session.cc
@@ -23,7 +23,7 @@
 constexpr size_t kMaxAnswer = 8 << 20;  // Bytes of all rows; far above the usual answers.
 
 Kind KindOf(const boost::system::error_code& error) {
-  return error == boost::beast::error::timeout ? Kind::kTimeout : Kind::kRefused;
+  return error == boost::beast::error::timeout ? Kind::kTimeout : Kind::kClosed;
 }
 
 }  // namespace
@@ -46,7 +46,8 @@
   co_await this->stream.async_connect(ParseAddress(this->address),
                                       asio::redirect_error(asio::use_awaitable, error));
   if (error) {
-    this->Fail(KindOf(error), "cannot connect: " + error.message());
+    this->Fail(error == boost::beast::error::timeout ? Kind::kTimeout : Kind::kRefused,
+               "cannot connect: " + error.message());
   }
   this->open = true;
   this->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
@@ -68,7 +69,7 @@
     Duration limit) {
   boost::system::error_code error;
   if (!this->open) {
-    this->Fail(Kind::kRefused, "the connection was closed");
+    this->Fail(Kind::kClosed, "the connection was closed");
   }
   this->stream.expires_after(limit);
   std::string joined;
--- a/session/endpoint_session.h
+++ b/session/endpoint_session.h
@@ -20,7 +20,8 @@
 class EndpointSessionError : public std::runtime_error {
  public:
   enum class Kind {
-    kRefused,   // No listener, or the endpoint closed the connection.
+    kRefused,   // No listener at the address.
+    kClosed,    // The endpoint closed the connection.
     kTimeout,   // No answer within the time limit.
     kProtocol,  // An answer that cannot be read.
   };
--- a/session/group_keeper.cc
+++ b/session/group_keeper.cc
@@ -33,6 +33,7 @@
 // A claim is respected for this time; its holder has died or lost the store after it. Above the
 // platform's time for a promotion (1 s).
 constexpr Duration kClaimValidity = 2500ms;
+constexpr Duration kClaimRetry = 500ms;
 constexpr Duration kTakeoverLimit = 5s;    // Of a takeover before its promotion is ordered.
 constexpr Duration kRoundInterval = 30ms;  // Between two rounds of status calls.
 constexpr Duration kOrderLimit = 300ms;    // Of one order to an endpoint.
@@ -88,9 +89,10 @@
   const TimePoint now = BootNow();
   for (auto& [id, pool] : group->members) {
     const bool due = pool->down ? now - pool->down_since > kDownProbeInterval
-                                : pool->Silence() > kSuspiciousSilence;
+                                : pool->suspected || pool->Silence() > kSuspiciousSilence;
     if (due && !pool->probing) {
       pool->probing = true;
+      pool->suspected = false;
       this->Spawn(this->Probe(group, pool));
     }
   }
@@ -128,7 +130,12 @@
     try {
       co_await pool->Order(EndpointOrder::kStatus, 0, kProbeLimit, true);
       answers = true;
+    } catch (const EndpointSessionError& error) {
+      // An endpoint that closes an accepted connection runs, but is at its connection limit.
+      answers = error.kind == EndpointSessionError::Kind::kClosed;
+      cause = error.what();
     } catch (const std::runtime_error& error) {
+      answers = true;  // It answered with a refusal.
       cause = error.what();
     }
     if (!answers) {
@@ -245,7 +252,7 @@
     co_await this->Compare(group, reason, group->claim.revision);
   } else {
     // Another daemon acts, or the store cannot be reached.
-    co_await Pause(kSuspiciousSilence);
+    co_await Pause(kClaimRetry);
   }
   group->taking_over = false;
 }
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -51,7 +51,7 @@
 // -----------------------------------------------------------------------------
 // Sending one statement
 
-asio::awaitable<StatementRunner::Attempt> StatementRunner::Send(const StatementJob& job,
+asio::awaitable<StatementRunner::Attempt> StatementRunner::Send(StatementJob* job,
                                                                 Opening opening,
                                                                 LogPosition demanded,
                                                                 const SessionState& state,
@@ -61,7 +61,7 @@
                                                                 Duration limit) {
   Attempt attempt;
   EndpointSession* connection = lease->connection.get();
-  const PreparedStatement* prepared = job.prepared ? &*job.prepared : nullptr;
+  const PreparedStatement* prepared = job->prepared ? &*job->prepared : nullptr;
   std::vector<std::string> setup;
   for (const SetupStep& step : connection->held.StepsFor(state, prepared)) {
     setup.push_back(this->codec->EncodeSetup(step));
@@ -72,6 +72,7 @@
   } else if (opening == Opening::kReadOnly) {
     setup.push_back(this->codec->EncodeReadOnlyBegin(demanded));
   }
+  ++job->attempts;
   if (!setup.empty()) {
     const TimePoint sent = BootNow();
     pool->OnSent(connection);
@@ -79,6 +80,7 @@
       const auto answers =
           co_await connection->Exchange(std::move(setup), std::min(limit, kSetupLimit));
       pool->OnAnswered(connection);
+      job->setup += BootNow() - sent;
       for (const StatementAnswer& answer : answers) {
         if (answer.error) {
           attempt.answer = answer;
@@ -106,22 +108,24 @@
   connection->used_by = state.session;
   pool->OnSent(connection);
   const TimePoint sent = BootNow();
-  if (job.commits) {
+  if (job->commits) {
     group->commits[connection] = sent;
   }
   try {
     std::vector<std::string> messages;
     messages.push_back(
-        this->codec->EncodeStatement(job.id, job.text, begins ? LogPosition{} : demanded));
+        this->codec->EncodeStatement(job->id, job->text, begins ? LogPosition{} : demanded));
     auto answers = co_await connection->Exchange(std::move(messages), limit);
     attempt.answer = std::move(answers.front());
     attempt.outcome = Outcome::kAnswered;
   } catch (const EndpointSessionError& error) {
     attempt.outcome = Outcome::kLost;
     attempt.cause = error.what();
+    pool->suspected = error.kind != EndpointSessionError::Kind::kProtocol;
   }
   pool->OnAnswered(connection);
-  if (job.commits) {
+  job->running += BootNow() - sent;
+  if (job->commits) {
     group->commits.erase(connection);
     if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error && attempt.answer.position) {
       group->freshness.Record(sent, *attempt.answer.position);
@@ -164,6 +168,36 @@
   return answer;
 }
 
+void StatementRunner::LogIfLate(const StatementJob& job, const EndpointPool& pool) {
+  const Duration elapsed = BootNow() - job.arrived;
+  if (elapsed <= job.route->objective) {
+    return;
+  }
+  Log(LogLevel::kInfo, "statement late",
+      {{"request_id", job.id},
+       {"service", job.route->service},
+       {"route", job.route->name},
+       {"rank", job.route->rank},
+       {"writes", job.writes},
+       {"endpoint", pool.record().id},
+       {"elapsed_ms", ToMillis(elapsed)},
+       {"queued_ms", ToMillis(job.queued)},
+       {"setup_ms", ToMillis(job.setup)},
+       {"running_ms", ToMillis(job.running)},
+       {"attempts", job.attempts}});
+}
+
+asio::awaitable<EndpointLease> StatementRunner::Acquire(StatementJob* job,
+                                                        std::shared_ptr<EndpointPool> pool,
+                                                        bool transaction,
+                                                        const SessionState& state) {
+  const TimePoint begun = BootNow();
+  EndpointLease lease =
+      co_await pool->Acquire(job->route->rank, transaction, TimeLeft(*job), state);
+  job->queued += BootNow() - begun;
+  co_return lease;
+}
+
 void StatementRunner::CleanUp(std::shared_ptr<EndpointPool> pool, EndpointLease lease) {
   if (lease.connection == nullptr || !lease.connection->is_open()) {
     pool->Release(std::move(lease));
@@ -230,14 +264,14 @@
         co_return this->Fail(job, StatementError::kOverloaded, "deadline: " + cause, last);
       }
       last = pool.get();
-      EndpointLease lease = co_await pool->Acquire(job.route->rank, false, left - 1ms, *state);
+      EndpointLease lease = co_await this->Acquire(&job, pool, false, *state);
       if (lease.connection == nullptr) {
         cause = kAcquireFailureNames.NameOf(lease.failure);
         continue;
       }
       const Duration patience = std::min<Duration>(
           TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
-      Attempt attempt = co_await this->Send(job, Opening::kNone, demand->position, *state, group,
+      Attempt attempt = co_await this->Send(&job, Opening::kNone, demand->position, *state, group,
                                             pool, &lease, patience);
       pool->Release(std::move(lease));
       tried = true;
@@ -247,6 +281,7 @@
       }
       if (!attempt.answer.error) {
         pool->NoteCaughtUp(BootNow() - demand->sent);
+        this->LogIfLate(job, *pool);
         co_return attempt.answer;
       }
       if (*attempt.answer.error == StatementError::kBehind) {
@@ -285,8 +320,7 @@
       cause = "no primary is expected in time; last: " + cause;
       break;
     }
-    EndpointLease lease =
-        co_await pool->Acquire(job.route->rank, false, job.deadline - BootNow(), *state);
+    EndpointLease lease = co_await this->Acquire(&job, pool, false, *state);
     if (lease.connection == nullptr) {
       cause = kAcquireFailureNames.NameOf(lease.failure);
       if (lease.failure == AcquireFailure::kOverloaded) {
@@ -297,7 +331,7 @@
     }
     // A read at a server that has lost the lead is refused only inside a transaction that may
     // write.
-    Attempt attempt = co_await this->Send(job, opening, LogPosition{}, *state, group, pool, &lease,
+    Attempt attempt = co_await this->Send(&job, opening, LogPosition{}, *state, group, pool, &lease,
                                           TimeLeft(job));
     if (attempt.outcome == Outcome::kAnswered && !job.writes) {
       this->CleanUp(pool, std::move(lease));
@@ -312,6 +346,7 @@
       if (job.writes) {
         this->NoteCommit(state, attempt.answer);
       }
+      this->LogIfLate(job, *pool);
       co_return attempt.answer;
     }
     if (!attempt.answer.error) {
@@ -389,7 +424,7 @@
   const auto pool = transaction->pool;
   for (;;) {
     const Duration left = TimeLeft(job);
-    Attempt attempt = co_await this->Send(job, Opening::kNone, LogPosition{}, *state, group, pool,
+    Attempt attempt = co_await this->Send(&job, Opening::kNone, LogPosition{}, *state, group, pool,
                                           &transaction->lease, left);
     if (attempt.outcome != Outcome::kAnswered) {
       this->Discard(transaction);
@@ -398,6 +433,7 @@
     StatementAnswer& answer = attempt.answer;
     if (!answer.error) {
       transaction->wrote = transaction->wrote || job.writes;
+      this->LogIfLate(job, *pool);
       co_return answer;
     }
     const bool retriable = *answer.error == StatementError::kOverloaded &&
@@ -433,8 +469,7 @@
       cause = "no primary is expected in time; last: " + cause;
       break;
     }
-    EndpointLease lease =
-        co_await pool->Acquire(job.route->rank, true, job.deadline - BootNow(), *state);
+    EndpointLease lease = co_await this->Acquire(&job, pool, true, *state);
     if (lease.connection == nullptr) {
       cause = kAcquireFailureNames.NameOf(lease.failure);
       if (lease.failure == AcquireFailure::kOverloaded) {
@@ -443,12 +478,13 @@
       co_await Pause(kOverloadPause);
       continue;
     }
-    Attempt attempt = co_await this->Send(job, Opening::kWritable, LogPosition{}, *state, group,
+    Attempt attempt = co_await this->Send(&job, Opening::kWritable, LogPosition{}, *state, group,
                                           pool, &lease, TimeLeft(job));
     if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
       transaction->wrote = job.writes;
       transaction->pool = pool;
       transaction->lease = std::move(lease);
+      this->LogIfLate(job, *pool);
       co_return attempt.answer;
     }
     this->CleanUp(pool, std::move(lease));
@@ -481,18 +517,19 @@
       if (left <= 1ms) {
         break;
       }
-      EndpointLease lease = co_await pool->Acquire(job.route->rank, true, left - 1ms, *state);
+      EndpointLease lease = co_await this->Acquire(&job, pool, true, *state);
       if (lease.connection == nullptr) {
         continue;
       }
       const Duration patience = std::min<Duration>(
           TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
-      Attempt attempt = co_await this->Send(job, Opening::kReadOnly, demand->position, *state,
+      Attempt attempt = co_await this->Send(&job, Opening::kReadOnly, demand->position, *state,
                                             group, pool, &lease, patience);
       if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
         transaction->pool = pool;
         transaction->lease = std::move(lease);
         pool->NoteCaughtUp(BootNow() - demand->sent);
+        this->LogIfLate(job, *pool);
         co_return attempt.answer;
       }
       this->CleanUp(pool, std::move(lease));
@@ -524,7 +561,7 @@
   const auto pool = transaction->pool;
   const bool wrote = transaction->wrote;
   job.commits = wrote;
-  Attempt attempt = co_await this->Send(job, Opening::kNone, LogPosition{}, *state, group, pool,
+  Attempt attempt = co_await this->Send(&job, Opening::kNone, LogPosition{}, *state, group, pool,
                                         &transaction->lease, TimeLeft(job));
   StatementAnswer answer = std::move(attempt.answer);
   if (attempt.outcome == Outcome::kLost) {
--- a/session/statement_runner.h
+++ b/session/statement_runner.h
@@ -28,6 +28,12 @@
   const DatabaseRoute* route = nullptr;
   TimePoint arrived;
   TimePoint deadline;
+
+  // What the statement spent its time on, for the log.
+  Duration queued{};   // Waiting for connections, opening them included.
+  Duration setup{};    // Preparing connections for the session.
+  Duration running{};  // From sending it to its answers.
+  int attempts = 0;    // Times that it was sent or was about to be sent.
 };
 
 /// A caller's transaction at an endpoint.
@@ -96,7 +102,7 @@
 
   // Prepares the connection for the session, begins a transaction if asked, and sends the
   // statement. `demanded` is the position that the endpoint must hold; {0, 0}: none.
-  boost::asio::awaitable<Attempt> Send(const StatementJob& job,
+  boost::asio::awaitable<Attempt> Send(StatementJob* job,
                                        Opening opening,
                                        LogPosition demanded,
                                        const SessionState& state,
@@ -122,6 +128,11 @@
                        StatementError error,
                        std::string_view cause,
                        const EndpointPool* pool);
+  void LogIfLate(const StatementJob& job, const EndpointPool& pool);
+  boost::asio::awaitable<EndpointLease> Acquire(StatementJob* job,
+                                                std::shared_ptr<EndpointPool> pool,
+                                                bool transaction,
+                                                const SessionState& state);
   void CleanUp(std::shared_ptr<EndpointPool> pool, EndpointLease lease);
 
   Cluster* cluster;
