--- a/net/http_connection.cc
+++ b/net/http_connection.cc
@@ -1,5 +1,7 @@
 #include "net/http_connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio.hpp>
@@ -10,6 +12,7 @@
 #include "net/address.h"
 #include "net/http_message.h"
 #include "net/traffic_counter.h"
+#include "telemetry/log.h"
 
 namespace poplarmoor {
 
@@ -19,8 +22,25 @@
 
 namespace {
 constexpr size_t kMaxResponse = 64 << 20;  // Bytes; the stand-in's whole log is the largest answer.
+// Keep-alive probes notice a silent connection in 3 s, while a long poll is waiting for its answer.
+constexpr int kKeepAliveIdle = 1;      // Seconds without traffic before the first probe.
+constexpr int kKeepAliveInterval = 1;  // Seconds between probes.
+constexpr int kKeepAliveProbes = 2;    // Unanswered probes that end the connection.
+
+void EnableKeepAlive(int socket) {
+  const int on = 1;
+  const bool enabled =
+      ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)) == 0 &&
+      ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdle, sizeof(int)) == 0 &&
+      ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveInterval, sizeof(int)) == 0 &&
+      ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof(int)) == 0;
+  if (!enabled) {
+    Log(LogLevel::kWarn, "keep-alive probes not available", {{"errno", errno}});
+  }
 }
 
+}  // namespace
+
 struct HttpConnection::Impl {
   Impl(asio::any_io_executor executor, std::string address)
       : address(std::move(address)), stream(executor) {}
@@ -56,6 +76,7 @@
     this->impl->Fail("cannot connect to", error, false);
   }
   this->impl->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  EnableKeepAlive(this->impl->stream.socket().native_handle());
   this->impl->buffer.clear();
   this->impl->open = true;
 }
--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -18,6 +18,10 @@
 constexpr Duration kOpenLimit = 600ms;
 // After a refusal at the endpoint's limit, other daemons need time to close idle connections.
 constexpr Duration kGrowthPause = 3s;
+// An endpoint drops the connections of a vanished VM after 3 s. Until then a restarted daemon
+// leaves room for those that its predecessor and the other daemons had before a common loss of
+// power.
+constexpr Duration kInheritedConnectionsAge = 3500ms;
 // A replica that lacked a position is asked again after this time, doubled up to the maximum.
 constexpr Duration kFirstBehindPause = 50ms;
 constexpr Duration kMaxBehindPause = 400ms;
@@ -34,7 +38,7 @@
 EndpointPool::EndpointPool(asio::any_io_executor executor,
                            const SessionCodec* codec,
                            EndpointRecord record)
-    : executor(std::move(executor)), codec(codec), current(std::move(record)) {}
+    : executor(std::move(executor)), codec(codec), current(std::move(record)), created(BootNow()) {}
 
 EndpointPool::~EndpointPool() = default;
 
@@ -168,7 +172,8 @@
   messages.push_back(this->codec->EncodeOrder(order, term));
   const auto answers = co_await connection->Exchange(std::move(messages), limit);
   const StatementAnswer& answer = answers.front();
-  if (connection->is_open()) {
+  const bool has_room = this->idle.size() + this->admission.in_use() < this->share;
+  if (connection->is_open() && has_room) {
     this->idle.push_back({std::move(connection), BootNow()});
   }
   if (answer.error || answer.rows.empty()) {
@@ -207,7 +212,9 @@
 
 void EndpointPool::ApplyLimits() {
   uint32_t total = this->share + this->borrowed;
-  if (BootNow() < this->limited_until) {
+  if (BootNow() - this->created < kInheritedConnectionsAge) {
+    total = 1;
+  } else if (BootNow() < this->limited_until) {
     total = std::clamp<uint32_t>(this->reached_limit, 1, this->share);
   }
   this->admission.SetLimits(std::min(this->single_limit, total), total);
@@ -220,6 +227,10 @@
     this->limited_until = {};
     this->ApplyLimits();
   }
+  if (this->ramping && now - this->created >= kInheritedConnectionsAge) {
+    this->ramping = false;
+    this->ApplyLimits();
+  }
   const size_t kept = this->share;
   // The front entries have been idle for the longest time.
   while (this->idle.size() > kept && now - this->idle.front().since > age) {
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -145,6 +145,8 @@
   std::map<StatementQueue::Ticket, Waiter*> waiters;
   std::map<EndpointSession*, TimePoint> in_progress;  // By connection: when it was sent.
   TimePoint last_answer;
+  TimePoint created;
+  bool ramping = true;  // The limits of the first seconds apply.
   StatementQueue::Ticket next_ticket = 1;
   uint32_t single_limit = 1;
   uint32_t share = 1;
--- a/session/group_keeper.cc
+++ b/session/group_keeper.cc
@@ -18,17 +18,17 @@
 namespace {
 
 constexpr Duration kCheckInterval = 50ms;
-// Silence of an endpoint with statements in progress; above the slowest usual statement (45 ms) and
-// a full queue in front of it.
-constexpr Duration kSuspiciousSilence = 250ms;
+// Silence of an endpoint with statements in progress; above the usual slow statement (45 ms) behind
+// a short queue. It only leads to a probe.
+constexpr Duration kSuspiciousSilence = 150ms;
 // Commits that are not acknowledged for this time on a primary that answers otherwise.
 constexpr Duration kStalledCommit = 500ms;
 // Two fresh connections must fail; the second one covers a lost packet.
-constexpr Duration kProbeLimit = 300ms;
+constexpr Duration kProbeLimit = 250ms;
 constexpr int kProbeAttempts = 2;
-constexpr Duration kProbeGap = 20ms;
+constexpr Duration kProbeGap = 80ms;            // Between the starts of two attempts.
 constexpr Duration kDownProbeInterval = 400ms;  // An endpoint that is down is asked this often.
-constexpr Duration kSeekInterval = 60ms;
+constexpr Duration kSeekInterval = 100ms;
 constexpr Duration kSeekLimit = 250ms;  // Of one status call.
 // A claim is respected for this time; its holder has died or lost the store after it. Above the
 // platform's time for a promotion (1 s).
@@ -123,25 +123,42 @@
 }
 
 asio::awaitable<void> GroupKeeper::Probe(ServiceGroup* group, std::shared_ptr<EndpointPool> pool) {
-  std::string cause;
-  const bool was_down = pool->down;
-  bool answers = false;
-  for (int attempt = 0; attempt < kProbeAttempts && !answers; ++attempt) {
-    try {
-      co_await pool->Order(EndpointOrder::kStatus, 0, kProbeLimit, true);
-      answers = true;
-    } catch (const EndpointSessionError& error) {
-      // An endpoint that closes an accepted connection runs, but is at its connection limit.
-      answers = error.kind == EndpointSessionError::Kind::kClosed;
-      cause = error.what();
-    } catch (const std::runtime_error& error) {
-      answers = true;  // It answered with a refusal.
-      cause = error.what();
-    }
-    if (!answers) {
-      co_await Pause(kProbeGap);
+  struct Result {
+    int pending = kProbeAttempts;
+    bool answers = false;
+    std::string cause;
+    WaitList changed;
+  };
+  const auto result = std::make_shared<Result>(
+      Result{kProbeAttempts, false, std::string(), WaitList(this->executor)});
+  const auto attempt = [](std::shared_ptr<Result> result, std::shared_ptr<EndpointPool> pool,
+                          Duration delay) -> asio::awaitable<void> {
+    co_await Pause(delay);
+    if (!result->answers) {
+      try {
+        co_await pool->Order(EndpointOrder::kStatus, 0, kProbeLimit, true);
+        result->answers = true;
+      } catch (const EndpointSessionError& error) {
+        // An endpoint that closes an accepted connection runs, but is at its connection limit.
+        result->answers |= error.kind == EndpointSessionError::Kind::kClosed;
+        result->cause = error.what();
+      } catch (const std::runtime_error& error) {
+        result->answers = true;  // It answered with a refusal.
+        result->cause = error.what();
+      }
     }
+    --result->pending;
+    result->changed.NotifyAll();
+  };
+  for (int number = 0; number < kProbeAttempts; ++number) {
+    this->Spawn(attempt(result, pool, number * kProbeGap));
   }
+  while (result->pending > 0 && !result->answers) {
+    co_await result->changed.Wait(kProbeLimit);
+  }
+  const std::string cause = result->cause;
+  const bool answers = result->answers;
+  const bool was_down = pool->down;
   pool->probing = false;
   if (answers) {
     if (was_down) {
@@ -263,6 +280,9 @@
   claim.phase = TakeoverPhase::kClaimed;
   claim.holder = this->daemon;
   claim.nonce = this->random();
+  if (reason == TakeoverReason::kPrimaryLost) {
+    claim.lost_primary = group->old_primary;
+  }
   std::string cause;
   bool conflict = false;
   try {
--- a/session/process_settings.h
+++ b/session/process_settings.h
@@ -6,6 +6,12 @@
 
 namespace poplarmoor {
 
+/// Times within which a change in the store must take effect in a daemon.
+struct ApplyBounds {
+  std::chrono::milliseconds routes{3000};
+  std::chrono::milliseconds endpoints{7000};  // An endpoint that leaves gets no new work after it.
+};
+
 /// What a session daemon learns from its platform at its start and on a reload.
 struct ProcessSettings {
   std::string daemon;  // Name of this daemon.
@@ -16,6 +22,7 @@
   std::string promotion_address;       // "IP:port" of the promotion call; empty: none.
   std::string metrics_address;         // "IP:port"; empty: none.
   std::chrono::seconds stop_grace{6};  // From the stop signal to the kill.
+  ApplyBounds bounds;
   uint32_t max_descriptors = 1024;
 };
 
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -95,6 +95,10 @@
        {"holder", this->claim.holder},
        {"endpoint", this->claim.endpoint},
        {"revision", this->claim.revision}});
+  const auto lost = this->members.find(this->claim.lost_primary);
+  if (this->claim.phase == TakeoverPhase::kClaimed && lost != this->members.end()) {
+    lost->second->suspected = true;
+  }
   if (is_news && this->claim.phase == TakeoverPhase::kOrdered && this->Primary() == nullptr) {
     this->promotion_ordered = this->claim_seen;
   }
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -43,7 +43,7 @@
         const PlatformAdapter& adapter)
       : cluster(executor, adapter.sessions, settings.failure_domain),
         runner(&this->cluster, adapter.sessions),
-        sync(adapter.store, adapter.registry, &this->cluster, settings.daemon),
+        sync(adapter.store, adapter.registry, &this->cluster, settings.daemon, settings.bounds),
         keeper(executor, &this->cluster, adapter.store, adapter.promotions, settings.daemon),
         server(executor, &this->cluster, &this->runner, adapter.sessions) {}
 
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -20,43 +20,52 @@
 
 namespace {
 
-// A watch that goes silent is noticed after its wait. Calls are paid for, so the waits are as long
-// as the bounds allow: 3 s until a configuration is in force, 7 s until a leaving endpoint is left.
-constexpr std::chrono::milliseconds kRoutesWait{2000};
-constexpr std::chrono::milliseconds kEndpointsWait{3000};
-constexpr std::chrono::milliseconds kClaimsWait{4000};
+// Longest wait of a watch whose delay no bound limits. Calls are paid for.
+constexpr std::chrono::milliseconds kUnboundedWait{25000};
+// A store that drops its history may leave a waiting watch without news, which only the next watch
+// notices. The wait and the retries after it must fit into the bound.
+constexpr double kWaitPerBound = 0.65;
 // Retry of a failed store call; the jitter keeps the daemons apart.
 constexpr Duration kFirstRetry = 100ms;
 constexpr Duration kMaxRetry = 1s;
 // The daemon count changes rarely and only shifts the connection shares.
-constexpr Duration kCountInterval = 10s;
+constexpr Duration kCountInterval = 15s;
 // An entry that has not been renewed for this time belongs to a daemon that is gone.
-constexpr Duration kDaemonLapse = 35s;
+constexpr Duration kDaemonLapse = 50s;
 constexpr char kDaemonKind[] = "daemons";
 
+std::chrono::milliseconds WaitFor(std::chrono::milliseconds bound) {
+  return std::chrono::milliseconds(static_cast<int64_t>(bound.count() * kWaitPerBound));
+}
+
 }  // namespace
 
 StoreSync::StoreSync(ObjectStore* store,
                      const RegistryCodec* registry,
                      Cluster* cluster,
-                     std::string daemon)
-    : store(store), registry(registry), cluster(cluster), daemon(std::move(daemon)) {}
+                     std::string daemon,
+                     ApplyBounds bounds)
+    : store(store),
+      registry(registry),
+      cluster(cluster),
+      daemon(std::move(daemon)),
+      bounds(bounds) {}
 
 void StoreSync::Start(asio::any_io_executor executor) {
   asio::co_spawn(
       executor,
-      this->Follow(this->registry->routes_kind(), kRoutesWait,
+      this->Follow(this->registry->routes_kind(), WaitFor(this->bounds.routes),
                    [this](const StoreSnapshot& snapshot, bool) { this->ApplyRoutes(snapshot); }),
       asio::detached);
   asio::co_spawn(executor,
-                 this->Follow(this->registry->endpoint_kind(), kEndpointsWait,
+                 this->Follow(this->registry->endpoint_kind(), WaitFor(this->bounds.endpoints),
                               [this](const StoreSnapshot& snapshot, bool complete) {
                                 this->ApplyEndpoints(snapshot, complete);
                               }),
                  asio::detached);
   asio::co_spawn(
       executor,
-      this->Follow(kTakeoverKind, kClaimsWait,
+      this->Follow(kTakeoverKind, kUnboundedWait,
                    [this](const StoreSnapshot& snapshot, bool) { this->ApplyClaims(snapshot); }),
       asio::detached);
   asio::co_spawn(executor, this->CountDaemons(), asio::detached);
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <string>
 
+#include "session/process_settings.h"
+
 namespace poplarmoor {
 
 class Cluster;
@@ -19,10 +21,12 @@
  public:
   /// @param store,registry,cluster Must outlive this object.
   /// @param daemon Name of this daemon.
+  /// @param bounds Times within which changes must be applied.
   StoreSync(ObjectStore* store,
             const RegistryCodec* registry,
             Cluster* cluster,
-            std::string daemon);
+            std::string daemon,
+            ApplyBounds bounds);
 
   /// Starts the watches.
   void Start(boost::asio::any_io_executor executor);
@@ -46,6 +50,7 @@
   const RegistryCodec* registry;
   Cluster* cluster;
   std::string daemon;
+  ApplyBounds bounds;
   bool leaving = false;
 };
 
--- a/session/takeover_claim.cc
+++ b/session/takeover_claim.cc
@@ -6,11 +6,10 @@
 namespace poplarmoor {
 
 std::string EncodeTakeoverClaim(const TakeoverClaim& claim) {
-  return nlohmann::json{{"service", claim.service},
-                        {"phase", kTakeoverPhaseNames.NameOf(claim.phase)},
-                        {"holder", claim.holder},
-                        {"nonce", claim.nonce},
-                        {"endpoint", claim.endpoint}}
+  return nlohmann::json{
+      {"service", claim.service},   {"phase", kTakeoverPhaseNames.NameOf(claim.phase)},
+      {"holder", claim.holder},     {"nonce", claim.nonce},
+      {"endpoint", claim.endpoint}, {"lost_primary", claim.lost_primary}}
       .dump();
 }
 
@@ -27,6 +26,7 @@
     claim.holder = body.at("holder");
     claim.nonce = body.at("nonce");
     claim.endpoint = body.at("endpoint");
+    claim.lost_primary = body.at("lost_primary");
     claim.revision = revision;
     return claim;
   } catch (const nlohmann::json::exception& error) {
--- a/session/takeover_claim.h
+++ b/session/takeover_claim.h
@@ -26,10 +26,11 @@
 struct TakeoverClaim {
   std::string service;
   TakeoverPhase phase = TakeoverPhase::kNone;
-  std::string holder;     // Daemon.
-  uint64_t nonce = 0;     // Tells the holder's attempts apart.
-  std::string endpoint;   // Of kOrdered: the new primary.
-  uint64_t revision = 0;  // Of the object in the store; 0: it does not exist.
+  std::string holder;        // Daemon.
+  uint64_t nonce = 0;        // Tells the holder's attempts apart.
+  std::string endpoint;      // Of kOrdered: the new primary.
+  std::string lost_primary;  // Endpoint that the holder cannot reach; empty when it leaves.
+  uint64_t revision = 0;     // Of the object in the store; 0: it does not exist.
 };
 
 /// Kind of the claims in the store.
