--- a/kernel/freshness_log.cc
+++ b/kernel/freshness_log.cc
@@ -34,11 +34,11 @@
   return *found;
 }
 
-std::optional<TimePoint> FreshnessLog::newest() const {
+std::optional<FreshnessEvidence> FreshnessLog::newest() const {
   if (this->entries.empty()) {
     return std::nullopt;
   }
-  return this->entries.back().sent;
+  return this->entries.back();
 }
 
 }  // namespace poplarmoor
--- a/kernel/freshness_log.h
+++ b/kernel/freshness_log.h
@@ -31,8 +31,8 @@
   /// @returns The evidence, or nothing when none covers `since`.
   std::optional<FreshnessEvidence> Demand(TimePoint since) const;
 
-  /// @returns Time of the newest evidence.
-  std::optional<TimePoint> newest() const;
+  /// @returns The newest evidence.
+  std::optional<FreshnessEvidence> newest() const;
 
   /// @returns The highest position recorded; {0, 0} without one.
   LogPosition highest() const { return this->highest_position; }
--- /dev/null
+++ b/kernel/gateway_plan.cc
@@ -0,0 +1,90 @@
+#include "kernel/gateway_plan.h"
+
+#include <algorithm>
+
+#include "kernel/ownership.h"
+
+namespace poplarmoor {
+
+namespace {
+
+// With fewer connections a daemon, a transaction would block its other statements.
+constexpr double kMinConnectionsPerDaemon = 1.5;
+// Enough that transactions and statements of one gateway rarely wait for each other.
+constexpr uint32_t kConnectionsPerGateway = 4;
+constexpr size_t kMinGateways = 2;  // The loss of one leaves the endpoint reachable.
+
+// Sorts by the rendezvous score under a key, the highest first.
+void SortByScore(std::vector<Peer>* peers, const std::string& key) {
+  std::sort(peers->begin(), peers->end(), [&key](const Peer& left, const Peer& right) {
+    return RendezvousScore(key, left.daemon) > RendezvousScore(key, right.daemon);
+  });
+}
+
+}  // namespace
+
+GatewayPlan::GatewayPlan(std::string self) : self(std::move(self)) {
+  this->SetPeers({});
+}
+
+void GatewayPlan::SetPeers(std::vector<Peer> live) {
+  this->live_peers = std::move(live);
+  const bool listed = std::any_of(this->live_peers.begin(), this->live_peers.end(),
+                                  [this](const Peer& peer) { return peer.daemon == this->self; });
+  if (!listed) {
+    this->live_peers.push_back({this->self, "", ""});
+  }
+}
+
+bool GatewayPlan::EveryoneConnects(uint32_t connections) const {
+  return static_cast<double>(this->live_peers.size()) * kMinConnectionsPerDaemon <= connections;
+}
+
+std::vector<Peer> GatewayPlan::Chosen(const std::string& endpoint,
+                                      const std::string& failure_domain,
+                                      uint32_t connections) const {
+  std::vector<Peer> near;
+  std::vector<Peer> far;
+  for (const Peer& peer : this->live_peers) {
+    (peer.failure_domain == failure_domain ? near : far).push_back(peer);
+  }
+  SortByScore(&near, endpoint);
+  SortByScore(&far, endpoint);
+  const size_t count = std::max<size_t>(connections / kConnectionsPerGateway, kMinGateways);
+  if (near.size() < kMinGateways) {
+    near.insert(near.end(), far.begin(), far.end());
+  }
+  near.resize(std::min(near.size(), count));
+  return near;
+}
+
+bool GatewayPlan::IsGateway(const std::string& endpoint,
+                            const std::string& failure_domain,
+                            uint32_t connections) const {
+  if (this->EveryoneConnects(connections)) {
+    return true;
+  }
+  const std::vector<Peer> chosen = this->Chosen(endpoint, failure_domain, connections);
+  return std::any_of(chosen.begin(), chosen.end(),
+                     [this](const Peer& peer) { return peer.daemon == this->self; });
+}
+
+uint32_t GatewayPlan::ShareOf(uint32_t connections) const {
+  if (this->EveryoneConnects(connections)) {
+    return std::max<uint32_t>(connections / static_cast<uint32_t>(this->live_peers.size()), 1);
+  }
+  return std::min(kConnectionsPerGateway, connections);
+}
+
+std::vector<Peer> GatewayPlan::GatewaysOf(const std::string& endpoint,
+                                          const std::string& failure_domain,
+                                          uint32_t connections) const {
+  if (this->EveryoneConnects(connections)) {
+    return {};
+  }
+  std::vector<Peer> chosen = this->Chosen(endpoint, failure_domain, connections);
+  SortByScore(&chosen, endpoint + "/" + this->self);
+  return chosen;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/kernel/gateway_plan.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace poplarmoor {
+
+/// Another daemon.
+struct Peer {
+  std::string daemon;
+  std::string address;  // "IP:port" of its peer listener.
+  std::string failure_domain;
+};
+
+/// Decides which daemons connect to an endpoint. A small fleet shares the endpoint's connections.
+/// In a large one each daemon would have less than a connection or two, so that a few gateways,
+/// chosen by rendezvous hashing, hold them and relay the statements of the others.
+class GatewayPlan {
+ public:
+  /// @param self Name of this daemon.
+  explicit GatewayPlan(std::string self);
+
+  /// @param live All live daemons; this one is added when it is missing.
+  void SetPeers(std::vector<Peer> live);
+
+  /// @returns Live daemons, this one included.
+  size_t size() const { return this->live_peers.size(); }
+
+  const std::vector<Peer>& peers() const { return this->live_peers; }
+
+  /// @param endpoint Id of an endpoint.
+  /// @param failure_domain Where it runs.
+  /// @param connections Connections that the endpoint accepts from all daemons together.
+  /// @returns Whether this daemon connects to it.
+  bool IsGateway(const std::string& endpoint,
+                 const std::string& failure_domain,
+                 uint32_t connections) const;
+
+  /// @returns Connections of one gateway.
+  uint32_t ShareOf(uint32_t connections) const;
+
+  /// @returns The endpoint's gateways in this daemon's order of preference; empty when every daemon
+  ///     connects for itself.
+  std::vector<Peer> GatewaysOf(const std::string& endpoint,
+                               const std::string& failure_domain,
+                               uint32_t connections) const;
+
+ private:
+  bool EveryoneConnects(uint32_t connections) const;
+  std::vector<Peer> Chosen(const std::string& endpoint,
+                           const std::string& failure_domain,
+                           uint32_t connections) const;
+
+  std::string self;
+  std::vector<Peer> live_peers;
+};
+
+}  // namespace poplarmoor
--- a/kernel/session_state.cc
+++ b/kernel/session_state.cc
@@ -2,55 +2,45 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace poplarmoor {
 
-bool ConnectionState::HoldsValuesOf(const SessionState& state) const {
-  if (!this->holds_values) {
-    return state.values.empty();
-  }
-  return this->session == state.session && this->values_version == state.values_version;
+bool ConnectionState::HoldsForeignValue(const SessionState& state) const {
+  return std::any_of(this->values.begin(), this->values.end(),
+                     [&state](const auto& value) { return !state.values.contains(value.first); });
 }
 
 std::vector<SetupStep> ConnectionState::StepsFor(const SessionState& state,
                                                  const PreparedStatement* needed) const {
   std::vector<SetupStep> steps;
-  const bool matches = this->HoldsValuesOf(state);
-  if (!matches) {
-    if (this->holds_values) {
-      steps.push_back({SetupStep::Kind::kReset, "", "", {}});
-    }
-    for (const auto& [name, value] : state.values) {
+  // A value cannot be removed alone, and a reset also forgets the prepared statements.
+  const bool reset = this->HoldsForeignValue(state);
+  if (reset) {
+    steps.push_back({SetupStep::Kind::kReset, "", "", {}});
+  }
+  for (const auto& [name, value] : state.values) {
+    const auto held = this->values.find(name);
+    if (reset || held == this->values.end() || held->second != value) {
       steps.push_back({SetupStep::Kind::kSetValue, name, value, {}});
     }
   }
-  // A reset also forgets the prepared statements.
-  const bool forgotten = !matches && this->holds_values;
-  if (needed != nullptr && (forgotten || !this->prepared.contains(*needed))) {
+  if (needed != nullptr && (reset || !this->prepared.contains(*needed))) {
     steps.push_back({SetupStep::Kind::kPrepare, PooledName(*needed), "", *needed});
   }
   return steps;
 }
 
 void ConnectionState::Apply(const SessionState& state, const PreparedStatement* needed) {
-  if (!this->HoldsValuesOf(state)) {
-    if (this->holds_values) {
-      this->prepared.clear();
-    }
-    this->session = state.session;
-    this->values_version = state.values_version;
-    this->holds_values = !state.values.empty();
+  if (this->HoldsForeignValue(state)) {
+    this->prepared.clear();
   }
+  this->values = state.values;
   if (needed != nullptr) {
     this->prepared.insert(*needed);
   }
 }
 
-void ConnectionState::ApplyValue(const SessionState& state) {
-  this->session = state.session;
-  this->values_version = state.values_version;
-  this->holds_values = true;
-}
-
 std::string ConnectionState::PooledName(const PreparedStatement& statement) {
   constexpr char kDigits[] = "0123456789abcdef";
   uint64_t hash = XXH64(statement.shape.data(), statement.shape.size(), statement.read_only);
--- a/kernel/session_state.h
+++ b/kernel/session_state.h
@@ -19,11 +19,13 @@
   auto operator<=>(const PreparedStatement&) const = default;
 };
 
+/// Values that a session has set, by name.
+using SessionValues = std::map<std::string, std::string, std::less<>>;
+
 /// What a session expects of every connection that runs its statements.
 struct SessionState {
-  uint64_t session = 0;         // Unique in this daemon.
-  uint64_t values_version = 0;  // Counts the changes of the values.
-  std::map<std::string, std::string, std::less<>> values;
+  uint64_t session = 0;  // Unique in the fleet.
+  SessionValues values;
   std::map<std::string, PreparedStatement, std::less<>> prepared;  // By the caller's name.
   LogPosition last_commit;                                         // Newest acknowledged commit.
   TimePoint last_commit_time;                                      // When it was acknowledged.
@@ -39,8 +41,8 @@
   PreparedStatement statement;
 };
 
-/// What an endpoint connection holds of the session that used it last. Statements are prepared
-/// under names of the pool's own, so that the names of two sessions cannot collide and a prepared
+/// What an endpoint connection holds of the sessions that used it. Statements are prepared under
+/// names of the pool's own, so that the names of two sessions cannot collide and a prepared
 /// statement serves every session.
 class ConnectionState {
  public:
@@ -54,20 +56,15 @@
   /// @param needed As for StepsFor().
   void Apply(const SessionState& state, const PreparedStatement* needed);
 
-  /// Records that the session's newest value was set on the connection that already held the
-  /// others.
-  void ApplyValue(const SessionState& state);
-
   /// @param statement A statement.
   /// @returns Its name at the endpoint.
   static std::string PooledName(const PreparedStatement& statement);
 
  private:
-  bool HoldsValuesOf(const SessionState& state) const;
+  // Whether the connection holds a value that the session does not have.
+  bool HoldsForeignValue(const SessionState& state) const;
 
-  uint64_t session = 0;  // Whose values the connection holds; 0: none.
-  uint64_t values_version = 0;
-  bool holds_values = false;
+  SessionValues values;
   std::set<PreparedStatement> prepared;
 };
 
--- a/session/caller_session.cc
+++ b/session/caller_session.cc
@@ -251,7 +251,7 @@
       message.verb == StatementVerb::kExecute) {
     co_return co_await this->AnswerStatement(std::move(message), current);
   }
-  co_return co_await this->AnswerSetting(std::move(message));
+  co_return this->AnswerSetting(std::move(message));
 }
 
 asio::awaitable<StatementAnswer> CallerSession::AnswerStatement(CallerMessage message,
@@ -312,24 +312,15 @@
   co_return answer;
 }
 
-asio::awaitable<StatementAnswer> CallerSession::AnswerSetting(CallerMessage message) {
+StatementAnswer CallerSession::AnswerSetting(CallerMessage message) {
   if (message.verb == StatementVerb::kPrepare) {
     this->state.prepared[message.name] = {message.read_only, message.argument};
   } else if (message.verb == StatementVerb::kDeallocate) {
     this->state.prepared.erase(message.name);
   } else {
     this->state.values[message.name] = message.argument;
-    ++this->state.values_version;
-    if (this->transaction && this->transaction->lease.connection != nullptr) {
-      const SetupStep step{SetupStep::Kind::kSetValue, message.name, message.argument, {}};
-      if (!co_await this->runner->SetInTransaction(step, this->state, &*this->transaction)) {
-        this->transaction->reported = true;
-        co_return Failure(StatementError::kAborted, "the transaction's connection was lost",
-                          TransactionState::kFailed);
-      }
-    }
   }
-  co_return Success(this->State());
+  return Success(this->State());
 }
 
 }  // namespace poplarmoor
--- a/session/caller_session.h
+++ b/session/caller_session.h
@@ -43,7 +43,7 @@
                                                           const DatabaseRoute& route);
   boost::asio::awaitable<StatementAnswer> AnswerEnd(CallerMessage message,
                                                     const DatabaseRoute& route);
-  boost::asio::awaitable<StatementAnswer> AnswerSetting(CallerMessage message);
+  StatementAnswer AnswerSetting(CallerMessage message);
   TransactionState State() const;
   bool IsIdle() const;
 
--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -26,11 +26,12 @@
 
 Cluster::Cluster(asio::any_io_executor executor,
                  const SessionCodec* codec,
+                 std::string daemon,
                  std::string failure_domain)
     : executor(executor),
       codec(codec),
       own_domain(std::move(failure_domain)),
-      daemons(kAssumedDaemons),
+      router(std::move(daemon)),
       changed(executor) {}
 
 void Cluster::ApplyRoutes(RouteTable table) {
@@ -52,10 +53,14 @@
 
 void Cluster::ApplyEndpoint(const EndpointRecord& record) {
   this->missing_since.erase(record.id);
+  const auto known = this->FindEndpoint(record.id);
+  if (known != nullptr && record.revision < known->record().revision) {
+    return;  // A peer's view may be older than the store's.
+  }
   ServiceGroup* group = this->EnsureGroup(record.service);
   auto& pool = group->members[record.id];
   if (pool == nullptr) {
-    pool = std::make_shared<EndpointPool>(this->executor, this->codec, record);
+    pool = std::make_shared<EndpointPool>(this->executor, this->codec, record, &this->router);
     Log(LogLevel::kInfo, "endpoint registered",
         {{"service", record.service}, {"endpoint", record.id}, {"address", record.address}});
   } else {
@@ -100,8 +105,8 @@
   }
 }
 
-void Cluster::SetDaemonCount(uint32_t count) {
-  this->daemons = std::max<uint32_t>(count, 1);
+void Cluster::SetPeers(std::vector<Peer> live) {
+  this->router.plan().SetPeers(std::move(live));
   for (auto& [service, group] : this->by_service) {
     for (auto& [id, pool] : group->members) {
       this->SetLimits(pool.get());
@@ -116,9 +121,16 @@
   }
   const uint32_t limit = service->second.max_connections;
   const uint32_t usable = limit > kReservedConnections ? limit - kReservedConnections : 1;
-  const uint32_t share = std::max<uint32_t>(usable / this->daemons, 1);
-  const uint32_t useful =
-      (pool->record().slots * kStatementsPerSlot + this->daemons - 1) / this->daemons;
+  const EndpointRecord& record = pool->record();
+  const GatewayPlan& plan = this->router.plan();
+  // Until the others are known, a fleet of the usual size is assumed.
+  const uint32_t share =
+      plan.size() > 1 ? plan.ShareOf(usable) : std::max<uint32_t>(usable / kAssumedDaemons, 1);
+  const uint32_t sharers = std::max<uint32_t>(usable / share, 1);
+  const uint32_t useful = (record.slots * kStatementsPerSlot + sharers - 1) / sharers;
+  this->router.SetConnections(record.service, usable);
+  pool->SetRelayed(this->router.peers() != nullptr &&
+                   !plan.IsGateway(record.id, record.failure_domain, usable));
   // Transactions hold connections while they idle, and few daemons have many at once.
   pool->SetLimits(std::min(share, useful), share, std::max<uint32_t>(share / 2, 1));
 }
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -7,7 +7,9 @@
 #include <memory>
 #include <string>
 
+#include "kernel/gateway_plan.h"
 #include "kernel/route_table.h"
+#include "session/relay_router.h"
 #include "session/service_group.h"
 
 namespace poplarmoor {
@@ -19,9 +21,11 @@
  public:
   /// @param executor Executor of the I/O thread.
   /// @param codec Session protocol; must outlive this object.
+  /// @param daemon Name of this daemon.
   /// @param failure_domain Of this daemon.
   Cluster(boost::asio::any_io_executor executor,
           const SessionCodec* codec,
+          std::string daemon,
           std::string failure_domain);
 
   /// Takes a configuration over unless it is older than the one in force.
@@ -37,8 +41,10 @@
   /// Drops endpoints that have been missing for too long and closes surplus idle connections.
   void Sweep();
 
-  /// Sets the number of daemons that share the endpoints' connections.
-  void SetDaemonCount(uint32_t count);
+  /// Sets the daemons that share the endpoints' connections, this one included.
+  void SetPeers(std::vector<Peer> live);
+
+  RelayRouter& relays() { return this->router; }
 
   /// @param service Name.
   /// @returns The service's group, or null when no endpoint of it was ever registered.
@@ -71,7 +77,7 @@
   RouteTable table;
   std::map<std::string, std::unique_ptr<ServiceGroup>> by_service;
   std::map<std::string, TimePoint> missing_since;  // By endpoint.
-  uint32_t daemons;
+  RelayRouter router;
   WaitList changed;
 };
 
--- /dev/null
+++ b/session/daemon_entry.cc
@@ -0,0 +1,23 @@
+#include "session/daemon_entry.h"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace poplarmoor {
+
+std::string EncodeDaemonEntry(const Peer& peer, uint64_t beat) {
+  return nlohmann::json{
+      {"address", peer.address}, {"failure_domain", peer.failure_domain}, {"beat", beat}}
+      .dump();
+}
+
+Peer DecodeDaemonEntry(const std::string& daemon, const std::string& text) {
+  try {
+    const nlohmann::json body = nlohmann::json::parse(text);
+    return {daemon, body.at("address"), body.at("failure_domain")};
+  } catch (const nlohmann::json::exception& error) {
+    throw std::runtime_error("malformed entry of daemon " + daemon + ": " + error.what());
+  }
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/daemon_entry.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "kernel/gateway_plan.h"
+
+namespace poplarmoor {
+
+/// Kind of the daemons' entries in the store.
+inline constexpr char kDaemonKind[] = "daemons";
+
+/// @param peer Address and failure domain of a daemon.
+/// @param beat Grows with each renewal, so that the entry changes.
+/// @returns JSON text of the entry.
+std::string EncodeDaemonEntry(const Peer& peer, uint64_t beat);
+
+/// @param daemon Name of the entry.
+/// @param text JSON text.
+/// @throws std::runtime_error when the text is malformed.
+Peer DecodeDaemonEntry(const std::string& daemon, const std::string& text);
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/direct_channel.cc
@@ -0,0 +1,116 @@
+#include "session/direct_channel.h"
+
+#include <algorithm>
+
+#include "session/boot_clock.h"
+#include "session/session_codec.h"
+#include "telemetry/log.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Longest preparation of a connection: two round trips, and room for one lost packet's retransmit.
+constexpr Duration kSetupLimit = 500ms;
+// Rollback of a connection that goes back to the pool.
+constexpr Duration kRollBackLimit = 1s;
+
+bool IsConnectionFailure(const EndpointSessionError& error) {
+  return error.kind != EndpointSessionError::Kind::kProtocol;
+}
+
+}  // namespace
+
+DirectChannel::DirectChannel(std::unique_ptr<EndpointSession> session, const SessionCodec* codec)
+    : session(std::move(session)), codec(codec) {}
+
+asio::awaitable<bool> DirectChannel::Prepare(const StatementSpec& spec,
+                                             const SessionState& state,
+                                             Duration limit,
+                                             StatementAttempt* attempt) {
+  const PreparedStatement* prepared = spec.prepared ? &*spec.prepared : nullptr;
+  std::vector<std::string> messages;
+  for (const SetupStep& step : this->held.StepsFor(state, prepared)) {
+    messages.push_back(this->codec->EncodeSetup(step));
+  }
+  const size_t steps = messages.size();
+  if (spec.opening == Opening::kWritable) {
+    messages.push_back(this->codec->EncodeBegin());
+  } else if (spec.opening == Opening::kReadOnly) {
+    messages.push_back(this->codec->EncodeReadOnlyBegin(spec.demanded));
+  }
+  this->used_by = state.session;
+  if (messages.empty()) {
+    co_return true;
+  }
+  const TimePoint sent = BootNow();
+  try {
+    const auto answers =
+        co_await this->session->Exchange(std::move(messages), std::min(limit, kSetupLimit));
+    attempt->setup = BootNow() - sent;
+    for (size_t number = 0; number < answers.size(); ++number) {
+      if (!answers[number].error) {
+        continue;
+      }
+      attempt->answer = answers[number];
+      attempt->cause = "the endpoint refused the preparation: " + answers[number].error_text;
+      if (number < steps) {
+        this->Close();  // Its values are unknown.
+      } else {
+        this->held.Apply(state, prepared);
+      }
+      co_return false;
+    }
+    this->held.Apply(state, prepared);
+    if (spec.opening == Opening::kWritable) {
+      attempt->opened_at = answers.back().position;
+    }
+    co_return true;
+  } catch (const EndpointSessionError& error) {
+    attempt->cause = error.what();
+    attempt->connection_failed = IsConnectionFailure(error);
+  }
+  co_return false;
+}
+
+asio::awaitable<StatementAttempt> DirectChannel::Run(const StatementSpec& spec,
+                                                     const SessionState& state,
+                                                     Duration limit) {
+  StatementAttempt attempt;
+  const TimePoint deadline = BootNow() + limit;
+  const bool prepared = co_await this->Prepare(spec, state, limit, &attempt);
+  if (!prepared || spec.text.empty()) {
+    co_return attempt;
+  }
+  const LogPosition demanded = spec.opening == Opening::kNone ? spec.demanded : LogPosition{};
+  std::vector<std::string> messages;
+  messages.push_back(this->codec->EncodeStatement(spec.id, spec.text, demanded));
+  try {
+    auto answers = co_await this->session->Exchange(std::move(messages),
+                                                    std::max<Duration>(deadline - BootNow(), 1ms));
+    attempt.answer = std::move(answers.front());
+    attempt.outcome = StatementAttempt::Outcome::kAnswered;
+  } catch (const EndpointSessionError& error) {
+    attempt.outcome = StatementAttempt::Outcome::kLost;
+    attempt.cause = error.what();
+    attempt.connection_failed = IsConnectionFailure(error);
+  }
+  co_return attempt;
+}
+
+asio::awaitable<void> DirectChannel::RollBack() {
+  std::vector<std::string> messages;
+  messages.push_back(this->codec->EncodeRollback());
+  try {
+    const auto answers = co_await this->session->Exchange(std::move(messages), kRollBackLimit);
+    if (answers.front().error || answers.front().state != TransactionState::kNone) {
+      this->Close();
+    }
+  } catch (const EndpointSessionError& error) {
+    Log(LogLevel::kDebug, "rollback failed, connection closed", {{"cause", error.what()}});
+  }
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/direct_channel.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <memory>
+
+#include "session/endpoint_channel.h"
+#include "session/endpoint_session.h"
+
+namespace poplarmoor {
+
+/// A connection of this daemon to an endpoint.
+class DirectChannel : public EndpointChannel {
+ public:
+  /// @param session Open connection.
+  /// @param codec Encoding; must outlive this object.
+  DirectChannel(std::unique_ptr<EndpointSession> session, const SessionCodec* codec);
+
+  boost::asio::awaitable<StatementAttempt> Run(const StatementSpec& spec,
+                                               const SessionState& state,
+                                               Duration limit) override;
+  boost::asio::awaitable<void> RollBack() override;
+  bool IsReusable() override { return this->session->IsReusable(); }
+  bool is_open() const override { return this->session->is_open(); }
+  void Close() override { this->session->Close(); }
+
+  /// @returns The connection, for orders.
+  EndpointSession& connection() { return *this->session; }
+
+ private:
+  // Sends the setup steps and the opening; fills the attempt when they fail.
+  boost::asio::awaitable<bool> Prepare(const StatementSpec& spec,
+                                       const SessionState& state,
+                                       Duration limit,
+                                       StatementAttempt* attempt);
+
+  std::unique_ptr<EndpointSession> session;
+  const SessionCodec* codec;
+  ConnectionState held;  // Values and prepared statements of the connection.
+};
+
+}  // namespace poplarmoor
--- a/session/endpoint_line.h
+++ b/session/endpoint_line.h
@@ -11,6 +11,12 @@
 /// State of a connection's transaction.
 enum class TransactionState { kNone, kOpen, kFailed };
 
+inline constexpr NameTable<TransactionState, 3> kTransactionStateNames{{{
+    {TransactionState::kNone, "none"},
+    {TransactionState::kOpen, "open"},
+    {TransactionState::kFailed, "failed"},
+}}};
+
 /// One line of an endpoint's answer, decoded.
 struct EndpointLine {
   enum class Kind { kRow, kComplete, kError, kReady, kMalformed };
--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "session/boot_clock.h"
+#include "session/direct_channel.h"
+#include "session/relay_router.h"
 #include "session/statement_answer.h"
 
 namespace poplarmoor {
@@ -37,8 +39,13 @@
 
 EndpointPool::EndpointPool(asio::any_io_executor executor,
                            const SessionCodec* codec,
-                           EndpointRecord record)
-    : executor(std::move(executor)), codec(codec), current(std::move(record)), created(BootNow()) {}
+                           EndpointRecord record,
+                           RelayRouter* relays)
+    : executor(std::move(executor)),
+      codec(codec),
+      current(std::move(record)),
+      relays(relays),
+      created(BootNow()) {}
 
 EndpointPool::~EndpointPool() = default;
 
@@ -46,6 +53,30 @@
                                                      bool transaction,
                                                      Duration patience,
                                                      const SessionState& session) {
+  if (!this->relayed) {
+    co_return co_await this->AcquireDirect(rank, transaction, patience, session);
+  }
+  // The gateways queue and refuse; this daemon only counts what is in progress.
+  EndpointLease lease;
+  lease.transaction = transaction;
+  lease.relayed = true;
+  lease.since = BootNow();
+  ++this->relayed_in_use;
+  lease.connection = this->relays->OpenChannel(this->current, rank, transaction);
+  co_return lease;
+}
+
+void EndpointPool::SetRelayed(bool relayed) {
+  if (relayed != this->relayed) {
+    this->idle.clear();
+  }
+  this->relayed = relayed;
+}
+
+asio::awaitable<EndpointLease> EndpointPool::AcquireDirect(int rank,
+                                                           bool transaction,
+                                                           Duration patience,
+                                                           const SessionState& session) {
   const auto self = this->shared_from_this();
   const TimePoint entered = BootNow();
   const StatementQueue::Ticket ticket = this->next_ticket++;
@@ -88,7 +119,7 @@
       this->down = false;
       this->last_answer = BootNow();
       ++this->opened;
-      lease.connection = std::move(connection);
+      lease.connection = std::make_unique<DirectChannel>(std::move(connection), this->codec);
       co_return lease;
     }
     if (*answer.error == StatementError::kTooManyConnections) {
@@ -115,7 +146,11 @@
 }
 
 void EndpointPool::Release(EndpointLease lease) {
-  if (lease.connection != nullptr && lease.connection->is_open()) {
+  if (lease.relayed) {
+    --this->relayed_in_use;
+    return;
+  }
+  if (lease.connection != nullptr && lease.connection->is_open() && !this->relayed) {
     this->idle.push_back({std::move(lease.connection), BootNow()});
   }
   this->Leave(lease.transaction, lease.since);
@@ -134,7 +169,7 @@
   }
 }
 
-std::unique_ptr<EndpointSession> EndpointPool::TakeIdle(uint64_t session) {
+std::unique_ptr<EndpointChannel> EndpointPool::TakeIdle(uint64_t session) {
   while (!this->idle.empty()) {
     auto place = std::find_if(
         this->idle.begin(), this->idle.end(),
@@ -156,25 +191,31 @@
                                                     Duration limit,
                                                     bool fresh) {
   const auto self = this->shared_from_this();
-  std::unique_ptr<EndpointSession> connection = fresh ? nullptr : this->TakeIdle(0);
-  if (connection == nullptr) {
-    connection =
+  if (this->relayed) {
+    co_return co_await this->relays->Order(this->current, order, term, limit);
+  }
+  std::unique_ptr<EndpointChannel> channel = fresh ? nullptr : this->TakeIdle(0);
+  if (channel == nullptr) {
+    auto opening =
         std::make_unique<EndpointSession>(this->executor, this->codec, this->current.address);
     const StatementAnswer opened =
-        co_await connection->Open(this->current.service, this->current.id, limit);
+        co_await opening->Open(this->current.service, this->current.id, limit);
     ++this->opened;
     if (opened.error) {
       throw std::runtime_error("the endpoint refused the connection: " +
                                std::string(kStatementErrorNames.NameOf(*opened.error)));
     }
+    channel = std::make_unique<DirectChannel>(std::move(opening), this->codec);
   }
+  // Idle channels of this pool are direct ones.
+  EndpointSession& connection = static_cast<DirectChannel&>(*channel).connection();
   std::vector<std::string> messages;
   messages.push_back(this->codec->EncodeOrder(order, term));
-  const auto answers = co_await connection->Exchange(std::move(messages), limit);
+  const auto answers = co_await connection.Exchange(std::move(messages), limit);
   const StatementAnswer& answer = answers.front();
   const bool has_room = this->idle.size() + this->admission.in_use() < this->share;
-  if (connection->is_open() && has_room) {
-    this->idle.push_back({std::move(connection), BootNow()});
+  if (channel->is_open() && has_room && !this->relayed) {
+    this->idle.push_back({std::move(channel), BootNow()});
   }
   if (answer.error || answer.rows.empty()) {
     throw std::runtime_error(
@@ -241,15 +282,15 @@
 void EndpointPool::Abandon() {
   this->idle.clear();
   for (auto& [connection, since] : this->in_progress) {
-    connection->Abort();
+    connection->Close();
   }
 }
 
-void EndpointPool::OnSent(EndpointSession* connection) {
+void EndpointPool::OnSent(EndpointChannel* connection) {
   this->in_progress[connection] = BootNow();
 }
 
-void EndpointPool::OnAnswered(EndpointSession* connection) {
+void EndpointPool::OnAnswered(EndpointChannel* connection) {
   this->in_progress.erase(connection);
   if (connection->is_open()) {
     this->last_answer = BootNow();
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -14,32 +14,19 @@
 #include "kernel/name_table.h"
 #include "kernel/session_state.h"
 #include "kernel/statement_queue.h"
-#include "session/endpoint_session.h"
+#include "session/endpoint_channel.h"
 #include "session/session_codec.h"
 
 namespace poplarmoor {
 
-/// Why no connection could be had.
-enum class AcquireFailure {
-  kNone,
-  kOverloaded,     // The wait would exceed the patience, or did.
-  kUnreachable,    // No connection could be opened.
-  kTooMany,        // The endpoint's connection limit is reached.
-  kWrongEndpoint,  // Another endpoint lives at the address.
-};
-
-inline constexpr NameTable<AcquireFailure, 5> kAcquireFailureNames{{{
-    {AcquireFailure::kNone, "none"},
-    {AcquireFailure::kOverloaded, "overloaded"},
-    {AcquireFailure::kUnreachable, "unreachable"},
-    {AcquireFailure::kTooMany, "too_many_connections"},
-    {AcquireFailure::kWrongEndpoint, "wrong_endpoint"},
-}}};
+class EndpointSession;
+class RelayRouter;
 
 /// A connection lent to one statement or transaction.
 struct EndpointLease {
-  std::unique_ptr<EndpointSession> connection;
+  std::unique_ptr<EndpointChannel> connection;
   bool transaction = false;
+  bool relayed = false;  // A gateway has the connection.
   TimePoint since;
   AcquireFailure failure = AcquireFailure::kNone;  // Without a connection.
 };
@@ -49,7 +36,8 @@
  public:
   EndpointPool(boost::asio::any_io_executor executor,
                const SessionCodec* codec,
-               EndpointRecord record);
+               EndpointRecord record,
+               RelayRouter* relays);
   ~EndpointPool();
 
   /// Lends a connection.
@@ -62,6 +50,16 @@
                                                 Duration patience,
                                                 const SessionState& session);
 
+  /// Lends a connection of this daemon's own, also when its own sessions use gateways.
+  boost::asio::awaitable<EndpointLease> AcquireDirect(int rank,
+                                                      bool transaction,
+                                                      Duration patience,
+                                                      const SessionState& session);
+
+  /// Sets whether the sessions of this daemon reach the endpoint through gateways.
+  void SetRelayed(bool relayed);
+  bool is_relayed() const { return this->relayed; }
+
   /// Takes a connection back. It is kept when it is open.
   void Release(EndpointLease lease);
 
@@ -89,8 +87,8 @@
   void Abandon();
 
   /// Records that a statement is in progress, for the silence check.
-  void OnSent(EndpointSession* connection);
-  void OnAnswered(EndpointSession* connection);
+  void OnSent(EndpointChannel* connection);
+  void OnAnswered(EndpointChannel* connection);
 
   /// Records that it lacked a position.
   /// @param age Age of the demanded evidence.
@@ -110,7 +108,8 @@
   const boost::asio::any_io_executor& io_executor() const { return this->executor; }
 
   const EndpointRecord& record() const { return this->current; }
-  StatementQueue& queue() { return this->admission; }
+  /// @returns Statements and transactions of this daemon that run or wait there.
+  uint32_t busy() const { return this->admission.busy() + this->relayed_in_use; }
   const StatementQueue& queue() const { return this->admission; }
 
   bool down = false;  // No fresh connection can be opened.
@@ -126,12 +125,12 @@
  private:
   struct Waiter;
   struct IdleConnection {
-    std::unique_ptr<EndpointSession> connection;
+    std::unique_ptr<EndpointChannel> connection;
     TimePoint since;
   };
 
   boost::asio::awaitable<EndpointLease> OpenFor(EndpointLease lease, Duration limit);
-  std::unique_ptr<EndpointSession> TakeIdle(uint64_t session);
+  std::unique_ptr<EndpointChannel> TakeIdle(uint64_t session);
   void Leave(bool transaction, TimePoint since);
   void WakeNext();
   void NoteLimitReached();
@@ -141,9 +140,12 @@
   const SessionCodec* codec;
   EndpointRecord current;
   StatementQueue admission;
+  RelayRouter* relays;
+  bool relayed = false;
+  uint32_t relayed_in_use = 0;
   std::vector<IdleConnection> idle;
   std::map<StatementQueue::Ticket, Waiter*> waiters;
-  std::map<EndpointSession*, TimePoint> in_progress;  // By connection: when it was sent.
+  std::map<EndpointChannel*, TimePoint> in_progress;  // By connection: when it was sent.
   TimePoint last_answer;
   TimePoint created;
   bool ramping = true;  // The limits of the first seconds apply.
--- a/session/endpoint_session.h
+++ b/session/endpoint_session.h
@@ -8,7 +8,6 @@
 #include <string>
 #include <vector>
 
-#include "kernel/session_state.h"
 #include "kernel/time.h"
 #include "session/statement_answer.h"
 
@@ -67,12 +66,6 @@
 
   bool is_open() const { return this->open; }
 
-  /// Ends an exchange in progress with an error.
-  void Abort() { this->Close(); }
-
-  ConnectionState held;  // Values and prepared statements of the connection.
-  uint64_t used_by = 0;  // Session that used the connection last.
-
  private:
   boost::asio::awaitable<StatementAnswer> ReadAnswer(bool opening);
   [[noreturn]] void Fail(EndpointSessionError::Kind kind, const std::string& message);
--- a/session/group_keeper.cc
+++ b/session/group_keeper.cc
@@ -7,6 +7,7 @@
 
 #include "session/boot_clock.h"
 #include "session/cluster.h"
+#include "session/endpoint_session.h"
 #include "session/object_store.h"
 #include "session/promotion_api.h"
 #include "telemetry/log.h"
@@ -46,6 +47,11 @@
 // Without any primary in the registry, members are asked for this time before one is promoted.
 constexpr Duration kNoPrimaryLimit = 1s;
 
+bool IsGatewayOfAny(const ServiceGroup& group) {
+  return std::any_of(group.members.begin(), group.members.end(),
+                     [](const auto& member) { return !member.second->is_relayed(); });
+}
+
 }  // namespace
 
 GroupKeeper::GroupKeeper(asio::any_io_executor executor,
@@ -90,7 +96,7 @@
   for (auto& [id, pool] : group->members) {
     const bool due = pool->down ? now - pool->down_since > kDownProbeInterval
                                 : pool->suspected || pool->Silence() > kSuspiciousSilence;
-    if (due && !pool->probing) {
+    if (due && !pool->probing && !pool->is_relayed()) {
       pool->probing = true;
       pool->suspected = false;
       this->Spawn(this->Probe(group, pool));
@@ -104,7 +110,8 @@
     }
     return;
   }
-  if (group->taking_over || this->stopping) {
+  // The primary's gateways watch it, so that the daemons of a large fleet do not act all at once.
+  if (group->taking_over || this->stopping || primary->is_relayed()) {
     return;
   }
   if (primary->record().leaving) {
@@ -238,7 +245,8 @@
       group->SetPrimary(leader->id, leader->term, "status");
       break;
     }
-    const bool idle = !group->taking_over && !this->stopping && !this->IsClaimed(*group);
+    const bool idle = !group->taking_over && !this->stopping && !this->IsClaimed(*group) &&
+                      IsGatewayOfAny(*group);
     if (idle && BootNow() - started > kNoPrimaryLimit) {
       group->taking_over = true;
       co_await this->TakeOver(group, group->old_primary.empty() ? TakeoverReason::kNoPrimary
--- a/session/process_settings.h
+++ b/session/process_settings.h
@@ -20,6 +20,7 @@
   std::string ready_address;           // "IP:port" of the readiness probe.
   std::string store_address;           // "IP:port" of the object store.
   std::string promotion_address;       // "IP:port" of the promotion call; empty: none.
+  std::string peer_address;            // "IP:port" of the listener for other daemons.
   std::string metrics_address;         // "IP:port"; empty: none.
   std::chrono::seconds stop_grace{6};  // From the stop signal to the kill.
   ApplyBounds bounds;
--- /dev/null
+++ b/session/relay_channel.cc
@@ -0,0 +1,148 @@
+#include "session/relay_channel.h"
+
+#include "net/peer_network.h"
+#include "session/boot_clock.h"
+#include "session/relay_router.h"
+#include "telemetry/log.h"
+#include "wire/codec_error.h"
+#include "wire/relay_codec.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// The gateway's own time limit ends the statement; its answer needs a round trip more.
+constexpr Duration kRelaySlack = 20ms;
+constexpr Duration kEndLimit = 1s;  // Of the message that ends a transaction.
+constexpr int kMaxGateways = 2;     // Gateways that one statement tries.
+
+std::chrono::milliseconds ToCallLimit(Duration limit) {
+  return std::chrono::milliseconds(ToMillis(limit + kRelaySlack) + 1);
+}
+
+StatementAttempt ToAttempt(const RelayAnswer& relayed) {
+  StatementAttempt attempt;
+  attempt.outcome =
+      kAttemptOutcomeNames.Find(relayed.outcome).value_or(StatementAttempt::Outcome::kLost);
+  attempt.failure =
+      kAcquireFailureNames.Find(relayed.failure).value_or(AcquireFailure::kUnreachable);
+  attempt.cause = relayed.cause;
+  attempt.answer.rows = relayed.rows;
+  attempt.answer.signature = relayed.signature;
+  if (!relayed.error.empty()) {
+    attempt.answer.error =
+        kStatementErrorNames.Find(relayed.error).value_or(StatementError::kOther);
+  }
+  attempt.answer.error_text = relayed.error_text;
+  attempt.answer.state =
+      kTransactionStateNames.Find(relayed.state).value_or(TransactionState::kFailed);
+  if (relayed.position != LogPosition{}) {
+    attempt.answer.position = relayed.position;
+  }
+  if (relayed.opened_at != LogPosition{}) {
+    attempt.opened_at = relayed.opened_at;
+  }
+  if (relayed.newest != LogPosition{}) {
+    attempt.relayed_position = relayed.newest;
+    attempt.relayed_age = Duration(static_cast<int64_t>(relayed.newest_age_us));
+  }
+  return attempt;
+}
+
+}  // namespace
+
+RelayChannel::RelayChannel(RelayRouter* router,
+                           EndpointRecord endpoint,
+                           uint64_t lease,
+                           int rank,
+                           bool transaction)
+    : router(router),
+      endpoint(std::move(endpoint)),
+      lease(lease),
+      rank(rank),
+      transaction(transaction) {}
+
+asio::awaitable<StatementAttempt> RelayChannel::Run(const StatementSpec& spec,
+                                                    const SessionState& state,
+                                                    Duration limit) {
+  RelayRequest request;
+  request.lease = this->lease;
+  request.endpoint = this->endpoint.id;
+  request.rank = this->rank;
+  request.transaction = this->transaction;
+  request.session = state.session;
+  request.values.insert(state.values.begin(), state.values.end());
+  if (spec.prepared) {
+    request.has_prepared = true;
+    request.prepared_read_only = spec.prepared->read_only;
+    request.prepared_shape = spec.prepared->shape;
+  }
+  request.opening = kOpeningNames.NameOf(spec.opening);
+  request.demanded = spec.demanded;
+  request.id = spec.id;
+  request.text = spec.text;
+  request.limit_us = static_cast<uint64_t>(limit.count());
+
+  StatementAttempt attempt;
+  attempt.failure = AcquireFailure::kUnreachable;
+  attempt.cause = "no gateway is known";
+  const TimePoint deadline = BootNow() + limit;
+  int tries = 0;
+  for (const Peer& peer : this->router->UsableGateways(this->endpoint)) {
+    if (this->router->peers() == nullptr || tries == kMaxGateways || BootNow() >= deadline) {
+      break;
+    }
+    if (!this->gateway.empty() && peer.address != this->gateway) {
+      continue;  // The transaction's connection is at another gateway.
+    }
+    ++tries;
+    std::string body = EncodeRelayRequest(request);
+    PeerMessage message(kRelayMessage, std::move(body));
+    try {
+      const PeerMessage answer = co_await this->router->peers()->Call(
+          peer.address, std::move(message), ToCallLimit(deadline - BootNow()));
+      attempt = ToAttempt(DecodeRelayAnswer(answer.body));
+      if (this->transaction) {
+        this->gateway = peer.address;
+        this->holds_connection = attempt.outcome == StatementAttempt::Outcome::kAnswered &&
+                                 attempt.answer.state != TransactionState::kNone;
+      }
+      co_return attempt;
+    } catch (const PeerError& error) {
+      this->router->NoteFailure(peer.address);
+      attempt.cause = error.what();
+      if (error.sent) {
+        attempt.outcome = StatementAttempt::Outcome::kLost;
+        this->open = false;
+        co_return attempt;
+      }
+    } catch (const CodecError& error) {
+      attempt.cause = error.what();
+      attempt.outcome = StatementAttempt::Outcome::kLost;
+      this->open = false;
+      co_return attempt;
+    }
+  }
+  this->open = false;
+  co_return attempt;
+}
+
+asio::awaitable<void> RelayChannel::RollBack() {
+  if (!this->holds_connection || this->router->peers() == nullptr) {
+    co_return;
+  }
+  this->holds_connection = false;
+  PeerMessage message(kRelayEndMessage, std::to_string(this->lease));
+  try {
+    co_await this->router->peers()->Call(this->gateway, std::move(message), ToCallLimit(kEndLimit));
+  } catch (const PeerError& error) {
+    // The gateway ends transactions that stay idle.
+    Log(LogLevel::kInfo, "gateway not told of a transaction's end",
+        {{"gateway", this->gateway}, {"cause", error.what()}});
+  }
+  this->open = false;
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/relay_server.cc
@@ -0,0 +1,206 @@
+#include "session/relay_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <charconv>
+
+#include "net/peer_network.h"
+#include "session/boot_clock.h"
+#include "session/cluster.h"
+#include "session/relay_router.h"
+#include "telemetry/log.h"
+#include "wire/relay_codec.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// The caller's daemon ends idle transactions itself; this covers a daemon that has died.
+constexpr Duration kOrphanGrace = 2s;
+
+StatementSpec ToSpec(const RelayRequest& request) {
+  StatementSpec spec;
+  spec.id = request.id;
+  spec.text = request.text;
+  if (request.has_prepared) {
+    spec.prepared = PreparedStatement{request.prepared_read_only, request.prepared_shape};
+  }
+  spec.opening = kOpeningNames.Find(request.opening).value_or(Opening::kNone);
+  spec.demanded = request.demanded;
+  return spec;
+}
+
+SessionState ToState(const RelayRequest& request) {
+  SessionState state;
+  state.session = request.session;
+  state.values.insert(request.values.begin(), request.values.end());
+  return state;
+}
+
+RelayAnswer ToAnswer(const StatementAttempt& attempt) {
+  RelayAnswer answer;
+  answer.outcome = kAttemptOutcomeNames.NameOf(attempt.outcome);
+  answer.failure = kAcquireFailureNames.NameOf(attempt.failure);
+  answer.cause = attempt.cause;
+  answer.rows = attempt.answer.rows;
+  answer.signature = attempt.answer.signature;
+  if (attempt.answer.error) {
+    answer.error = kStatementErrorNames.NameOf(*attempt.answer.error);
+  }
+  answer.error_text = attempt.answer.error_text;
+  answer.state = kTransactionStateNames.NameOf(attempt.answer.state);
+  answer.position = attempt.answer.position.value_or(LogPosition{});
+  answer.opened_at = attempt.opened_at.value_or(LogPosition{});
+  return answer;
+}
+
+}  // namespace
+
+RelayServer::RelayServer(asio::any_io_executor executor, Cluster* cluster)
+    : executor(std::move(executor)), cluster(cluster) {}
+
+void RelayServer::Attach(PeerNetwork* network) {
+  network->SetHandler(kRelayMessage, [this](std::string, PeerMessage message) {
+    return this->OnStatement(std::move(message));
+  });
+  network->SetHandler(kRelayEndMessage, [this](std::string, PeerMessage message) {
+    return this->OnEnd(std::move(message));
+  });
+  network->SetHandler(kRelayOrderMessage, [this](std::string, PeerMessage message) {
+    return this->OnOrder(std::move(message));
+  });
+}
+
+asio::awaitable<PeerMessage> RelayServer::OnStatement(PeerMessage message) {
+  const RelayRequest request = DecodeRelayRequest(message.body);
+  const RelayAnswer answer = co_await this->Run(request);
+  std::string body = EncodeRelayAnswer(answer);
+  co_return PeerMessage(kRelayMessage, std::move(body));
+}
+
+asio::awaitable<RelayAnswer> RelayServer::Run(const RelayRequest& request) {
+  const TimePoint deadline = BootNow() + Duration(static_cast<int64_t>(request.limit_us));
+  const SessionState state = ToState(request);
+  StatementAttempt attempt;
+  Held held;
+  const auto known = this->transactions.find(request.lease);
+  if (known != this->transactions.end()) {
+    held = std::move(known->second);
+    this->transactions.erase(known);
+  } else {
+    held.pool = this->cluster->FindEndpoint(request.endpoint);
+    const bool lost =
+        request.transaction && request.opening == kOpeningNames.NameOf(Opening::kNone);
+    if (held.pool == nullptr || lost) {
+      attempt.failure = AcquireFailure::kUnreachable;
+      attempt.cause = lost ? "the transaction has ended" : "the endpoint is unknown here";
+      co_return ToAnswer(attempt);
+    }
+    held.lease = co_await held.pool->AcquireDirect(request.rank, request.transaction,
+                                                   deadline - BootNow(), state);
+  }
+  if (held.lease.connection == nullptr) {
+    attempt.failure = held.lease.failure;
+    attempt.cause = kAcquireFailureNames.NameOf(held.lease.failure);
+    co_return ToAnswer(attempt);
+  }
+  const StatementSpec spec = ToSpec(request);
+  EndpointChannel* channel = held.lease.connection.get();
+  held.pool->OnSent(channel);
+  attempt = co_await channel->Run(spec, state, std::max<Duration>(deadline - BootNow(), 1ms));
+  held.pool->OnAnswered(channel);
+  held.pool->suspected = held.pool->suspected || attempt.connection_failed;
+  ServiceGroup* group = this->cluster->FindGroup(held.pool->record().service);
+  RelayAnswer answer = ToAnswer(attempt);
+  if (group != nullptr) {
+    if (attempt.opened_at) {
+      // The position is at least as old as the statement, which the deadline bounds.
+      group->freshness.Record(deadline - Duration(static_cast<int64_t>(request.limit_us)),
+                              *attempt.opened_at);
+    }
+    if (const auto newest = group->freshness.newest()) {
+      answer.newest = newest->position;
+      answer.newest_age_us = static_cast<uint64_t>((BootNow() - newest->sent).count());
+    }
+  }
+  const bool keeps = request.transaction &&
+                     attempt.outcome == StatementAttempt::Outcome::kAnswered &&
+                     attempt.answer.state == TransactionState::kOpen;
+  if (keeps) {
+    held.last_used = BootNow();
+    this->transactions[request.lease] = std::move(held);
+  } else {
+    const bool open = spec.opening != Opening::kNone || request.transaction;
+    const bool ended = attempt.outcome == StatementAttempt::Outcome::kAnswered &&
+                       attempt.answer.state == TransactionState::kNone;
+    this->End(held.pool, std::move(held.lease), open && !ended);
+  }
+  co_return answer;
+}
+
+void RelayServer::End(std::shared_ptr<EndpointPool> pool, EndpointLease lease, bool roll_back) {
+  const auto work = [](std::shared_ptr<EndpointPool> pool,
+                       EndpointLease lease) -> asio::awaitable<void> {
+    co_await lease.connection->RollBack();
+    pool->Release(std::move(lease));
+  };
+  if (roll_back && lease.connection->is_open()) {
+    asio::co_spawn(this->executor, work(std::move(pool), std::move(lease)), asio::detached);
+  } else {
+    pool->Release(std::move(lease));
+  }
+}
+
+asio::awaitable<PeerMessage> RelayServer::OnEnd(PeerMessage message) {
+  uint64_t lease = 0;
+  std::from_chars(message.body.data(), message.body.data() + message.body.size(), lease);
+  const auto known = this->transactions.find(lease);
+  if (known != this->transactions.end()) {
+    Held held = std::move(known->second);
+    this->transactions.erase(known);
+    this->End(held.pool, std::move(held.lease), true);
+  }
+  co_return PeerMessage(kRelayEndMessage, std::string());
+}
+
+asio::awaitable<PeerMessage> RelayServer::OnOrder(PeerMessage message) {
+  const RelayOrder request = DecodeRelayOrder(message.body);
+  const auto pool = this->cluster->FindEndpoint(request.endpoint);
+  const auto order = kEndpointOrderNames.Find(request.order);
+  RelayReport report;
+  if (pool == nullptr || !order || pool->is_relayed()) {
+    report.failure = "this daemon is no gateway of the endpoint";
+  } else {
+    try {
+      const EndpointReport answer = co_await pool->Order(
+          *order, request.term, Duration(static_cast<int64_t>(request.limit_us)), false);
+      report.is_primary = answer.is_primary;
+      report.term = answer.term;
+      report.received = answer.received;
+      report.held_term = answer.held_term;
+    } catch (const std::runtime_error& error) {
+      report.failure = error.what();
+    }
+  }
+  std::string body = EncodeRelayReport(report);
+  co_return PeerMessage(kRelayOrderMessage, std::move(body));
+}
+
+void RelayServer::Sweep() {
+  const Duration limit = this->cluster->routes().transaction_idle_limit + kOrphanGrace;
+  const TimePoint now = BootNow();
+  for (auto entry = this->transactions.begin(); entry != this->transactions.end();) {
+    if (now - entry->second.last_used <= limit) {
+      ++entry;
+      continue;
+    }
+    Log(LogLevel::kInfo, "relayed transaction ended: its daemon has sent nothing",
+        {{"endpoint", entry->second.pool->record().id}, {"lease", entry->first}});
+    this->End(entry->second.pool, std::move(entry->second.lease), true);
+    entry = this->transactions.erase(entry);
+  }
+}
+
+}  // namespace poplarmoor
--- /dev/null
+++ b/session/relay_server.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "session/endpoint_pool.h"
+
+namespace poplarmoor {
+
+class Cluster;
+class PeerNetwork;
+struct PeerMessage;
+struct RelayAnswer;
+struct RelayRequest;
+
+/// Runs statements of other daemons on this daemon's connections.
+class RelayServer {
+ public:
+  /// @param cluster Must outlive this object.
+  RelayServer(boost::asio::any_io_executor executor, Cluster* cluster);
+
+  /// Registers the handlers of the relay messages.
+  void Attach(PeerNetwork* network);
+
+  /// Ends transactions whose daemons have sent nothing for longer than the idle limit.
+  void Sweep();
+
+ private:
+  struct Held {
+    std::shared_ptr<EndpointPool> pool;
+    EndpointLease lease;
+    TimePoint last_used;
+    bool busy = false;
+  };
+
+  boost::asio::awaitable<PeerMessage> OnStatement(PeerMessage message);
+  boost::asio::awaitable<PeerMessage> OnEnd(PeerMessage message);
+  boost::asio::awaitable<PeerMessage> OnOrder(PeerMessage message);
+  boost::asio::awaitable<RelayAnswer> Run(const RelayRequest& request);
+  void End(std::shared_ptr<EndpointPool> pool, EndpointLease lease, bool roll_back);
+
+  boost::asio::any_io_executor executor;
+  Cluster* cluster;
+  std::map<uint64_t, Held> transactions;  // By lease.
+};
+
+}  // namespace poplarmoor
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -98,6 +98,9 @@
   const auto lost = this->members.find(this->claim.lost_primary);
   if (this->claim.phase == TakeoverPhase::kClaimed && lost != this->members.end()) {
     lost->second->suspected = true;
+    if (lost->second->is_relayed()) {
+      this->LosePrimary(this->claim.lost_primary, "takeover claim");
+    }
   }
   if (is_news && this->claim.phase == TakeoverPhase::kOrdered && this->Primary() == nullptr) {
     this->promotion_ordered = this->claim_seen;
@@ -146,7 +149,7 @@
     candidate.is_primary = id == this->primary;
     candidate.usable = !pool->down && !pool->record().leaving && pool->IsFreshEnough(demand_age) &&
                        now >= pool->avoid_until;
-    candidate.busy = pool->queue().busy();
+    candidate.busy = pool->busy();
     candidate.limit = pool->queue().single_limit();
     candidate.service_time = pool->queue().service_time();
     candidates.push_back(std::move(candidate));
--- a/session/service_group.h
+++ b/session/service_group.h
@@ -64,7 +64,7 @@
   bool seeking = false;                           // A search for the primary is in progress.
   bool taking_over = false;                       // This daemon runs a takeover.
   bool refreshing = false;                        // A request for fresh evidence is in progress.
-  std::map<EndpointSession*, TimePoint> commits;  // In progress at the primary: when sent.
+  std::map<EndpointChannel*, TimePoint> commits;  // In progress at the primary: when sent.
 
  private:
   std::string primary;             // Id; empty: unknown.
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -4,12 +4,18 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <nlohmann/json.hpp>
 
 #include "net/http_message.h"
 #include "net/http_server.h"
+#include "net/key_ring.h"
+#include "net/peer_network.h"
+#include "net/random_bits.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
 #include "session/group_keeper.h"
+#include "session/object_store.h"
+#include "session/relay_server.h"
 #include "session/session_server.h"
 #include "session/statement_runner.h"
 #include "session/store_sync.h"
@@ -28,6 +34,11 @@
 constexpr Duration kStopPoll = 20ms;
 // Descriptors that sessions leave to endpoints, the store and files.
 constexpr uint32_t kReservedDescriptors = 400;
+// Shared secret of the daemons, created by the first one.
+constexpr char kPeerKeyKind[] = "peer-keys";
+constexpr char kPeerKeyName[] = "main";
+constexpr Duration kPeerKeyRetry = 1s;
+constexpr Duration kRelaySweep = 1s;
 
 void Rethrow(std::exception_ptr failure) {
   if (failure) {
@@ -41,17 +52,25 @@
   Parts(asio::any_io_executor executor,
         const ProcessSettings& settings,
         const PlatformAdapter& adapter)
-      : cluster(executor, adapter.sessions, settings.failure_domain),
+      : cluster(executor, adapter.sessions, settings.daemon, settings.failure_domain),
         runner(&this->cluster, adapter.sessions),
-        sync(adapter.store, adapter.registry, &this->cluster, settings.daemon, settings.bounds),
+        sync(adapter.store,
+             adapter.registry,
+             &this->cluster,
+             Peer{settings.daemon, settings.peer_address, settings.failure_domain},
+             settings.bounds),
+        relay_server(executor, &this->cluster),
         keeper(executor, &this->cluster, adapter.store, adapter.promotions, settings.daemon),
         server(executor, &this->cluster, &this->runner, adapter.sessions) {}
 
   Cluster cluster;
   StatementRunner runner;
   StoreSync sync;
+  RelayServer relay_server;
   GroupKeeper keeper;
   SessionServer server;
+  std::unique_ptr<KeyRing> peer_keys;
+  std::unique_ptr<PeerNetwork> peers;
   std::shared_ptr<HttpServer> readiness;
 };
 
@@ -90,10 +109,45 @@
                                                                 : descriptors / 2);
   this->parts->sync.Start(this->context->get_executor());
   this->parts->keeper.Start();
+  asio::co_spawn(*this->context, this->StartPeers(), Rethrow);
   asio::co_spawn(*this->context, this->AwaitStop(), Rethrow);
   asio::co_spawn(*this->context, this->AwaitReload(), Rethrow);
 }
 
+asio::awaitable<std::string> SessionDaemon::FetchPeerKey() {
+  for (;;) {
+    try {
+      const auto stored = co_await this->adapter.store->Get(kPeerKeyKind, kPeerKeyName);
+      if (stored) {
+        co_return nlohmann::json::parse(stored->value).at("key").get<std::string>();
+      }
+      std::string value = nlohmann::json{{"key", MakeRandomId()}}.dump();
+      co_await this->adapter.store->Put(kPeerKeyKind, kPeerKeyName, std::move(value), 0);
+    } catch (const std::exception& error) {
+      // Another daemon may have created the key first; the next read shows it.
+      Log(LogLevel::kInfo, "peer key not read", {{"cause", error.what()}});
+    }
+    co_await Pause(kPeerKeyRetry);
+  }
+}
+
+asio::awaitable<void> SessionDaemon::StartPeers() {
+  const std::string key = co_await this->FetchPeerKey();
+  std::map<std::string, std::string> keys;
+  keys[kPeerKeyName] = key;
+  this->parts->peer_keys = std::make_unique<KeyRing>(kPeerKeyName, std::move(keys));
+  this->parts->peers = std::make_unique<PeerNetwork>(
+      this->context->get_executor(), this->settings.daemon, this->parts->peer_keys.get());
+  this->parts->relay_server.Attach(this->parts->peers.get());
+  this->parts->sync.Attach(this->parts->peers.get());
+  this->parts->peers->Listen(this->settings.peer_address);
+  this->parts->cluster.relays().SetNetwork(this->parts->peers.get());
+  for (;;) {
+    co_await Pause(kRelaySweep);
+    this->parts->relay_server.Sweep();
+  }
+}
+
 asio::awaitable<void> SessionDaemon::AwaitReload() {
   for (;;) {
     co_await this->reload_signals.async_wait(asio::use_awaitable);
--- a/session/session_daemon.h
+++ b/session/session_daemon.h
@@ -44,6 +44,8 @@
  private:
   struct Parts;
 
+  boost::asio::awaitable<void> StartPeers();
+  boost::asio::awaitable<std::string> FetchPeerKey();
   boost::asio::awaitable<void> AwaitStop();
   boost::asio::awaitable<void> AwaitReload();
 
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -15,8 +15,8 @@
 
 namespace {
 
-// Longest preparation of a connection: two round trips, and room for one lost packet's retransmit.
-constexpr Duration kSetupLimit = 500ms;
+// Of a request for the primary's position.
+constexpr Duration kEvidenceLimit = 500ms;
 // The time of a caller's first byte is known only up to scheduling delays.
 constexpr Duration kStalenessMargin = 50ms;
 // An endpoint with a full queue is left alone for about the time of one statement.
@@ -24,8 +24,8 @@
 // A read whose answer is lost is repeated elsewhere after this time and several usual ones.
 constexpr Duration kMinReadPatience = 300ms;
 constexpr int kReadPatienceFactor = 5;
-// Rollback of a connection that goes back to the pool.
-constexpr Duration kCleanUpLimit = 1s;
+// An endpoint without a gateway that answers is left alone for about the time of a reconnect.
+constexpr Duration kUnreachablePause = 100ms;
 
 Duration TimeLeft(const StatementJob& job) {
   return std::max<Duration>(job.deadline - BootNow(), 1ms);
@@ -51,85 +51,45 @@
 // -----------------------------------------------------------------------------
 // Sending one statement
 
-asio::awaitable<StatementRunner::Attempt> StatementRunner::Send(StatementJob* job,
-                                                                Opening opening,
-                                                                LogPosition demanded,
-                                                                const SessionState& state,
-                                                                ServiceGroup* group,
-                                                                std::shared_ptr<EndpointPool> pool,
-                                                                EndpointLease* lease,
-                                                                Duration limit) {
-  Attempt attempt;
-  EndpointSession* connection = lease->connection.get();
-  const PreparedStatement* prepared = job->prepared ? &*job->prepared : nullptr;
-  std::vector<std::string> setup;
-  for (const SetupStep& step : connection->held.StepsFor(state, prepared)) {
-    setup.push_back(this->codec->EncodeSetup(step));
-  }
-  const bool begins = opening != Opening::kNone;
-  if (opening == Opening::kWritable) {
-    setup.push_back(this->codec->EncodeBegin());
-  } else if (opening == Opening::kReadOnly) {
-    setup.push_back(this->codec->EncodeReadOnlyBegin(demanded));
-  }
+asio::awaitable<StatementAttempt> StatementRunner::Send(StatementJob* job,
+                                                        Opening opening,
+                                                        LogPosition demanded,
+                                                        const SessionState& state,
+                                                        ServiceGroup* group,
+                                                        std::shared_ptr<EndpointPool> pool,
+                                                        EndpointLease* lease,
+                                                        Duration limit) {
   ++job->attempts;
-  if (!setup.empty()) {
-    const TimePoint sent = BootNow();
-    pool->OnSent(connection);
-    try {
-      const auto answers =
-          co_await connection->Exchange(std::move(setup), std::min(limit, kSetupLimit));
-      pool->OnAnswered(connection);
-      job->setup += BootNow() - sent;
-      for (const StatementAnswer& answer : answers) {
-        if (answer.error) {
-          attempt.answer = answer;
-          attempt.cause = "the endpoint refused the preparation: " + answer.error_text;
-          if (!begins || &answer != &answers.back()) {
-            connection->Close();  // Its values are unknown.
-          } else {
-            connection->held.Apply(state, prepared);
-            connection->used_by = state.session;
-          }
-          co_return attempt;
-        }
-      }
-      if (opening == Opening::kWritable && answers.back().position) {
-        group->freshness.Record(sent, *answers.back().position);
-      }
-      connection->held.Apply(state, prepared);
-      connection->used_by = state.session;
-    } catch (const EndpointSessionError& error) {
-      pool->OnAnswered(connection);
-      attempt.cause = error.what();
-      co_return attempt;
-    }
-  }
-  connection->used_by = state.session;
-  pool->OnSent(connection);
+  EndpointChannel* channel = lease->connection.get();
+  StatementSpec spec;
+  spec.id = job->id;
+  spec.text = job->text;
+  spec.prepared = job->prepared;
+  spec.opening = opening;
+  spec.demanded = demanded;
   const TimePoint sent = BootNow();
+  pool->OnSent(channel);
   if (job->commits) {
-    group->commits[connection] = sent;
+    group->commits[channel] = sent;
   }
-  try {
-    std::vector<std::string> messages;
-    messages.push_back(
-        this->codec->EncodeStatement(job->id, job->text, begins ? LogPosition{} : demanded));
-    auto answers = co_await connection->Exchange(std::move(messages), limit);
-    attempt.answer = std::move(answers.front());
-    attempt.outcome = Outcome::kAnswered;
-  } catch (const EndpointSessionError& error) {
-    attempt.outcome = Outcome::kLost;
-    attempt.cause = error.what();
-    pool->suspected = error.kind != EndpointSessionError::Kind::kProtocol;
+  StatementAttempt attempt = co_await channel->Run(spec, state, limit);
+  pool->OnAnswered(channel);
+  group->commits.erase(channel);
+  job->setup += attempt.setup;
+  job->running += BootNow() - sent - attempt.setup;
+  pool->suspected = pool->suspected || attempt.connection_failed;
+  if (attempt.opened_at) {
+    group->freshness.Record(sent, *attempt.opened_at);
   }
-  pool->OnAnswered(connection);
-  job->running += BootNow() - sent;
-  if (job->commits) {
-    group->commits.erase(connection);
-    if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error && attempt.answer.position) {
-      group->freshness.Record(sent, *attempt.answer.position);
-    }
+  if (attempt.relayed_position) {
+    group->freshness.Record(sent - attempt.relayed_age, *attempt.relayed_position);
+  }
+  if (job->commits && attempt.outcome == Outcome::kAnswered && !attempt.answer.error &&
+      attempt.answer.position) {
+    group->freshness.Record(sent, *attempt.answer.position);
+  }
+  if (attempt.failure == AcquireFailure::kUnreachable) {
+    pool->avoid_until = BootNow() + kUnreachablePause;
   }
   co_return attempt;
 }
@@ -203,22 +163,12 @@
     pool->Release(std::move(lease));
     return;
   }
-  const auto work = [](StatementRunner* self, std::shared_ptr<EndpointPool> pool,
+  const auto work = [](std::shared_ptr<EndpointPool> pool,
                        EndpointLease lease) -> asio::awaitable<void> {
-    try {
-      std::vector<std::string> messages;
-      messages.push_back(self->codec->EncodeRollback());
-      const auto answers = co_await lease.connection->Exchange(std::move(messages), kCleanUpLimit);
-      if (answers.front().error || answers.front().state != TransactionState::kNone) {
-        lease.connection->Close();
-      }
-    } catch (const EndpointSessionError& error) {
-      Log(LogLevel::kDebug, "rollback failed, connection closed",
-          {{"endpoint", pool->record().id}, {"cause", error.what()}});
-    }
+    co_await lease.connection->RollBack();
     pool->Release(std::move(lease));
   };
-  asio::co_spawn(pool->io_executor(), work(this, pool, std::move(lease)), asio::detached);
+  asio::co_spawn(pool->io_executor(), work(pool, std::move(lease)), asio::detached);
 }
 
 // -----------------------------------------------------------------------------
@@ -271,8 +221,8 @@
       }
       const Duration patience = std::min<Duration>(
           TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
-      Attempt attempt = co_await this->Send(&job, Opening::kNone, demand->position, *state, group,
-                                            pool, &lease, patience);
+      StatementAttempt attempt = co_await this->Send(&job, Opening::kNone, demand->position, *state,
+                                                     group, pool, &lease, patience);
       pool->Release(std::move(lease));
       tried = true;
       if (attempt.outcome != Outcome::kAnswered) {
@@ -331,8 +281,8 @@
     }
     // A read at a server that has lost the lead is refused only inside a transaction that may
     // write.
-    Attempt attempt = co_await this->Send(&job, opening, LogPosition{}, *state, group, pool, &lease,
-                                          TimeLeft(job));
+    StatementAttempt attempt = co_await this->Send(&job, opening, LogPosition{}, *state, group,
+                                                   pool, &lease, TimeLeft(job));
     if (attempt.outcome == Outcome::kAnswered && !job.writes) {
       this->CleanUp(pool, std::move(lease));
       attempt.answer.state = TransactionState::kNone;
@@ -351,6 +301,7 @@
     }
     if (!attempt.answer.error) {
       cause = attempt.cause;
+      co_await Pause(kOverloadPause);
       continue;
     }
     const StatementError error = *attempt.answer.error;
@@ -371,33 +322,21 @@
 void StatementRunner::RefreshEvidence(ServiceGroup* group, Duration max_age) {
   const auto newest = group->freshness.newest();
   const auto pool = group->Primary();
-  if (group->refreshing || pool == nullptr || (newest && BootNow() - *newest < max_age)) {
+  if (group->refreshing || pool == nullptr || (newest && BootNow() - newest->sent < max_age)) {
     return;
   }
   const auto work = [](StatementRunner* self, ServiceGroup* group,
                        std::shared_ptr<EndpointPool> pool) -> asio::awaitable<void> {
     const SessionState none;
-    EndpointLease lease = co_await pool->Acquire(0, false, kSetupLimit, none);
+    StatementJob job;
+    EndpointLease lease = co_await pool->Acquire(0, false, kEvidenceLimit, none);
     if (lease.connection != nullptr) {
-      const TimePoint sent = BootNow();
-      try {
-        std::vector<std::string> messages;
-        messages.push_back(self->codec->EncodeBegin());
-        messages.push_back(self->codec->EncodeRollback());
-        const auto answers = co_await lease.connection->Exchange(std::move(messages), kSetupLimit);
-        if (answers.back().error) {
-          lease.connection->Close();
-        }
-        if (!answers.front().error && answers.front().position) {
-          group->freshness.Record(sent, *answers.front().position);
-        } else if (answers.front().error == StatementError::kReadOnly) {
-          group->LosePrimary(pool->record().id, "it refused a transaction that may write");
-        }
-      } catch (const EndpointSessionError& error) {
-        Log(LogLevel::kInfo, "no evidence of the primary's position",
-            {{"service", group->name}, {"endpoint", pool->record().id}, {"cause", error.what()}});
+      const StatementAttempt attempt = co_await self->Send(
+          &job, Opening::kWritable, LogPosition{}, none, group, pool, &lease, kEvidenceLimit);
+      if (attempt.answer.error == StatementError::kReadOnly) {
+        group->LosePrimary(pool->record().id, "it refused a transaction that may write");
       }
-      pool->Release(std::move(lease));
+      self->CleanUp(pool, std::move(lease));
     }
     group->refreshing = false;
   };
@@ -424,8 +363,8 @@
   const auto pool = transaction->pool;
   for (;;) {
     const Duration left = TimeLeft(job);
-    Attempt attempt = co_await this->Send(&job, Opening::kNone, LogPosition{}, *state, group, pool,
-                                          &transaction->lease, left);
+    StatementAttempt attempt = co_await this->Send(&job, Opening::kNone, LogPosition{}, *state,
+                                                   group, pool, &transaction->lease, left);
     if (attempt.outcome != Outcome::kAnswered) {
       this->Discard(transaction);
       co_return this->Fail(job, StatementError::kAborted, attempt.cause, pool.get());
@@ -478,8 +417,8 @@
       co_await Pause(kOverloadPause);
       continue;
     }
-    Attempt attempt = co_await this->Send(&job, Opening::kWritable, LogPosition{}, *state, group,
-                                          pool, &lease, TimeLeft(job));
+    StatementAttempt attempt = co_await this->Send(&job, Opening::kWritable, LogPosition{}, *state,
+                                                   group, pool, &lease, TimeLeft(job));
     if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
       transaction->wrote = job.writes;
       transaction->pool = pool;
@@ -496,8 +435,10 @@
     }
     if (error == StatementError::kReadOnly) {
       group->LosePrimary(pool->record().id, "it refused a transaction that may write");
-    } else if (error) {
-      this->NoteRefusal(pool.get(), *error);
+    } else {
+      if (error) {
+        this->NoteRefusal(pool.get(), *error);
+      }
       co_await Pause(kOverloadPause);
     }
   }
@@ -523,8 +464,8 @@
       }
       const Duration patience = std::min<Duration>(
           TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
-      Attempt attempt = co_await this->Send(&job, Opening::kReadOnly, demand->position, *state,
-                                            group, pool, &lease, patience);
+      StatementAttempt attempt = co_await this->Send(&job, Opening::kReadOnly, demand->position,
+                                                     *state, group, pool, &lease, patience);
       if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
         transaction->pool = pool;
         transaction->lease = std::move(lease);
@@ -561,8 +502,8 @@
   const auto pool = transaction->pool;
   const bool wrote = transaction->wrote;
   job.commits = wrote;
-  Attempt attempt = co_await this->Send(&job, Opening::kNone, LogPosition{}, *state, group, pool,
-                                        &transaction->lease, TimeLeft(job));
+  StatementAttempt attempt = co_await this->Send(&job, Opening::kNone, LogPosition{}, *state, group,
+                                                 pool, &transaction->lease, TimeLeft(job));
   StatementAnswer answer = std::move(attempt.answer);
   if (attempt.outcome == Outcome::kLost) {
     answer = this->Fail(job, wrote ? StatementError::kInDoubt : StatementError::kAborted,
@@ -595,25 +536,4 @@
   transaction->finished = true;
 }
 
-asio::awaitable<bool> StatementRunner::SetInTransaction(const SetupStep& step,
-                                                        const SessionState& state,
-                                                        SessionTransaction* transaction) {
-  EndpointSession* connection = transaction->lease.connection.get();
-  try {
-    std::vector<std::string> messages;
-    messages.push_back(this->codec->EncodeSetup(step));
-    const auto answers = co_await connection->Exchange(std::move(messages), kSetupLimit);
-    if (!answers.front().error) {
-      connection->held.ApplyValue(state);
-      co_return true;
-    }
-    connection->Close();
-  } catch (const EndpointSessionError& error) {
-    Log(LogLevel::kWarn, "a transaction's connection was lost",
-        {{"endpoint", transaction->pool->record().id}, {"cause", error.what()}});
-  }
-  this->Discard(transaction);
-  co_return false;
-}
-
 }  // namespace poplarmoor
--- a/session/statement_runner.h
+++ b/session/statement_runner.h
@@ -71,45 +71,22 @@
   /// Ends a transaction without a commit; the connection is cleaned in the background.
   void Discard(SessionTransaction* transaction);
 
-  /// Sends changed values to the transaction's connection.
-  /// @returns Whether the endpoint has accepted them.
-  boost::asio::awaitable<bool> SetInTransaction(const SetupStep& step,
-                                                const SessionState& state,
-                                                SessionTransaction* transaction);
-
   /// Asks the primary for its position when the newest evidence is old.
   void RefreshEvidence(ServiceGroup* group, Duration max_age);
 
  private:
-  enum class Outcome {
-    kAnswered,  // The endpoint answered the statement.
-    kNotSent,   // The statement was not sent.
-    kLost,      // It was sent and no complete answer came.
-  };
-
-  struct Attempt {
-    Outcome outcome = Outcome::kNotSent;
-    StatementAnswer answer;
-    std::string cause;
-  };
-
-  // How a statement's transaction starts at the endpoint.
-  enum class Opening {
-    kNone,      // It has started already, or the statement runs outside of one.
-    kWritable,  // The endpoint must be the primary.
-    kReadOnly,  // The endpoint must hold the demanded position.
-  };
-
-  // Prepares the connection for the session, begins a transaction if asked, and sends the
-  // statement. `demanded` is the position that the endpoint must hold; {0, 0}: none.
-  boost::asio::awaitable<Attempt> Send(StatementJob* job,
-                                       Opening opening,
-                                       LogPosition demanded,
-                                       const SessionState& state,
-                                       ServiceGroup* group,
-                                       std::shared_ptr<EndpointPool> pool,
-                                       EndpointLease* lease,
-                                       Duration limit);
+  using Outcome = StatementAttempt::Outcome;
+
+  // Runs the statement over the lent connection and records what the answer tells of the endpoint.
+  // `demanded` is the position that the endpoint must hold; {0, 0}: none.
+  boost::asio::awaitable<StatementAttempt> Send(StatementJob* job,
+                                                Opening opening,
+                                                LogPosition demanded,
+                                                const SessionState& state,
+                                                ServiceGroup* group,
+                                                std::shared_ptr<EndpointPool> pool,
+                                                EndpointLease* lease,
+                                                Duration limit);
 
   boost::asio::awaitable<StatementAnswer> RunRead(StatementJob job, SessionState* state);
   boost::asio::awaitable<StatementAnswer> RunAtPrimary(StatementJob job, SessionState* state);
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -1,14 +1,17 @@
 #include "session/store_sync.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <random>
 #include <set>
 
 #include "kernel/random.h"
+#include "net/peer_network.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
+#include "session/daemon_entry.h"
 #include "session/object_store.h"
 #include "session/registry_codec.h"
 #include "session/takeover_claim.h"
@@ -32,7 +35,11 @@
 constexpr Duration kCountInterval = 15s;
 // An entry that has not been renewed for this time belongs to a daemon that is gone.
 constexpr Duration kDaemonLapse = 50s;
-constexpr char kDaemonKind[] = "daemons";
+// The first listings after a start miss daemons that start at the same time.
+constexpr std::array<Duration, 3> kFirstCounts{1s, 2s, 4s};
+// While the store cannot be reached, a peer is asked this often.
+constexpr Duration kPeerSyncInterval = 300ms;
+constexpr std::chrono::milliseconds kPeerSyncLimit{250};
 
 std::chrono::milliseconds WaitFor(std::chrono::milliseconds bound) {
   return std::chrono::milliseconds(static_cast<int64_t>(bound.count() * kWaitPerBound));
@@ -43,13 +50,9 @@
 StoreSync::StoreSync(ObjectStore* store,
                      const RegistryCodec* registry,
                      Cluster* cluster,
-                     std::string daemon,
+                     Peer self,
                      ApplyBounds bounds)
-    : store(store),
-      registry(registry),
-      cluster(cluster),
-      daemon(std::move(daemon)),
-      bounds(bounds) {}
+    : store(store), registry(registry), cluster(cluster), self(std::move(self)), bounds(bounds) {}
 
 void StoreSync::Start(asio::any_io_executor executor) {
   asio::co_spawn(
@@ -69,6 +72,7 @@
                    [this](const StoreSnapshot& snapshot, bool) { this->ApplyClaims(snapshot); }),
       asio::detached);
   asio::co_spawn(executor, this->CountDaemons(), asio::detached);
+  asio::co_spawn(executor, this->SyncWithPeers(), asio::detached);
 }
 
 asio::awaitable<void> StoreSync::Follow(std::string kind,
@@ -93,7 +97,9 @@
         Log(LogLevel::kInfo, "store regained", {{"kind", kind}, {"revision", revision}});
       }
       reachable = true;
+      this->store_reachable = true;
       retry = kFirstRetry;
+      this->Remember(kind, snapshot);
       apply(snapshot, complete);
       continue;
     } catch (const StoreError& error) {
@@ -108,6 +114,7 @@
       Log(LogLevel::kWarn, "store lost", {{"kind", kind}, {"cause", cause}});
     }
     reachable = false;
+    this->store_reachable = false;
     co_await Pause(retry + RandomDuration(&random, retry));
     retry = std::min(retry * 2, kMaxRetry);
   }
@@ -176,28 +183,95 @@
     TimePoint since;
   };
   std::map<std::string, Seen> seen;
-  for (uint64_t beat = 1;; ++beat) {
+  TimePoint renewed;
+  for (uint64_t round = 0; !this->leaving; ++round) {
     try {
-      // An unconditional put renews the entry; its content has to change for that.
-      co_await this->store->Set(kDaemonKind, this->daemon,
-                                "{\"beat\":" + std::to_string(beat) + "}");
+      if (round == 0 || BootNow() - renewed >= kCountInterval) {
+        std::string entry = EncodeDaemonEntry(this->self, round);
+        co_await this->store->Set(kDaemonKind, this->self.daemon, std::move(entry));
+        renewed = BootNow();
+      }
       const StoreSnapshot snapshot = co_await this->store->List(kDaemonKind, true);
       const TimePoint now = BootNow();
-      uint32_t live = 0;
+      std::vector<Peer> live;
       for (const StoredObject& object : snapshot.objects) {
         Seen& entry = seen[object.name];
         if (entry.revision != object.revision) {
           entry = {object.revision, now};
         }
-        live += now - entry.since < kDaemonLapse ? 1 : 0;
+        if (now - entry.since < kDaemonLapse) {
+          live.push_back(DecodeDaemonEntry(object.name, object.value));
+        }
       }
-      this->cluster->SetDaemonCount(live);
-    } catch (const StoreError& error) {
+      this->cluster->SetPeers(std::move(live));
+    } catch (const std::runtime_error& error) {
       Log(LogLevel::kInfo, "daemons not counted", {{"cause", error.what()}});
     }
-    co_await Pause(kCountInterval);
-    if (this->leaving) {
-      co_return;
+    co_await Pause(round < kFirstCounts.size() ? kFirstCounts[round] : kCountInterval);
+  }
+}
+
+void StoreSync::Remember(const std::string& kind, const StoreSnapshot& snapshot) {
+  for (const StoredObject& object : snapshot.objects) {
+    const std::string key = kind + "/" + object.name;
+    if (object.deleted) {
+      this->known.erase(key);
+    } else if (this->known[key].revision <= object.revision) {
+      this->known[key] = {kind, object.name, object.revision, object.value};
+    }
+  }
+}
+
+void StoreSync::Attach(PeerNetwork* network) {
+  network->SetHandler(kSyncMessage,
+                      [this](std::string, PeerMessage) -> asio::awaitable<PeerMessage> {
+                        std::vector<SyncObject> objects;
+                        for (const auto& [key, object] : this->known) {
+                          objects.push_back(object);
+                        }
+                        std::string body = EncodeSyncObjects(objects);
+                        co_return PeerMessage(kSyncMessage, std::move(body));
+                      });
+}
+
+asio::awaitable<void> StoreSync::SyncWithPeers() {
+  RandomEngine random(std::random_device{}());
+  for (;;) {
+    co_await Pause(kPeerSyncInterval);
+    PeerNetwork* network = this->cluster->relays().peers();
+    const std::vector<Peer>& peers = this->cluster->relays().plan().peers();
+    if (this->store_reachable || network == nullptr || peers.size() < 2) {
+      continue;
+    }
+    const Peer peer = peers[RandomBelow(&random, peers.size())];
+    if (peer.daemon == this->self.daemon) {
+      continue;
+    }
+    try {
+      PeerMessage question(kSyncMessage, std::string());
+      const PeerMessage answer =
+          co_await network->Call(peer.address, std::move(question), kPeerSyncLimit);
+      std::map<std::string, StoreSnapshot> news;
+      for (SyncObject& object : DecodeSyncObjects(answer.body)) {
+        const auto own = this->known.find(object.kind + "/" + object.name);
+        if (own == this->known.end() || own->second.revision < object.revision) {
+          news[object.kind].objects.push_back({object.name, object.revision, object.value, false});
+        }
+      }
+      for (const auto& [kind, snapshot] : news) {
+        this->Remember(kind, snapshot);
+        Log(LogLevel::kInfo, "learnt from a peer",
+            {{"peer", peer.daemon}, {"kind", kind}, {"objects", snapshot.objects.size()}});
+        if (kind == this->registry->routes_kind()) {
+          this->ApplyRoutes(snapshot);
+        } else if (kind == this->registry->endpoint_kind()) {
+          this->ApplyEndpoints(snapshot, false);
+        } else if (kind == kTakeoverKind) {
+          this->ApplyClaims(snapshot);
+        }
+      }
+    } catch (const std::runtime_error& error) {
+      Log(LogLevel::kDebug, "peer not asked", {{"peer", peer.daemon}, {"cause", error.what()}});
     }
   }
 }
@@ -205,7 +279,7 @@
 asio::awaitable<void> StoreSync::Leave() {
   this->leaving = true;
   try {
-    co_await this->store->Remove(kDaemonKind, this->daemon);
+    co_await this->store->Remove(kDaemonKind, this->self.daemon);
   } catch (const StoreError& error) {
     Log(LogLevel::kInfo, "daemon entry not removed", {{"cause", error.what()}});
   }
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -5,14 +5,18 @@
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <string>
 
+#include "kernel/gateway_plan.h"
 #include "session/process_settings.h"
+#include "wire/relay_codec.h"
 
 namespace poplarmoor {
 
 class Cluster;
 class ObjectStore;
+class PeerNetwork;
 class RegistryCodec;
 struct StoreSnapshot;
 
@@ -20,17 +24,20 @@
 class StoreSync {
  public:
   /// @param store,registry,cluster Must outlive this object.
-  /// @param daemon Name of this daemon.
+  /// @param self This daemon, as the others reach it.
   /// @param bounds Times within which changes must be applied.
   StoreSync(ObjectStore* store,
             const RegistryCodec* registry,
             Cluster* cluster,
-            std::string daemon,
+            Peer self,
             ApplyBounds bounds);
 
   /// Starts the watches.
   void Start(boost::asio::any_io_executor executor);
 
+  /// Registers the handler that tells other daemons what this one has seen.
+  void Attach(PeerNetwork* network);
+
   /// Removes this daemon's entry, so that the others use its connections.
   boost::asio::awaitable<void> Leave();
 
@@ -42,6 +49,8 @@
                                       std::chrono::milliseconds wait,
                                       Apply apply);
   boost::asio::awaitable<void> CountDaemons();
+  boost::asio::awaitable<void> SyncWithPeers();
+  void Remember(const std::string& kind, const StoreSnapshot& snapshot);
   void ApplyRoutes(const StoreSnapshot& snapshot);
   void ApplyEndpoints(const StoreSnapshot& snapshot, bool complete);
   void ApplyClaims(const StoreSnapshot& snapshot);
@@ -49,8 +58,10 @@
   ObjectStore* store;
   const RegistryCodec* registry;
   Cluster* cluster;
-  std::string daemon;
+  Peer self;
   ApplyBounds bounds;
+  std::map<std::string, SyncObject> known;  // Newest objects seen, by kind and name.
+  bool store_reachable = true;
   bool leaving = false;
 };
 
--- /dev/null
+++ b/wire/relay_codec.cc
@@ -0,0 +1,165 @@
+#include "wire/relay_codec.h"
+
+#include <msgpack.hpp>
+#include <tuple>
+
+#include "wire/codec_error.h"
+
+namespace poplarmoor {
+
+namespace {
+
+using Position = std::tuple<uint64_t, uint64_t>;
+
+constexpr size_t kMaxItems = 1 << 17;  // Items of an array or a map.
+constexpr size_t kMaxBytes = 2 << 20;  // Bytes of a string; a whole message has at most 2 MiB.
+constexpr size_t kMaxDepth = 4;        // Levels of nesting.
+
+Position Pack(LogPosition position) {
+  return {position.term, position.index};
+}
+
+LogPosition Unpack(const Position& position) {
+  return {std::get<0>(position), std::get<1>(position)};
+}
+
+template <typename Tuple>
+std::string PackTuple(const Tuple& tuple) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, tuple);
+  return {buffer.data(), buffer.size()};
+}
+
+template <typename Tuple>
+Tuple UnpackTuple(std::string_view body, const char* message) {
+  try {
+    const msgpack::unpack_limit limit(kMaxItems, kMaxItems, kMaxBytes, kMaxBytes, 0, kMaxDepth);
+    size_t offset = 0;
+    const msgpack::object_handle handle =
+        msgpack::unpack(body.data(), body.size(), offset, nullptr, nullptr, limit);
+    return handle.get().as<Tuple>();
+  } catch (const msgpack::type_error&) {
+    throw CodecError(message, "a field has the wrong type");
+  } catch (const msgpack::unpack_error& error) {
+    throw CodecError(message, error.what());
+  }
+}
+
+// Fields of the messages in their order on the wire.
+using RequestTuple = std::tuple<uint64_t,
+                                std::string,
+                                int,
+                                bool,
+                                uint64_t,
+                                std::map<std::string, std::string>,
+                                bool,
+                                bool,
+                                std::string,
+                                std::string,
+                                Position,
+                                std::string,
+                                std::string,
+                                uint64_t>;
+using AnswerTuple = std::tuple<std::string,
+                               std::string,
+                               std::string,
+                               std::vector<std::string>,
+                               std::string,
+                               std::string,
+                               std::string,
+                               std::string,
+                               Position,
+                               Position,
+                               Position,
+                               uint64_t,
+                               bool>;
+using OrderTuple = std::tuple<std::string, std::string, uint64_t, uint64_t>;
+using ReportTuple = std::tuple<std::string, bool, uint64_t, Position, uint64_t>;
+using ObjectTuple = std::tuple<std::string, std::string, uint64_t, std::string>;
+
+}  // namespace
+
+std::string EncodeRelayRequest(const RelayRequest& request) {
+  return PackTuple(RequestTuple(
+      request.lease, request.endpoint, request.rank, request.transaction, request.session,
+      request.values, request.has_prepared, request.prepared_read_only, request.prepared_shape,
+      request.opening, Pack(request.demanded), request.id, request.text, request.limit_us));
+}
+
+RelayRequest DecodeRelayRequest(std::string_view body) {
+  const auto fields = UnpackTuple<RequestTuple>(body, "relay request");
+  RelayRequest request;
+  Position demanded;
+  std::tie(request.lease, request.endpoint, request.rank, request.transaction, request.session,
+           request.values, request.has_prepared, request.prepared_read_only, request.prepared_shape,
+           request.opening, demanded, request.id, request.text, request.limit_us) = fields;
+  request.demanded = Unpack(demanded);
+  return request;
+}
+
+std::string EncodeRelayAnswer(const RelayAnswer& answer) {
+  return PackTuple(AnswerTuple(answer.outcome, answer.failure, answer.cause, answer.rows,
+                               answer.signature, answer.error, answer.error_text, answer.state,
+                               Pack(answer.position), Pack(answer.opened_at), Pack(answer.newest),
+                               answer.newest_age_us, answer.connection_failed));
+}
+
+RelayAnswer DecodeRelayAnswer(std::string_view body) {
+  const auto fields = UnpackTuple<AnswerTuple>(body, "relay answer");
+  RelayAnswer answer;
+  Position position;
+  Position opened_at;
+  Position newest;
+  std::tie(answer.outcome, answer.failure, answer.cause, answer.rows, answer.signature,
+           answer.error, answer.error_text, answer.state, position, opened_at, newest,
+           answer.newest_age_us, answer.connection_failed) = fields;
+  answer.position = Unpack(position);
+  answer.opened_at = Unpack(opened_at);
+  answer.newest = Unpack(newest);
+  return answer;
+}
+
+std::string EncodeRelayOrder(const RelayOrder& order) {
+  return PackTuple(OrderTuple(order.endpoint, order.order, order.term, order.limit_us));
+}
+
+RelayOrder DecodeRelayOrder(std::string_view body) {
+  const auto fields = UnpackTuple<OrderTuple>(body, "relay order");
+  RelayOrder order;
+  std::tie(order.endpoint, order.order, order.term, order.limit_us) = fields;
+  return order;
+}
+
+std::string EncodeRelayReport(const RelayReport& report) {
+  return PackTuple(ReportTuple(report.failure, report.is_primary, report.term,
+                               Pack(report.received), report.held_term));
+}
+
+RelayReport DecodeRelayReport(std::string_view body) {
+  const auto fields = UnpackTuple<ReportTuple>(body, "relay report");
+  RelayReport report;
+  Position received;
+  std::tie(report.failure, report.is_primary, report.term, received, report.held_term) = fields;
+  report.received = Unpack(received);
+  return report;
+}
+
+std::string EncodeSyncObjects(const std::vector<SyncObject>& objects) {
+  std::vector<ObjectTuple> tuples;
+  for (const SyncObject& object : objects) {
+    tuples.emplace_back(object.kind, object.name, object.revision, object.value);
+  }
+  return PackTuple(tuples);
+}
+
+std::vector<SyncObject> DecodeSyncObjects(std::string_view body) {
+  std::vector<SyncObject> objects;
+  for (const auto& fields : UnpackTuple<std::vector<ObjectTuple>>(body, "store objects")) {
+    SyncObject object;
+    std::tie(object.kind, object.name, object.revision, object.value) = fields;
+    objects.push_back(std::move(object));
+  }
+  return objects;
+}
+
+}  // namespace poplarmoor
