--- /dev/null
+++ b/tests/platform/registry_objects_test.cc
@@ -0,0 +1,103 @@
+#include "platform/registry_objects.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "session/object_store.h"
+
+namespace poplarmoor::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+Json Entry() {
+  return {{"service", "huvo11a"},
+          {"address", "10.128.0.9:8080"},
+          {"zone", "z1"},
+          {"version", "v1"},
+          {"slots", 3},
+          {"state", "ready"},
+          {"coldLeftMs", 0},
+          {"dbRole", "replica"},
+          {"seq", 4},
+          {"born", 1754000000123}};
+}
+
+std::optional<EndpointRecord> Decode(const Json& entry) {
+  StoredObject object;
+  object.name = "i-7f3a91c2";
+  object.revision = 12;
+  object.value = entry.dump();
+  return RegistryObjects().DecodeEndpoint(object);
+}
+
+TEST_CASE("a registry entry becomes an endpoint") {
+  const auto record = Decode(Entry());
+  REQUIRE(record);
+  CHECK(record->id == "i-7f3a91c2");
+  CHECK(record->service == "huvo11a");
+  CHECK(record->slots == 3);
+  CHECK_FALSE(record->leaving);
+  CHECK_FALSE(record->claims_primary);
+  CHECK(record->incarnation_ms == 1754000000123);
+  CHECK(record->revision == 12);
+}
+
+TEST_CASE("an entry of another writer names no endpoint, or statements go to a wrong address") {
+  for (const char* field : {"service", "address", "zone", "slots", "state", "dbRole"}) {
+    INFO(field);
+    Json missing = Entry();
+    missing.erase(field);
+    CHECK_FALSE(Decode(missing));
+    Json wrong = Entry();
+    wrong[field] = Json::array();
+    CHECK_FALSE(Decode(wrong));
+  }
+  Json unknown = Entry();
+  unknown["state"] = "resting";
+  CHECK_FALSE(Decode(unknown));
+  unknown = Entry();
+  unknown["address"] = "not an address";
+  CHECK_FALSE(Decode(unknown));
+  unknown = Entry();
+  unknown["slots"] = -1;
+  CHECK_FALSE(Decode(unknown));
+  StoredObject bytes;
+  bytes.name = "i-1";
+  bytes.value = "{\"service\":\xff";
+  CHECK_FALSE(RegistryObjects().DecodeEndpoint(bytes));
+}
+
+TEST_CASE("routes are decoded with their limits; unknown fields are ignored") {
+  StoredObject object;
+  object.value = R"({"version":7,"routes":[{"name":"r","host":"fiti","pathPrefix":"/",
+    "kind":"read_your_writes","timeoutMs":800,"sloMs":250,"priority":1,"service":"s",
+    "maxAttempts":2,"maxStalenessMs":2500,"later":true}],
+    "services":[{"name":"s","healthPath":"/health","maxConns":23,"syncReplicas":1}],
+    "limits":{"txIdleMs":3000}})";
+  const RouteTable table = RegistryObjects().DecodeRoutes(object);
+  CHECK(table.version == 7);
+  const DatabaseRoute* route = table.Find("fiti");
+  REQUIRE(route != nullptr);
+  CHECK(route->consistency == Consistency::kOwnWrites);
+  CHECK(route->max_staleness == 2500ms);
+  CHECK(route->statement_timeout == 800ms);
+  CHECK(route->rank == 1);
+  CHECK(table.services.at("s").max_connections == 23);
+  CHECK(table.services.at("s").synchronous_replicas == 1);
+  CHECK(table.transaction_idle_limit == 3s);
+  CHECK(table.Find("fit") == nullptr);
+}
+
+TEST_CASE("routes that cannot be read are an error, or a daemon serves half a table") {
+  for (const char* text : {"", "{}", R"({"version":1,"routes":[{}],"services":[],"limits":{}})",
+                           R"({"version":1,"routes":[],"services":[]})"}) {
+    INFO(text);
+    StoredObject object;
+    object.value = text;
+    CHECK_THROWS_AS(RegistryObjects().DecodeRoutes(object), std::runtime_error);
+  }
+}
+
+}  // namespace
+}  // namespace poplarmoor::platform
--- /dev/null
+++ b/tests/platform/settings_file_test.cc
@@ -0,0 +1,83 @@
+#include "platform/settings_file.h"
+
+#include <unistd.h>
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+namespace poplarmoor::platform {
+namespace {
+
+constexpr char kValid[] =
+    "node=front-a-1\nrole=session\nip=10.1.0.8\nzone=a\nzones.a=r\nlisten.front=10.1.0.8:8784\n"
+    "listen.readyAddr=10.1.0.8:8785\nportRange=7440,7455\nbounds.graceS=6\n"
+    "bounds.configApplyMs=3000\nbounds.drainMs=7000\nlimits.maxFds=4200\nfuture.field=x=y\n"
+    "platform.address=10.200.1.7:8783\ncloudApi.address=10.200.0.160:8783\n";
+
+// A settings file that is removed with the object.
+class TemporaryFile {
+ public:
+  explicit TemporaryFile(const std::string& text)
+      : path(std::filesystem::temp_directory_path() / "poplarmoor-settings-XXXXXX") {
+    std::string name = this->path.string();
+    const int file = mkstemp(name.data());
+    REQUIRE(file >= 0);
+    close(file);
+    this->path = name;
+    std::ofstream(this->path) << text;
+  }
+  ~TemporaryFile() { std::filesystem::remove(this->path); }
+
+  std::filesystem::path path;
+};
+
+ProcessSettings Read(const std::string& text) {
+  const TemporaryFile file(text);
+  return ReadSettings(file.path);
+}
+
+std::string With(const std::string& field, const std::string& value) {
+  std::string text = kValid;
+  const size_t begin = text.find(field + "=");
+  const size_t end = text.find('\n', begin);
+  return text.replace(begin, end - begin, field + "=" + value);
+}
+
+TEST_CASE("the platform's settings are read, unknown fields ignored") {
+  const ProcessSettings settings = Read(kValid);
+  CHECK(settings.daemon == "front-a-1");
+  CHECK(settings.failure_domain == "a");
+  CHECK(settings.caller_address == "10.1.0.8:8784");
+  CHECK(settings.peer_address == "10.1.0.8:7440");
+  CHECK(settings.metrics_address == "10.1.0.8:7455");
+  CHECK(settings.stop_grace == std::chrono::seconds(6));
+  CHECK(settings.bounds.routes == std::chrono::milliseconds(3000));
+  CHECK(settings.max_descriptors == 4200);
+}
+
+TEST_CASE("a wrong setting is refused with its field and value, or a daemon serves nowhere") {
+  for (const auto& [field, value] : {std::pair<std::string, std::string>{"listen.front", "here"},
+                                     {"node", ""},
+                                     {"portRange", "7440"},
+                                     {"portRange", "9,8"},
+                                     {"bounds.graceS", "-1"},
+                                     {"bounds.graceS", "6s"},
+                                     {"limits.maxFds", "1"},
+                                     {"platform.address", "10.200.1.7"}}) {
+    INFO(field << "=" << value);
+    try {
+      Read(With(field, value));
+      FAIL("accepted");
+    } catch (const std::runtime_error& error) {
+      CHECK(std::string(error.what()).find(field) != std::string::npos);
+      CHECK(std::string(error.what()).find(value) != std::string::npos);
+    }
+  }
+  CHECK_THROWS_AS(ReadSettings("/nonexistent/settings"), std::runtime_error);
+}
+
+}  // namespace
+}  // namespace poplarmoor::platform
--- /dev/null
+++ b/tests/wire/relay_codec_test.cc
@@ -0,0 +1,72 @@
+#include "wire/relay_codec.h"
+
+#include <catch2/catch.hpp>
+
+#include "wire/codec_error.h"
+
+namespace poplarmoor {
+namespace {
+
+TEST_CASE("a relayed statement keeps its session, position and text") {
+  RelayRequest request;
+  request.lease = 7;
+  request.endpoint = "i-1";
+  request.rank = 2;
+  request.transaction = true;
+  request.session = ~uint64_t{0};
+  request.values = {{"a", "1"}};
+  request.has_prepared = true;
+  request.prepared_shape = "q";
+  request.opening = "writable";
+  request.demanded = {3, 9};
+  request.id = "5c0e";
+  request.text = std::string("READ \0x", 7);
+  request.limit_us = 800000;
+  const RelayRequest decoded = DecodeRelayRequest(EncodeRelayRequest(request));
+  CHECK(decoded.lease == 7);
+  CHECK(decoded.transaction);
+  CHECK(decoded.session == request.session);
+  CHECK(decoded.values == request.values);
+  CHECK(decoded.demanded == request.demanded);
+  CHECK(decoded.text == request.text);
+  CHECK(decoded.limit_us == 800000);
+}
+
+TEST_CASE("a relayed answer keeps its rows, signature and evidence") {
+  RelayAnswer answer;
+  answer.outcome = "answered";
+  answer.rows = {"a", "b"};
+  answer.signature = "7.1";
+  answer.position = {3, 10};
+  answer.newest = {3, 11};
+  answer.newest_age_us = 5;
+  const RelayAnswer decoded = DecodeRelayAnswer(EncodeRelayAnswer(answer));
+  CHECK(decoded.rows == answer.rows);
+  CHECK(decoded.signature == "7.1");
+  CHECK(decoded.position == answer.position);
+  CHECK(decoded.newest == answer.newest);
+}
+
+TEST_CASE("malformed messages of peers are an error, not a crash") {
+  const std::string valid = EncodeRelayRequest({});
+  for (size_t size = 0; size < valid.size(); ++size) {
+    CHECK_THROWS_AS(DecodeRelayRequest(std::string_view(valid).substr(0, size)), CodecError);
+  }
+  CHECK_THROWS_AS(DecodeRelayAnswer(valid), CodecError);
+  CHECK_THROWS_AS(DecodeRelayOrder("\xc1"), CodecError);
+  CHECK_THROWS_AS(DecodeSyncObjects("\x93\x01\x02\x03"), CodecError);
+}
+
+TEST_CASE("orders, reports and objects survive the way to a peer") {
+  CHECK(DecodeRelayOrder(EncodeRelayOrder({"i-1", "pause", 4, 300})).term == 4);
+  RelayReport report;
+  report.received = {3, 8};
+  report.held_term = 4;
+  CHECK(DecodeRelayReport(EncodeRelayReport(report)).received == report.received);
+  const auto objects = DecodeSyncObjects(EncodeSyncObjects({{"config", "main", 5, "{}"}}));
+  REQUIRE(objects.size() == 1);
+  CHECK(objects.front().revision == 5);
+}
+
+}  // namespace
+}  // namespace poplarmoor
