--- /dev/null
+++ b/tests/platform/session_test.cc
@@ -0,0 +1,335 @@
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+
+#include "net/address.h"
+#include "platform/line_codec.h"
+#include "session/boot_clock.h"
+#include "session/cluster.h"
+#include "session/group_keeper.h"
+#include "session/promotion_api.h"
+#include "session/session_server.h"
+#include "session/statement_runner.h"
+#include "tests/platform/fake_line_endpoint.h"
+#include "tests/platform/memory_store.h"
+
+namespace poplarmoor::platform {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Promotes at once, as the platform does after its promotion time.
+class FakePromotions : public PromotionApi {
+ public:
+  explicit FakePromotions(FakeGroup* group) : group(group) {}
+
+  asio::awaitable<PromotionOutcome> Promote(std::string,
+                                            std::string endpoint,
+                                            uint64_t token) override {
+    this->tokens.push_back(token);
+    this->group->primary = endpoint;
+    ++this->group->term;
+    co_return PromotionOutcome::kAccepted;
+  }
+
+  FakeGroup* group;
+  std::vector<uint64_t> tokens;
+};
+
+// One daemon before a group of three endpoints; the test's own code is its caller.
+class Fixture {
+ public:
+  Fixture()
+      : cluster(this->context.get_executor(), &this->codec, "d1", "fd1"),
+        runner(&this->cluster, &this->codec),
+        promotions(&this->group),
+        keeper(this->context.get_executor(), &this->cluster, &this->store, &this->promotions, "d1"),
+        server(this->context.get_executor(), &this->cluster, &this->runner, &this->codec) {
+    this->group.primary = "p";
+    for (const char* id : {"p", "a", "b"}) {
+      this->endpoints.push_back(
+          std::make_unique<FakeLineEndpoint>(this->context.get_executor(), id, &this->group));
+      this->Register(*this->endpoints.back());
+    }
+    RouteTable table;
+    table.version = 1;
+    table.services["ledger"] = {"ledger", 40, 1};
+    for (const auto& [database, consistency] :
+         {std::pair<std::string, Consistency>{"orders", Consistency::kPrimary},
+          {"lookups", Consistency::kBounded},
+          {"counts", Consistency::kOwnWrites}}) {
+      DatabaseRoute route;
+      route.name = route.database = database;
+      route.service = "ledger";
+      route.consistency = consistency;
+      route.max_staleness = 60s;  // No test depends on the speed of the machine.
+      route.statement_timeout = 20s;
+      table.routes[database] = route;
+    }
+    this->cluster.ApplyRoutes(table);
+    tcp::acceptor probe(this->context, tcp::endpoint(tcp::v4(), 0));
+    this->address = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    probe.close();
+    this->server.Listen(this->address, 100);
+  }
+
+  void Register(const FakeLineEndpoint& endpoint) {
+    EndpointRecord record;
+    record.id = endpoint.id;
+    record.service = "ledger";
+    record.address = endpoint.address();
+    record.failure_domain = "fd1";
+    record.slots = 3;
+    record.claims_primary = endpoint.id == this->group.primary;
+    record.revision = ++this->store.revision;
+    this->cluster.ApplyEndpoint(record);
+  }
+
+  // Runs the io_context until the condition holds.
+  template <typename Condition>
+  void RunUntil(Condition condition) {
+    const TimePoint limit = BootNow() + 60s;
+    bool holds = condition();
+    while (!holds && BootNow() < limit) {
+      this->context.run_one_for(std::chrono::milliseconds(20));
+      holds = condition();
+    }
+    REQUIRE(holds);
+  }
+
+  asio::io_context context{1};
+  LineCodec codec;
+  FakeGroup group;
+  MemoryStore store;
+  Cluster cluster;
+  StatementRunner runner;
+  FakePromotions promotions;
+  GroupKeeper keeper;
+  SessionServer server;
+  std::vector<std::unique_ptr<FakeLineEndpoint>> endpoints;
+  std::string address;
+};
+
+// A caller's connection.
+class Caller {
+ public:
+  Caller(Fixture* fixture, const std::string& database)
+      : fixture(fixture), socket(fixture->context) {
+    this->socket.connect(ParseAddress(fixture->address));
+    this->Send("OPEN " + database + " caller");
+  }
+
+  void Send(const std::string& line) { asio::write(this->socket, asio::buffer(line + "\r\n")); }
+
+  // Reads up to the READY line; the text without it, or what came before the close.
+  std::string Receive() {
+    bool closed = false;
+    std::string answer;
+    this->fixture->RunUntil([&] {
+      const size_t ready = this->buffer.find("READY ");
+      const size_t end = ready == std::string::npos ? ready : this->buffer.find("\r\n", ready);
+      if (end != std::string::npos) {
+        this->state = this->buffer.substr(ready + 6, 1);
+        answer = this->buffer.substr(0, ready);
+        this->buffer.erase(0, end + 2);
+        return true;
+      }
+      if (closed) {
+        answer = this->buffer;
+        return true;
+      }
+      char bytes[4096];
+      boost::system::error_code error;
+      this->socket.non_blocking(true);
+      const size_t size = this->socket.read_some(asio::buffer(bytes), error);
+      this->buffer.append(bytes, size);
+      closed = error && error != asio::error::would_block;
+      return false;
+    });
+    return answer;
+  }
+
+  std::string Query(const std::string& text) {
+    this->Send("QUERY q" + std::to_string(++this->number) + " " + text);
+    return this->Receive();
+  }
+
+  void Close() { this->socket.close(); }
+
+  Fixture* fixture;
+  tcp::socket socket;
+  std::string buffer;
+  std::string state;
+  int number = 0;
+};
+
+TEST_CASE("two sessions with the same names keep their values and statements apart") {
+  Fixture fixture;
+  Caller one(&fixture, "orders");
+  Caller two(&fixture, "orders");
+  CHECK(one.Receive().empty());
+  CHECK(two.Receive().empty());
+  one.Query("SET role clerk");
+  two.Query("SET role manager");
+  one.Query("PREPARE s READ alpha");
+  two.Query("PREPARE s READ beta");
+  for (int round = 0; round < 5; ++round) {
+    CHECK(one.Query("EXECUTE s 1").find("COMPLETE signed.") != std::string::npos);
+    CHECK(two.Query("EXECUTE s 1").find("COMPLETE signed.") != std::string::npos);
+  }
+  REQUIRE(fixture.group.executed.size() == 10);
+  for (size_t i = 0; i < 10; ++i) {
+    const ExecutedStatement& statement = fixture.group.executed[i];
+    CHECK(statement.values.at("role") == (i % 2 == 0 ? "clerk" : "manager"));
+    CHECK(statement.text.starts_with(i % 2 == 0 ? "READ alpha" : "READ beta"));
+  }
+}
+
+TEST_CASE("a primary route never reads at an endpoint that has lost the lead") {
+  Fixture fixture;
+  Caller caller(&fixture, "orders");
+  caller.Receive();
+  CHECK(caller.Query("READ 1").starts_with("ROW data"));
+  fixture.group.primary = "b";
+  ++fixture.group.term;
+  fixture.keeper.Start();
+  CHECK(caller.Query("READ 2").starts_with("ROW data"));
+  for (const ExecutedStatement& statement : fixture.group.executed) {
+    CHECK(statement.as_primary);
+  }
+}
+
+TEST_CASE("bounded reads run at replicas, and at the primary when all replicas are behind") {
+  Fixture fixture;
+  Caller caller(&fixture, "lookups");
+  caller.Receive();
+  caller.Query("READ 0");  // The first one brings the evidence.
+  CHECK(caller.Query("READ 1").starts_with("ROW data"));
+  CHECK_FALSE(fixture.group.executed.back().as_primary);
+  fixture.endpoints[1]->lacks_positions = true;
+  fixture.endpoints[2]->lacks_positions = true;
+  CHECK(caller.Query("READ 2").starts_with("ROW data"));
+  CHECK(fixture.group.executed.back().as_primary);
+}
+
+TEST_CASE("a transaction stays on one connection, and a caller that leaves rolls it back") {
+  Fixture fixture;
+  Caller caller(&fixture, "counts");
+  caller.Receive();
+  caller.Query("BEGIN");
+  CHECK(caller.state == "T");
+  caller.Query("WRITE 1 x");
+  caller.Query("READ 1");
+  CHECK(caller.state == "T");
+  CHECK(fixture.group.executed.size() == 2);
+  CHECK(fixture.group.executed[0].in_transaction);
+  CHECK(fixture.group.executed[1].in_transaction);
+  caller.Close();
+  fixture.RunUntil([&] { return fixture.endpoints[0]->rolled_back == 1; });
+  CHECK(fixture.group.executed.size() == 2);
+}
+
+TEST_CASE("a write whose answer is cut is in doubt and runs once; a read is repeated elsewhere") {
+  Fixture fixture;
+  Caller caller(&fixture, "counts");
+  caller.Receive();
+  fixture.endpoints[0]->cut_answers = {"WRITE"};
+  CHECK(caller.Query("WRITE 1 x").starts_with("ERROR INDOUBT"));
+  CHECK(fixture.group.executed.size() == 1);
+  CHECK(caller.Query("READ 1").starts_with("ROW data"));
+  fixture.endpoints[1]->cut_answers = {"WAITPOS"};
+  fixture.endpoints[2]->cut_answers = {"WAITPOS"};
+  CHECK(caller.Query("READ 2").starts_with("ROW data"));
+}
+
+TEST_CASE(
+    "a commit whose answer is cut is in doubt; an earlier loss promises that nothing is kept") {
+  Fixture fixture;
+  Caller caller(&fixture, "counts");
+  caller.Receive();
+  caller.Query("BEGIN");
+  caller.Query("WRITE 1 x");
+  fixture.endpoints[0]->cut_answers = {"COMMIT"};
+  CHECK(caller.Query("COMMIT").starts_with("ERROR INDOUBT"));
+  CHECK(caller.state == "I");
+  caller.Query("BEGIN");
+  caller.Query("WRITE 1 x");
+  fixture.endpoints[0]->cut_answers = {"READ"};
+  CHECK(caller.Query("READ 1").starts_with("ERROR ABORTED"));
+  CHECK(caller.state == "E");
+  CHECK(caller.Query("READ 1").starts_with("ERROR MALFORMED"));
+  CHECK(caller.Query("ROLLBACK").starts_with("COMPLETE -"));
+  CHECK(caller.state == "I");
+}
+
+TEST_CASE("a lost primary is replaced and the waiting write runs once at the new one") {
+  Fixture fixture;
+  fixture.keeper.Start();
+  Caller caller(&fixture, "orders");
+  caller.Receive();
+  CHECK(caller.Query("WRITE 1 x").starts_with("COMPLETE signed."));
+  fixture.endpoints[0]->Crash();
+  fixture.group.primary.clear();
+  CHECK(caller.Query("WRITE 2 y").starts_with("COMPLETE signed."));
+  REQUIRE(fixture.promotions.tokens.size() == 1);
+  CHECK(fixture.group.executed.size() == 2);
+  // All members but the promoted one were paused.
+  CHECK((fixture.endpoints[1]->held_term != 0) != (fixture.endpoints[2]->held_term != 0));
+}
+
+TEST_CASE("bad input of callers is an error or a close, and other sessions go on") {
+  Fixture fixture;
+  Caller unknown(&fixture, "nothing");
+  CHECK(unknown.Receive().starts_with("ERROR UNKDB"));
+  Caller caller(&fixture, "orders");
+  caller.Receive();
+  CHECK(caller.Query("DROP everything").starts_with("ERROR MALFORMED"));
+  CHECK(caller.Query("EXECUTE nothing 1").starts_with("ERROR UNKSTMT"));
+  CHECK(caller.Query("COMMIT").starts_with("ERROR MALFORMED"));
+  Caller oversized(&fixture, "orders");
+  oversized.Receive();
+  oversized.socket.non_blocking(true);
+  const std::string block(1 << 16, 'x');
+  size_t sent = 0;
+  fixture.RunUntil([&] {
+    boost::system::error_code error;
+    sent += oversized.socket.write_some(asio::buffer(block), error);
+    return sent > (1 << 20) + 100 || (error && error != asio::error::would_block);
+  });
+  CHECK(oversized.Receive().starts_with("ERROR OVERSIZE"));
+  Caller half(&fixture, "orders");
+  half.Receive();
+  asio::write(half.socket, asio::buffer(std::string("QUERY q1 REA")));
+  half.Close();
+  CHECK(caller.Query("READ 1").starts_with("ROW data"));
+}
+
+TEST_CASE("hundreds of idle sessions hold no connection to an endpoint") {
+  Fixture fixture;
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int i = 0; i < 90; ++i) {
+    callers.push_back(std::make_unique<Caller>(&fixture, "orders"));
+    callers.back()->Receive();
+  }
+  CHECK(fixture.server.size() == 90);
+  CHECK(fixture.endpoints[0]->opened == 0);
+}
+
+TEST_CASE("draining closes idle sessions and lets a transaction finish") {
+  Fixture fixture;
+  Caller idle(&fixture, "orders");
+  Caller busy(&fixture, "orders");
+  idle.Receive();
+  busy.Receive();
+  busy.Query("BEGIN");
+  busy.Query("WRITE 1 x");
+  fixture.server.Drain();
+  fixture.RunUntil([&] { return fixture.server.size() == 1; });
+  CHECK(busy.Query("COMMIT").starts_with("COMPLETE signed."));
+  fixture.RunUntil([&] { return fixture.server.size() == 0; });
+}
+
+}  // namespace
+}  // namespace poplarmoor::platform
