--- a/kernel/gateway_plan.cc
+++ b/kernel/gateway_plan.cc
@@ -14,6 +14,11 @@
 constexpr uint32_t kConnectionsPerGateway = 4;
 constexpr uint32_t kMinGateways = 2;  // The loss of one leaves the endpoint reachable.
 
+// Up to this size every daemon watches the store, which spares a second step of each change.
+constexpr size_t kMaxWatchingFleet = 16;
+constexpr size_t kWatchersPerDomain = 3;  // The loss of two leaves the domain informed.
+constexpr char kWatchKey[] = "watch";
+
 uint32_t GatewayCount(uint32_t connections) {
   return std::max(connections / kConnectionsPerGateway, kMinGateways);
 }
@@ -73,6 +78,31 @@
                      [this](const Peer& peer) { return peer.daemon == this->self; });
 }
 
+std::vector<Peer> GatewayPlan::Watchers() const {
+  std::string domain;
+  for (const Peer& peer : this->live_peers) {
+    domain = peer.daemon == this->self ? peer.failure_domain : domain;
+  }
+  std::vector<Peer> watchers;
+  for (const Peer& peer : this->live_peers) {
+    if (peer.failure_domain == domain) {
+      watchers.push_back(peer);
+    }
+  }
+  SortByScore(&watchers, kWatchKey);
+  watchers.resize(std::min<size_t>(watchers.size(), kWatchersPerDomain));
+  return watchers;
+}
+
+bool GatewayPlan::IsWatcher() const {
+  if (this->live_peers.size() <= kMaxWatchingFleet) {
+    return true;
+  }
+  const std::vector<Peer> watchers = this->Watchers();
+  return std::any_of(watchers.begin(), watchers.end(),
+                     [this](const Peer& peer) { return peer.daemon == this->self; });
+}
+
 uint32_t GatewayPlan::ShareOf(uint32_t connections) const {
   if (this->EveryoneConnects(connections)) {
     return std::max<uint32_t>(connections / static_cast<uint32_t>(this->live_peers.size()), 1);
--- a/kernel/gateway_plan.h
+++ b/kernel/gateway_plan.h
@@ -37,6 +37,13 @@
                  const std::string& failure_domain,
                  uint32_t connections) const;
 
+  /// @returns Whether this daemon watches the store itself. In a large fleet a few daemons of each
+  ///     failure domain do, because the store's call rate grows more slowly than the fleet.
+  bool IsWatcher() const;
+
+  /// @returns The daemons of this daemon's failure domain that watch the store.
+  std::vector<Peer> Watchers() const;
+
   /// @returns Connections of one gateway.
   uint32_t ShareOf(uint32_t connections) const;
 
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -16,6 +16,7 @@
 #include "session/registry_codec.h"
 #include "session/takeover_claim.h"
 #include "telemetry/log.h"
+#include "wire/relay_codec.h"
 
 namespace poplarmoor {
 
@@ -34,12 +35,15 @@
 // The daemon count changes rarely and only shifts the connection shares.
 constexpr Duration kCountInterval = 15s;
 // An entry that has not been renewed for this time belongs to a daemon that is gone.
-constexpr Duration kDaemonLapse = 50s;
+constexpr int kLapseIntervals = 3;
 // The first listings after a start miss daemons that start at the same time.
 constexpr std::array<Duration, 3> kFirstCounts{1s, 2s, 4s};
-// While the store cannot be reached, a peer is asked this often.
-constexpr Duration kPeerSyncInterval = 300ms;
-constexpr std::chrono::milliseconds kPeerSyncLimit{250};
+// A daemon that does not watch the store asks a watcher again after this time, so that it soon
+// notices a watcher that is gone.
+constexpr Duration kPeerWait = 1s;
+constexpr Duration kPeerAnswerLimit = 250ms;  // Beyond the wait.
+// In a large fleet the entries are renewed less often, which bounds the store's writes.
+constexpr Duration kCountIntervalPerDaemon = 400ms;
 
 std::chrono::milliseconds WaitFor(std::chrono::milliseconds bound) {
   return std::chrono::milliseconds(static_cast<int64_t>(bound.count() * kWaitPerBound));
@@ -55,71 +59,176 @@
     : store(store), registry(registry), cluster(cluster), self(std::move(self)), bounds(bounds) {}
 
 void StoreSync::Start(asio::any_io_executor executor) {
-  asio::co_spawn(
-      executor,
-      this->Follow(this->registry->routes_kind(), WaitFor(this->bounds.routes),
-                   [this](const StoreSnapshot& snapshot, bool) { this->ApplyRoutes(snapshot); }),
-      asio::detached);
-  asio::co_spawn(executor,
-                 this->Follow(this->registry->endpoint_kind(), WaitFor(this->bounds.endpoints),
-                              [this](const StoreSnapshot& snapshot, bool complete) {
-                                this->ApplyEndpoints(snapshot, complete);
-                              }),
-                 asio::detached);
-  asio::co_spawn(
-      executor,
-      this->Follow(kTakeoverKind, kUnboundedWait,
-                   [this](const StoreSnapshot& snapshot, bool) { this->ApplyClaims(snapshot); }),
-      asio::detached);
+  const auto follow = [this, executor](std::string name, std::chrono::milliseconds wait,
+                                       Apply apply) {
+    auto kind = std::make_shared<Kind>(name, wait, std::move(apply), WaitList(executor));
+    this->kinds[name] = kind;
+    asio::co_spawn(executor, this->Follow(std::move(kind)), asio::detached);
+  };
+  follow(this->registry->routes_kind(), WaitFor(this->bounds.routes),
+         [this](const StoreSnapshot& snapshot, bool) { this->ApplyRoutes(snapshot); });
+  follow(this->registry->endpoint_kind(), WaitFor(this->bounds.endpoints),
+         [this](const StoreSnapshot& snapshot, bool complete) {
+           this->ApplyEndpoints(snapshot, complete);
+         });
+  follow(kTakeoverKind, kUnboundedWait,
+         [this](const StoreSnapshot& snapshot, bool) { this->ApplyClaims(snapshot); });
   asio::co_spawn(executor, this->CountDaemons(), asio::detached);
-  asio::co_spawn(executor, this->SyncWithPeers(), asio::detached);
 }
 
-asio::awaitable<void> StoreSync::Follow(std::string kind,
-                                        std::chrono::milliseconds wait,
-                                        Apply apply) {
-  RandomEngine random(std::random_device{}());
-  uint64_t revision = 0;
+// -----------------------------------------------------------------------------
+// Following changes
+
+asio::awaitable<void> StoreSync::Follow(std::shared_ptr<Kind> kind) {
   Duration retry = kFirstRetry;
-  bool reachable = true;
   for (;;) {
-    std::string cause;
-    try {
-      const bool complete = revision == 0;
-      StoreSnapshot snapshot;
-      if (complete) {
-        snapshot = co_await this->store->List(kind, false);
-      } else {
-        snapshot = co_await this->store->Watch(kind, revision, wait);
-      }
-      revision = snapshot.revision;
-      if (!reachable) {
-        Log(LogLevel::kInfo, "store regained", {{"kind", kind}, {"revision", revision}});
+    bool succeeded = false;
+    const GatewayPlan& plan = this->cluster->relays().plan();
+    const bool has_peers = this->cluster->relays().peers() != nullptr && plan.size() > 1;
+    if (has_peers && !plan.IsWatcher()) {
+      for (const Peer& watcher : plan.Watchers()) {
+        succeeded = co_await this->FollowPeer(kind, watcher, kPeerWait);
+        if (succeeded) {
+          break;
+        }
       }
-      reachable = true;
-      this->store_reachable = true;
+    }
+    if (!succeeded) {
+      succeeded = co_await this->FollowStore(kind);
+    }
+    if (succeeded) {
+      kind->reachable = true;
       retry = kFirstRetry;
-      this->Remember(kind, snapshot);
-      apply(snapshot, complete);
       continue;
-    } catch (const StoreError& error) {
-      cause = error.what();
-      if (error.failure == StoreFailure::kHistoryGone) {
-        revision = 0;
-        Log(LogLevel::kInfo, "store history gone, listing again", {{"kind", kind}});
-        continue;
-      }
     }
-    if (reachable) {
-      Log(LogLevel::kWarn, "store lost", {{"kind", kind}, {"cause", cause}});
+    kind->reachable = false;
+    if (has_peers) {
+      // Another daemon may still reach the store.
+      const std::vector<Peer> peers = plan.peers();
+      const Peer peer = peers[RandomBelow(&this->random, peers.size())];
+      if (peer.daemon != this->self.daemon) {
+        co_await this->FollowPeer(kind, peer, Duration{});
+      }
     }
-    reachable = false;
-    this->store_reachable = false;
-    co_await Pause(retry + RandomDuration(&random, retry));
+    co_await Pause(retry + RandomDuration(&this->random, retry));
     retry = std::min(retry * 2, kMaxRetry);
   }
 }
 
+asio::awaitable<bool> StoreSync::FollowStore(std::shared_ptr<Kind> kind) {
+  std::string cause;
+  try {
+    const bool complete = kind->revision == 0;
+    StoreSnapshot snapshot;
+    if (complete) {
+      snapshot = co_await this->store->List(kind->name, false);
+    } else {
+      snapshot = co_await this->store->Watch(kind->name, kind->revision, kind->wait);
+    }
+    if (!kind->reachable) {
+      Log(LogLevel::kInfo, "store regained",
+          {{"kind", kind->name}, {"revision", snapshot.revision}});
+    }
+    this->Merge(kind.get(), snapshot, complete);
+    co_return true;
+  } catch (const StoreError& error) {
+    if (error.failure == StoreFailure::kHistoryGone) {
+      Log(LogLevel::kInfo, "store history gone, listing again", {{"kind", kind->name}});
+      kind->revision = 0;
+      co_return true;
+    }
+    cause = error.what();
+  }
+  if (kind->reachable) {
+    Log(LogLevel::kWarn, "store lost", {{"kind", kind->name}, {"cause", cause}});
+  }
+  co_return false;
+}
+
+void StoreSync::Merge(Kind* kind, const StoreSnapshot& snapshot, bool complete) {
+  if (complete) {
+    kind->objects.clear();
+    kind->listed_at = snapshot.revision;
+  }
+  for (const StoredObject& object : snapshot.objects) {
+    StoredObject& known = kind->objects[object.name];
+    known = object;
+    if (object.deleted) {
+      known.value.clear();
+      known.revision = snapshot.revision;
+    }
+  }
+  kind->revision = std::max(kind->revision, snapshot.revision);
+  kind->apply(snapshot, complete);
+  if (complete || !snapshot.objects.empty()) {
+    kind->changed.NotifyAll();
+  }
+}
+
+asio::awaitable<bool> StoreSync::FollowPeer(std::shared_ptr<Kind> kind, Peer peer, Duration wait) {
+  SyncRequest request;
+  request.kind = kind->name;
+  request.since = kind->revision;
+  request.wait_us = static_cast<uint64_t>(wait.count());
+  std::string body = EncodeSyncRequest(request);
+  PeerMessage question(kSyncMessage, std::move(body));
+  try {
+    const PeerMessage message = co_await this->cluster->relays().peers()->Call(
+        peer.address, std::move(question),
+        std::chrono::milliseconds(ToMillis(wait + kPeerAnswerLimit)));
+    const SyncAnswer answer = DecodeSyncAnswer(message.body);
+    StoreSnapshot snapshot;
+    snapshot.revision = answer.revision;
+    for (const SyncObject& object : answer.objects) {
+      snapshot.objects.push_back({object.name, object.revision, object.value, object.deleted});
+    }
+    if (answer.revision > kind->revision) {
+      this->Merge(kind.get(), snapshot, answer.complete);
+      if (!answer.reachable) {
+        Log(LogLevel::kInfo, "learnt from a peer without the store",
+            {{"peer", peer.daemon}, {"kind", kind->name}, {"revision", answer.revision}});
+      }
+    }
+    co_return answer.reachable;
+  } catch (const std::runtime_error& error) {
+    Log(LogLevel::kInfo, "peer did not tell of changes",
+        {{"peer", peer.daemon}, {"kind", kind->name}, {"cause", error.what()}});
+  }
+  co_return false;
+}
+
+void StoreSync::Attach(PeerNetwork* network) {
+  network->SetHandler(kSyncMessage, [this](std::string, PeerMessage message) {
+    return this->OnSync(std::move(message));
+  });
+}
+
+asio::awaitable<PeerMessage> StoreSync::OnSync(PeerMessage message) {
+  const SyncRequest request = DecodeSyncRequest(message.body);
+  SyncAnswer answer;
+  const auto found = this->kinds.find(request.kind);
+  if (found != this->kinds.end()) {
+    const std::shared_ptr<Kind> kind = found->second;
+    const TimePoint limit = BootNow() + Duration(static_cast<int64_t>(request.wait_us));
+    while (kind->reachable && kind->revision <= request.since && BootNow() < limit) {
+      co_await kind->changed.Wait(limit - BootNow());
+    }
+    answer.reachable = kind->reachable && kind->revision != 0;
+    answer.revision = kind->revision;
+    answer.complete = request.since < kind->listed_at;
+    for (const auto& [name, object] : kind->objects) {
+      if (answer.complete ? !object.deleted : object.revision > request.since) {
+        answer.objects.push_back({name, object.revision, object.value, object.deleted});
+      }
+    }
+  }
+  std::string body = EncodeSyncAnswer(answer);
+  co_return PeerMessage(kSyncMessage, std::move(body));
+}
+
+// -----------------------------------------------------------------------------
+// Applying changes
+
 void StoreSync::ApplyRoutes(const StoreSnapshot& snapshot) {
   for (const StoredObject& object : snapshot.objects) {
     if (object.name != this->registry->routes_name() || object.deleted) {
@@ -184,9 +293,12 @@
   };
   std::map<std::string, Seen> seen;
   TimePoint renewed;
+  Duration interval = kCountInterval;
   for (uint64_t round = 0; !this->leaving; ++round) {
     try {
-      if (round == 0 || BootNow() - renewed >= kCountInterval) {
+      const size_t fleet = this->cluster->relays().plan().size();
+      interval = std::max<Duration>(kCountInterval, fleet * kCountIntervalPerDaemon);
+      if (round == 0 || BootNow() - renewed >= interval) {
         std::string entry = EncodeDaemonEntry(this->self, round);
         co_await this->store->Set(kDaemonKind, this->self.daemon, std::move(entry));
         renewed = BootNow();
@@ -199,7 +311,7 @@
         if (entry.revision != object.revision) {
           entry = {object.revision, now};
         }
-        if (now - entry.since < kDaemonLapse) {
+        if (now - entry.since < kLapseIntervals * interval) {
           live.push_back(DecodeDaemonEntry(object.name, object.value));
         }
       }
@@ -207,72 +319,7 @@
     } catch (const std::runtime_error& error) {
       Log(LogLevel::kInfo, "daemons not counted", {{"cause", error.what()}});
     }
-    co_await Pause(round < kFirstCounts.size() ? kFirstCounts[round] : kCountInterval);
-  }
-}
-
-void StoreSync::Remember(const std::string& kind, const StoreSnapshot& snapshot) {
-  for (const StoredObject& object : snapshot.objects) {
-    const std::string key = kind + "/" + object.name;
-    if (object.deleted) {
-      this->known.erase(key);
-    } else if (this->known[key].revision <= object.revision) {
-      this->known[key] = {kind, object.name, object.revision, object.value};
-    }
-  }
-}
-
-void StoreSync::Attach(PeerNetwork* network) {
-  network->SetHandler(kSyncMessage,
-                      [this](std::string, PeerMessage) -> asio::awaitable<PeerMessage> {
-                        std::vector<SyncObject> objects;
-                        for (const auto& [key, object] : this->known) {
-                          objects.push_back(object);
-                        }
-                        std::string body = EncodeSyncObjects(objects);
-                        co_return PeerMessage(kSyncMessage, std::move(body));
-                      });
-}
-
-asio::awaitable<void> StoreSync::SyncWithPeers() {
-  RandomEngine random(std::random_device{}());
-  for (;;) {
-    co_await Pause(kPeerSyncInterval);
-    PeerNetwork* network = this->cluster->relays().peers();
-    const std::vector<Peer>& peers = this->cluster->relays().plan().peers();
-    if (this->store_reachable || network == nullptr || peers.size() < 2) {
-      continue;
-    }
-    const Peer peer = peers[RandomBelow(&random, peers.size())];
-    if (peer.daemon == this->self.daemon) {
-      continue;
-    }
-    try {
-      PeerMessage question(kSyncMessage, std::string());
-      const PeerMessage answer =
-          co_await network->Call(peer.address, std::move(question), kPeerSyncLimit);
-      std::map<std::string, StoreSnapshot> news;
-      for (SyncObject& object : DecodeSyncObjects(answer.body)) {
-        const auto own = this->known.find(object.kind + "/" + object.name);
-        if (own == this->known.end() || own->second.revision < object.revision) {
-          news[object.kind].objects.push_back({object.name, object.revision, object.value, false});
-        }
-      }
-      for (const auto& [kind, snapshot] : news) {
-        this->Remember(kind, snapshot);
-        Log(LogLevel::kInfo, "learnt from a peer",
-            {{"peer", peer.daemon}, {"kind", kind}, {"objects", snapshot.objects.size()}});
-        if (kind == this->registry->routes_kind()) {
-          this->ApplyRoutes(snapshot);
-        } else if (kind == this->registry->endpoint_kind()) {
-          this->ApplyEndpoints(snapshot, false);
-        } else if (kind == kTakeoverKind) {
-          this->ApplyClaims(snapshot);
-        }
-      }
-    } catch (const std::runtime_error& error) {
-      Log(LogLevel::kDebug, "peer not asked", {{"peer", peer.daemon}, {"cause", error.what()}});
-    }
+    co_await Pause(round < kFirstCounts.size() ? kFirstCounts[round] : interval);
   }
 }
 
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -6,19 +6,21 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 #include "kernel/gateway_plan.h"
+#include "kernel/random.h"
+#include "session/object_store.h"
 #include "session/process_settings.h"
-#include "wire/relay_codec.h"
+#include "session/wait_list.h"
 
 namespace poplarmoor {
 
 class Cluster;
-class ObjectStore;
 class PeerNetwork;
+struct PeerMessage;
 class RegistryCodec;
-struct StoreSnapshot;
 
 /// Keeps the cluster's routes, endpoints, takeover claims and daemon count in step with the store.
 class StoreSync {
@@ -45,12 +47,27 @@
   // Applies a whole listing (`complete`) or changes.
   using Apply = std::function<void(const StoreSnapshot& snapshot, bool complete)>;
 
-  boost::asio::awaitable<void> Follow(std::string kind,
-                                      std::chrono::milliseconds wait,
-                                      Apply apply);
+  // What this daemon knows of one kind of objects.
+  struct Kind {
+    Kind(std::string name, std::chrono::milliseconds wait, Apply apply, WaitList changed)
+        : name(std::move(name)), wait(wait), apply(std::move(apply)), changed(std::move(changed)) {}
+
+    std::string name;
+    std::chrono::milliseconds wait;  // Longest wait of a watch.
+    Apply apply;
+    WaitList changed;
+    std::map<std::string, StoredObject> objects;  // With those that were deleted, by name.
+    uint64_t revision = 0;   // Up to which the objects are known; 0: not at all.
+    uint64_t listed_at = 0;  // Deletions before this revision are not known.
+    bool reachable = true;   // The last call to the store or to a watcher succeeded.
+  };
+
+  boost::asio::awaitable<void> Follow(std::shared_ptr<Kind> kind);
+  boost::asio::awaitable<bool> FollowStore(std::shared_ptr<Kind> kind);
+  boost::asio::awaitable<bool> FollowPeer(std::shared_ptr<Kind> kind, Peer peer, Duration wait);
+  boost::asio::awaitable<PeerMessage> OnSync(PeerMessage message);
+  void Merge(Kind* kind, const StoreSnapshot& snapshot, bool complete);
   boost::asio::awaitable<void> CountDaemons();
-  boost::asio::awaitable<void> SyncWithPeers();
-  void Remember(const std::string& kind, const StoreSnapshot& snapshot);
   void ApplyRoutes(const StoreSnapshot& snapshot);
   void ApplyEndpoints(const StoreSnapshot& snapshot, bool complete);
   void ApplyClaims(const StoreSnapshot& snapshot);
@@ -60,8 +77,8 @@
   Cluster* cluster;
   Peer self;
   ApplyBounds bounds;
-  std::map<std::string, SyncObject> known;  // Newest objects seen, by kind and name.
-  bool store_reachable = true;
+  std::map<std::string, std::shared_ptr<Kind>> kinds;  // By name.
+  RandomEngine random;
   bool leaving = false;
 };
 
--- a/tests/kernel/gateway_plan_test.cc
+++ b/tests/kernel/gateway_plan_test.cc
@@ -72,5 +72,23 @@
   CHECK(plan.GatewaysOf("e", "fd9", 44).size() >= 2);
 }
 
+TEST_CASE("few daemons of a large fleet watch the store, or its call rate is exceeded") {
+  for (const auto& [count, expected] : {std::pair<size_t, size_t>{8, 8}, {90, 9}, {3300, 9}}) {
+    const auto peers = MakePeers(count, 3);
+    size_t watchers = 0;
+    GatewayPlan plan("d0");
+    plan.SetPeers(peers);
+    if (count > 8) {
+      for (const Peer& peer : plan.Watchers()) {
+        CHECK(peer.failure_domain == "fd0");
+      }
+      watchers = plan.Watchers().size() * 3;
+    } else {
+      watchers = plan.IsWatcher() ? count : 0;
+    }
+    CHECK(watchers == expected);
+  }
+}
+
 }  // namespace
 }  // namespace poplarmoor
--- a/tests/wire/relay_codec_test.cc
+++ b/tests/wire/relay_codec_test.cc
@@ -54,7 +54,8 @@
   }
   CHECK_THROWS_AS(DecodeRelayAnswer(valid), CodecError);
   CHECK_THROWS_AS(DecodeRelayOrder("\xc1"), CodecError);
-  CHECK_THROWS_AS(DecodeSyncObjects("\x93\x01\x02\x03"), CodecError);
+  CHECK_THROWS_AS(DecodeSyncAnswer("\x93\x01\x02\x03"), CodecError);
+  CHECK_THROWS_AS(DecodeSyncRequest(valid), CodecError);
 }
 
 TEST_CASE("orders, reports and objects survive the way to a peer") {
@@ -63,9 +64,17 @@
   report.received = {3, 8};
   report.held_term = 4;
   CHECK(DecodeRelayReport(EncodeRelayReport(report)).received == report.received);
-  const auto objects = DecodeSyncObjects(EncodeSyncObjects({{"config", "main", 5, "{}"}}));
-  REQUIRE(objects.size() == 1);
-  CHECK(objects.front().revision == 5);
+  CHECK(DecodeSyncRequest(EncodeSyncRequest({"config", 4, 9})).since == 4);
+  SyncAnswer answer;
+  answer.reachable = true;
+  answer.revision = 6;
+  answer.objects = {{"main", 5, "{}", false}, {"old", 6, "", true}};
+  const SyncAnswer decoded = DecodeSyncAnswer(EncodeSyncAnswer(answer));
+  CHECK(decoded.reachable);
+  CHECK(decoded.revision == 6);
+  REQUIRE(decoded.objects.size() == 2);
+  CHECK(decoded.objects[0].revision == 5);
+  CHECK(decoded.objects[1].deleted);
 }
 
 }  // namespace
--- a/wire/relay_codec.cc
+++ b/wire/relay_codec.cc
@@ -75,7 +75,9 @@
                                bool>;
 using OrderTuple = std::tuple<std::string, std::string, uint64_t, uint64_t>;
 using ReportTuple = std::tuple<std::string, bool, uint64_t, Position, uint64_t>;
-using ObjectTuple = std::tuple<std::string, std::string, uint64_t, std::string>;
+using SyncRequestTuple = std::tuple<std::string, uint64_t, uint64_t>;
+using ObjectTuple = std::tuple<std::string, uint64_t, std::string, bool>;
+using SyncAnswerTuple = std::tuple<bool, bool, uint64_t, std::vector<ObjectTuple>>;
 
 }  // namespace
 
@@ -144,22 +146,36 @@
   return report;
 }
 
-std::string EncodeSyncObjects(const std::vector<SyncObject>& objects) {
-  std::vector<ObjectTuple> tuples;
-  for (const SyncObject& object : objects) {
-    tuples.emplace_back(object.kind, object.name, object.revision, object.value);
+std::string EncodeSyncRequest(const SyncRequest& request) {
+  return PackTuple(SyncRequestTuple(request.kind, request.since, request.wait_us));
+}
+
+SyncRequest DecodeSyncRequest(std::string_view body) {
+  const auto fields = UnpackTuple<SyncRequestTuple>(body, "sync request");
+  SyncRequest request;
+  std::tie(request.kind, request.since, request.wait_us) = fields;
+  return request;
+}
+
+std::string EncodeSyncAnswer(const SyncAnswer& answer) {
+  std::vector<ObjectTuple> objects;
+  for (const SyncObject& object : answer.objects) {
+    objects.emplace_back(object.name, object.revision, object.value, object.deleted);
   }
-  return PackTuple(tuples);
+  return PackTuple(SyncAnswerTuple(answer.reachable, answer.complete, answer.revision, objects));
 }
 
-std::vector<SyncObject> DecodeSyncObjects(std::string_view body) {
-  std::vector<SyncObject> objects;
-  for (const auto& fields : UnpackTuple<std::vector<ObjectTuple>>(body, "store objects")) {
+SyncAnswer DecodeSyncAnswer(std::string_view body) {
+  const auto fields = UnpackTuple<SyncAnswerTuple>(body, "sync answer");
+  SyncAnswer answer;
+  std::vector<ObjectTuple> objects;
+  std::tie(answer.reachable, answer.complete, answer.revision, objects) = fields;
+  for (const ObjectTuple& tuple : objects) {
     SyncObject object;
-    std::tie(object.kind, object.name, object.revision, object.value) = fields;
-    objects.push_back(std::move(object));
+    std::tie(object.name, object.revision, object.value, object.deleted) = tuple;
+    answer.objects.push_back(std::move(object));
   }
-  return objects;
+  return answer;
 }
 
 }  // namespace poplarmoor
--- a/wire/relay_codec.h
+++ b/wire/relay_codec.h
@@ -62,12 +62,27 @@
   uint64_t held_term = 0;
 };
 
+/// Question to a peer for changes of one kind of store objects.
+struct SyncRequest {
+  std::string kind;
+  uint64_t since = 0;    // Revision up to which the sender knows the kind.
+  uint64_t wait_us = 0;  // Longest wait for a change.
+};
+
 /// One object of the store, as a peer knows it.
 struct SyncObject {
-  std::string kind;
   std::string name;
   uint64_t revision = 0;
   std::string value;
+  bool deleted = false;
+};
+
+/// Answer to a SyncRequest.
+struct SyncAnswer {
+  bool reachable = false;  // Whether the peer reaches the store, itself or by way of others.
+  bool complete = false;   // The objects are all of the kind; objects that are missing are gone.
+  uint64_t revision = 0;   // Up to which the peer knows the kind.
+  std::vector<SyncObject> objects;
 };
 
 /// The encodings throw CodecError on malformed input.
@@ -79,7 +94,9 @@
 RelayOrder DecodeRelayOrder(std::string_view body);
 std::string EncodeRelayReport(const RelayReport& report);
 RelayReport DecodeRelayReport(std::string_view body);
-std::string EncodeSyncObjects(const std::vector<SyncObject>& objects);
-std::vector<SyncObject> DecodeSyncObjects(std::string_view body);
+std::string EncodeSyncRequest(const SyncRequest& request);
+SyncRequest DecodeSyncRequest(std::string_view body);
+std::string EncodeSyncAnswer(const SyncAnswer& answer);
+SyncAnswer DecodeSyncAnswer(std::string_view body);
 
 }  // namespace poplarmoor
