--- a/kernel/log_settings.h
+++ b/kernel/log_settings.h
@@ -31,7 +31,7 @@
 struct LogSettings {
   LogLevel level = LogLevel::kInfo;  // Least severe level that is written.
   std::string file;                  // Appended to; empty: stderr.
-  bool standard_output = false;      // Without a file: stdout instead of stderr.
+  bool standard_output = false;      // Without a file: stdout, bounded and without blocking.
   LogFormat format = LogFormat::kJson;
   bool spans = true;  // Write a line for each finished span.
 };
--- a/session/group_keeper.cc
+++ b/session/group_keeper.cc
@@ -11,6 +11,7 @@
 #include "session/object_store.h"
 #include "session/promotion_api.h"
 #include "telemetry/log.h"
+#include "telemetry/metrics.h"
 
 namespace poplarmoor {
 
@@ -58,11 +59,13 @@
                          Cluster* cluster,
                          ObjectStore* store,
                          PromotionApi* promotions,
+                         Metrics* metrics,
                          std::string daemon)
     : executor(std::move(executor)),
       cluster(cluster),
       store(store),
       promotions(promotions),
+      metrics(metrics),
       daemon(std::move(daemon)),
       random(std::random_device{}()) {}
 
@@ -438,6 +441,7 @@
          {"token", token},
          {"outcome", kPromotionOutcomeNames.NameOf(outcome)}});
   }
+  this->metrics->Add(Metric::kPromotions, {group->name, kPromotionOutcomeNames.NameOf(outcome)});
   if (outcome != PromotionOutcome::kAccepted) {
     co_return false;
   }
@@ -462,6 +466,8 @@
       const EndpointReport report =
           co_await pool->Order(EndpointOrder::kStatus, 0, kOrderLimit, false);
       if (report.is_primary) {
+        const TimePoint since = group->outage_since.value_or(BootNow());
+        this->metrics->Observe(Metric::kFailoverSeconds, {group->name}, BootNow() - since);
         group->SetPrimary(endpoint, report.term, "promotion");
         break;
       }
--- a/session/group_keeper.h
+++ b/session/group_keeper.h
@@ -15,18 +15,20 @@
 namespace poplarmoor {
 
 class Cluster;
+class Metrics;
 class ObjectStore;
 class PromotionApi;
 
 /// Watches the endpoints, finds primaries and replaces those that are lost or leave.
 class GroupKeeper {
  public:
-  /// @param cluster,store,promotions Must outlive this object.
+  /// @param cluster,store,promotions,metrics Must outlive this object.
   /// @param daemon Name of this daemon.
   GroupKeeper(boost::asio::any_io_executor executor,
               Cluster* cluster,
               ObjectStore* store,
               PromotionApi* promotions,
+              Metrics* metrics,
               std::string daemon);
 
   void Start();
@@ -54,6 +56,7 @@
   Cluster* cluster;
   ObjectStore* store;
   PromotionApi* promotions;
+  Metrics* metrics;
   std::string daemon;
   RandomEngine random;
   bool stopping = false;
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -20,6 +20,7 @@
 #include "session/statement_runner.h"
 #include "session/store_sync.h"
 #include "telemetry/log.h"
+#include "telemetry/metrics.h"
 
 namespace poplarmoor {
 
@@ -39,6 +40,7 @@
 constexpr char kPeerKeyName[] = "main";
 constexpr Duration kPeerKeyRetry = 1s;
 constexpr Duration kRelaySweep = 1s;
+constexpr char kMetricsPath[] = "/metrics";
 
 void Rethrow(std::exception_ptr failure) {
   if (failure) {
@@ -53,14 +55,19 @@
         const ProcessSettings& settings,
         const PlatformAdapter& adapter)
       : cluster(executor, adapter.sessions, settings.daemon, settings.failure_domain),
-        runner(&this->cluster, adapter.sessions),
+        runner(&this->cluster, adapter.sessions, adapter.metrics),
         sync(adapter.store,
              adapter.registry,
              &this->cluster,
              Peer{settings.daemon, settings.peer_address, settings.failure_domain},
              settings.bounds),
         relay_server(executor, &this->cluster),
-        keeper(executor, &this->cluster, adapter.store, adapter.promotions, settings.daemon),
+        keeper(executor,
+               &this->cluster,
+               adapter.store,
+               adapter.promotions,
+               adapter.metrics,
+               settings.daemon),
         server(executor, &this->cluster, &this->runner, adapter.sessions) {}
 
   Cluster cluster;
@@ -72,6 +79,7 @@
   std::unique_ptr<KeyRing> peer_keys;
   std::unique_ptr<PeerNetwork> peers;
   std::shared_ptr<HttpServer> readiness;
+  std::shared_ptr<HttpServer> metrics_server;
 };
 
 SessionDaemon::SessionDaemon(asio::io_context* context,
@@ -103,6 +111,7 @@
         co_return response;
       });
   this->parts->readiness->Listen(this->settings.ready_address);
+  this->ListenForMetrics();
   const uint32_t descriptors = this->settings.max_descriptors;
   this->parts->server.Listen(this->settings.caller_address, descriptors > 2 * kReservedDescriptors
                                                                 ? descriptors - kReservedDescriptors
@@ -114,6 +123,38 @@
   asio::co_spawn(*this->context, this->AwaitReload(), Rethrow);
 }
 
+void SessionDaemon::ListenForMetrics() {
+  if (this->settings.metrics_address.empty()) {
+    return;
+  }
+  this->parts->metrics_server = std::make_shared<HttpServer>(
+      this->context->get_executor(),
+      [this](HttpRequest request, ConnectionId) -> asio::awaitable<HttpResponse> {
+        HttpResponse response;
+        if (request.target != kMetricsPath) {
+          response.status = 404;
+          co_return response;
+        }
+        Metrics* metrics = this->adapter.metrics;
+        metrics->Set(Metric::kCallerConnections, {},
+                     static_cast<double>(this->parts->server.size()));
+        metrics->Set(Metric::kConfigRevision, {},
+                     static_cast<double>(this->parts->cluster.routes().version));
+        metrics->Set(Metric::kMembers, {"alive"},
+                     static_cast<double>(this->parts->cluster.relays().plan().size()));
+        metrics->Set(Metric::kLogLinesDropped, {}, static_cast<double>(DroppedLogLines()));
+        metrics->Set(Metric::kStopping, {}, this->stopping ? 1.0 : 0.0);
+        for (const auto& [service, group] : this->parts->cluster.groups()) {
+          metrics->Set(Metric::kGroupServing, {service}, group->Primary() == nullptr ? 0.0 : 1.0);
+          metrics->Set(Metric::kGroupTerm, {service}, static_cast<double>(group->term));
+        }
+        response.headers["content-type"] = "text/plain; version=0.0.4";
+        response.body = metrics->ToPrometheus();
+        co_return response;
+      });
+  this->parts->metrics_server->Listen(this->settings.metrics_address);
+}
+
 asio::awaitable<std::string> SessionDaemon::FetchPeerKey() {
   for (;;) {
     try {
--- a/session/session_daemon.h
+++ b/session/session_daemon.h
@@ -14,6 +14,7 @@
 namespace poplarmoor {
 
 class HttpServer;
+class Metrics;
 class ObjectStore;
 class PromotionApi;
 class RegistryCodec;
@@ -25,6 +26,7 @@
   const RegistryCodec* registry = nullptr;
   ObjectStore* store = nullptr;
   PromotionApi* promotions = nullptr;
+  Metrics* metrics = nullptr;
   std::string ready_path;                            // Of the readiness probe.
   std::function<ProcessSettings()> reload_settings;  // Throws std::runtime_error.
 };
@@ -44,6 +46,7 @@
  private:
   struct Parts;
 
+  void ListenForMetrics();
   boost::asio::awaitable<void> StartPeers();
   boost::asio::awaitable<std::string> FetchPeerKey();
   boost::asio::awaitable<void> AwaitStop();
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -4,10 +4,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "kernel/verdict.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
 #include "session/session_codec.h"
 #include "telemetry/log.h"
+#include "telemetry/metrics.h"
 
 namespace poplarmoor {
 
@@ -24,6 +26,7 @@
 // A read whose answer is lost is repeated elsewhere after this time and several usual ones.
 constexpr Duration kMinReadPatience = 300ms;
 constexpr int kReadPatienceFactor = 5;
+constexpr size_t kMaxTrail = 1000;  // Bytes of a statement's trail; a log line has at most 4096.
 // An endpoint without a gateway that answers is left alone for about the time of a reconnect.
 constexpr Duration kUnreachablePause = 100ms;
 
@@ -119,17 +122,58 @@
        {"writes", job.writes},
        {"outcome", kStatementErrorNames.NameOf(error)},
        {"cause", cause},
+       {"attempts", job.trail},
        {"endpoint", pool == nullptr ? "" : pool->record().id},
+       {"queued_ms", ToMillis(job.queued)},
+       {"running_ms", ToMillis(job.running)},
        {"elapsed_ms", ToMillis(BootNow() - job.arrived)},
        {"config_version", this->cluster->routes().version}});
+  this->CountAnswer(job, error);
   StatementAnswer answer;
   answer.error = error;
   answer.error_text = cause;
   return answer;
 }
 
-void StatementRunner::LogIfLate(const StatementJob& job, const EndpointPool& pool) {
+void StatementRunner::NoteAttempt(StatementJob* job,
+                                  const EndpointPool& pool,
+                                  std::optional<Duration> evidence_age,
+                                  std::string_view cause) {
+  this->metrics->Add(Metric::kRetries, {pool.record().service, "attempt_failed"});
+  if (job->trail.size() > kMaxTrail) {
+    return;
+  }
+  job->trail += job->trail.empty() ? "" : "; ";
+  job->trail += pool.record().id;
+  if (evidence_age) {
+    job->trail += " evidence_ms=" + std::to_string(ToMillis(*evidence_age));
+  }
+  job->trail += " at_ms=" + std::to_string(ToMillis(BootNow() - job->arrived)) + " ";
+  job->trail += cause;
+}
+
+void StatementRunner::CountAnswer(const StatementJob& job, std::optional<StatementError> error) {
+  Verdict verdict = Verdict::kRan;
+  if (error && ChangesNothing(*error)) {
+    verdict = Verdict::kNotRun;
+  } else if (error == StatementError::kInDoubt || error == StatementError::kTimeout) {
+    verdict = Verdict::kMayHaveRun;
+  }
+  const std::string rank = std::to_string(job.route->rank);
+  this->metrics->Add(Metric::kRequests, {job.route->service, rank, kVerdictNames.NameOf(verdict),
+                                         error ? kStatementErrorNames.NameOf(*error) : "none"});
+  this->metrics->Observe(Metric::kRequestSeconds, {job.route->service, rank},
+                         BootNow() - job.arrived);
+}
+
+void StatementRunner::NoteServed(const StatementJob& job, const EndpointPool& pool) {
   const Duration elapsed = BootNow() - job.arrived;
+  this->CountAnswer(job, std::nullopt);
+  if (!job.writes) {
+    const ServiceGroup* group = this->cluster->FindGroup(job.route->service);
+    const bool primary = group != nullptr && group->Primary().get() == &pool;
+    this->metrics->Add(Metric::kReads, {job.route->service, primary ? "primary" : "replica"});
+  }
   if (elapsed <= job.route->objective) {
     return;
   }
@@ -144,7 +188,8 @@
        {"queued_ms", ToMillis(job.queued)},
        {"setup_ms", ToMillis(job.setup)},
        {"running_ms", ToMillis(job.running)},
-       {"attempts", job.attempts}});
+       {"tries", job.attempts},
+       {"attempts", job.trail}});
 }
 
 asio::awaitable<EndpointLease> StatementRunner::Acquire(StatementJob* job,
@@ -227,11 +272,12 @@
       tried = true;
       if (attempt.outcome != Outcome::kAnswered) {
         cause = attempt.cause;
+        this->NoteAttempt(&job, *pool, BootNow() - demand->sent, cause);
         continue;
       }
       if (!attempt.answer.error) {
         pool->NoteCaughtUp(BootNow() - demand->sent);
-        this->LogIfLate(job, *pool);
+        this->NoteServed(job, *pool);
         co_return attempt.answer;
       }
       if (*attempt.answer.error == StatementError::kBehind) {
@@ -242,6 +288,7 @@
       }
       this->NoteRefusal(pool.get(), *attempt.answer.error);
       cause = kStatementErrorNames.NameOf(*attempt.answer.error);
+      this->NoteAttempt(&job, *pool, BootNow() - demand->sent, cause);
     }
     if (!tried) {
       co_await Pause(kOverloadPause);
@@ -273,6 +320,7 @@
     EndpointLease lease = co_await this->Acquire(&job, pool, false, *state);
     if (lease.connection == nullptr) {
       cause = kAcquireFailureNames.NameOf(lease.failure);
+      this->NoteAttempt(&job, *pool, std::nullopt, cause);
       if (lease.failure == AcquireFailure::kOverloaded) {
         break;
       }
@@ -296,11 +344,12 @@
       if (job.writes) {
         this->NoteCommit(state, attempt.answer);
       }
-      this->LogIfLate(job, *pool);
+      this->NoteServed(job, *pool);
       co_return attempt.answer;
     }
     if (!attempt.answer.error) {
       cause = attempt.cause;
+      this->NoteAttempt(&job, *pool, std::nullopt, cause);
       co_await Pause(kOverloadPause);
       continue;
     }
@@ -309,6 +358,7 @@
       co_return this->Fail(job, error, attempt.answer.error_text, pool.get());
     }
     cause = kStatementErrorNames.NameOf(error);
+    this->NoteAttempt(&job, *pool, std::nullopt, cause);
     if (error == StatementError::kReadOnly) {
       group->LosePrimary(pool->record().id, "it refused a write");
     } else {
@@ -372,7 +422,7 @@
     StatementAnswer& answer = attempt.answer;
     if (!answer.error) {
       transaction->wrote = transaction->wrote || job.writes;
-      this->LogIfLate(job, *pool);
+      this->NoteServed(job, *pool);
       co_return answer;
     }
     const bool retriable = *answer.error == StatementError::kOverloaded &&
@@ -411,6 +461,7 @@
     EndpointLease lease = co_await this->Acquire(&job, pool, true, *state);
     if (lease.connection == nullptr) {
       cause = kAcquireFailureNames.NameOf(lease.failure);
+      this->NoteAttempt(&job, *pool, std::nullopt, cause);
       if (lease.failure == AcquireFailure::kOverloaded) {
         break;
       }
@@ -423,12 +474,13 @@
       transaction->wrote = job.writes;
       transaction->pool = pool;
       transaction->lease = std::move(lease);
-      this->LogIfLate(job, *pool);
+      this->NoteServed(job, *pool);
       co_return attempt.answer;
     }
     this->CleanUp(pool, std::move(lease));
     const auto error = attempt.answer.error;
     cause = error ? std::string(kStatementErrorNames.NameOf(*error)) : attempt.cause;
+    this->NoteAttempt(&job, *pool, std::nullopt, cause);
     if (error && !ChangesNothing(*error)) {
       transaction->finished = true;
       co_return this->Fail(job, *error, attempt.answer.error_text, pool.get());
@@ -470,7 +522,7 @@
         transaction->pool = pool;
         transaction->lease = std::move(lease);
         pool->NoteCaughtUp(BootNow() - demand->sent);
-        this->LogIfLate(job, *pool);
+        this->NoteServed(job, *pool);
         co_return attempt.answer;
       }
       this->CleanUp(pool, std::move(lease));
@@ -514,8 +566,11 @@
     const bool promise = ChangesNothing(*answer.error);
     answer = this->Fail(job, promise ? StatementError::kAborted : *answer.error, answer.error_text,
                         pool.get());
-  } else if (wrote) {
-    this->NoteCommit(state, answer);
+  } else {
+    if (wrote) {
+      this->NoteCommit(state, answer);
+    }
+    this->NoteServed(job, *pool);
   }
   if (answer.error) {
     this->Discard(transaction);
--- a/session/statement_runner.h
+++ b/session/statement_runner.h
@@ -16,6 +16,7 @@
 namespace poplarmoor {
 
 class Cluster;
+class Metrics;
 class SessionCodec;
 
 /// One statement of a caller, ready to be sent.
@@ -34,6 +35,7 @@
   Duration setup{};    // Preparing connections for the session.
   Duration running{};  // From sending it to its answers.
   int attempts = 0;    // Times that it was sent or was about to be sent.
+  std::string trail;   // Attempts that failed: endpoint, age of the demanded position, cause.
 };
 
 /// A caller's transaction at an endpoint.
@@ -50,7 +52,9 @@
 /// that was not served, with the cause.
 class StatementRunner {
  public:
-  StatementRunner(Cluster* cluster, const SessionCodec* codec) : cluster(cluster), codec(codec) {}
+  /// @param cluster,codec,metrics Must outlive this object.
+  StatementRunner(Cluster* cluster, const SessionCodec* codec, Metrics* metrics)
+      : cluster(cluster), codec(codec), metrics(metrics) {}
 
   /// Runs a statement outside a transaction.
   /// @param job The statement.
@@ -105,7 +109,13 @@
                        StatementError error,
                        std::string_view cause,
                        const EndpointPool* pool);
-  void LogIfLate(const StatementJob& job, const EndpointPool& pool);
+  // Adds a failed attempt to the job's trail, which is logged when the statement is not served.
+  void NoteAttempt(StatementJob* job,
+                   const EndpointPool& pool,
+                   std::optional<Duration> evidence_age,
+                   std::string_view cause);
+  void CountAnswer(const StatementJob& job, std::optional<StatementError> error);
+  void NoteServed(const StatementJob& job, const EndpointPool& pool);
   boost::asio::awaitable<EndpointLease> Acquire(StatementJob* job,
                                                 std::shared_ptr<EndpointPool> pool,
                                                 bool transaction,
@@ -114,6 +124,7 @@
 
   Cluster* cluster;
   const SessionCodec* codec;
+  Metrics* metrics;
 };
 
 }  // namespace poplarmoor
--- a/telemetry/log.cc
+++ b/telemetry/log.cc
@@ -16,6 +16,7 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
+#include "telemetry/bounded_appender.h"
 #include "telemetry/log_line.h"
 
 namespace poplarmoor {
@@ -34,6 +35,7 @@
   LogSettings settings;
   std::string daemon;
   std::atomic<bool> active{false};
+  BoundedAppender* bounded = nullptr;  // The logger owns it.
 };
 
 LogState& State() {
@@ -129,8 +131,11 @@
   state.logger.setAdditivity(false);
   state.logger.setLogLevel(log4cplus::ALL_LOG_LEVEL);
   log4cplus::SharedAppenderPtr appender;
-  if (settings.file.empty()) {
-    appender = new log4cplus::ConsoleAppender(!settings.standard_output, true);
+  if (settings.file.empty() && settings.standard_output) {
+    state.bounded = new BoundedAppender(BoundedAppenderOptions());
+    appender = state.bounded;
+  } else if (settings.file.empty()) {
+    appender = new log4cplus::ConsoleAppender(true, true);
   } else {
     // log4cplus reports a file that it cannot open only on stderr and then drops all lines.
     if (std::ofstream(settings.file, std::ios_base::app).fail()) {
@@ -145,8 +150,14 @@
   state.active = true;
 }
 
+uint64_t DroppedLogLines() {
+  const LogState& state = State();
+  return state.bounded == nullptr ? 0 : state.bounded->dropped();
+}
+
 void ShutDownLog() {
   State().active = false;
+  State().bounded = nullptr;
   State().logger.removeAllAppenders();
 }
 
--- a/telemetry/log.h
+++ b/telemetry/log.h
@@ -30,6 +30,9 @@
 /// @throws std::runtime_error when the file cannot be opened.
 void SetUpLog(const LogSettings& settings, const std::string& daemon);
 
+/// @returns Lines that were dropped because the reader did not keep up or the rate was exceeded.
+uint64_t DroppedLogLines();
+
 /// Flushes and closes the log.
 void ShutDownLog();
 
--- a/telemetry/metric_table.h
+++ b/telemetry/metric_table.h
@@ -38,6 +38,7 @@
   kPlatformUp,
   kControlBytes,
   kPeerCalls,
+  kLogLinesDropped,
   kStopping,
   kUptime,
 };
@@ -58,7 +59,7 @@
   std::string_view help;
 };
 
-inline constexpr size_t kMetricCount = 32;
+inline constexpr size_t kMetricCount = 33;
 
 /// Names, labels and meaning of all metrics, indexed by Metric.
 inline constexpr std::array<MetricRow, kMetricCount> kMetricTable{{
@@ -122,6 +123,8 @@
      "Bytes of control traffic (sent or received)."},
     {Metric::kPeerCalls, MetricType::kCounter, "poplarmoor_peer_calls_total", "type,result",
      "Calls to other daemons, by type of message."},
+    {Metric::kLogLinesDropped, MetricType::kGauge, "poplarmoor_log_lines_dropped", "",
+     "Log lines dropped since the start, because of their rate or a reader that is too slow."},
     {Metric::kStopping, MetricType::kGauge, "poplarmoor_stopping", "",
      "1 during a graceful shutdown, else 0."},
     {Metric::kUptime, MetricType::kGauge, "poplarmoor_uptime_seconds", "",
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -11,6 +11,7 @@
 #include "session/promotion_api.h"
 #include "session/session_server.h"
 #include "session/statement_runner.h"
+#include "telemetry/metrics.h"
 #include "tests/platform/fake_line_endpoint.h"
 #include "tests/platform/memory_store.h"
 
@@ -43,9 +44,14 @@
  public:
   Fixture()
       : cluster(this->context.get_executor(), &this->codec, "d1", "fd1"),
-        runner(&this->cluster, &this->codec),
+        runner(&this->cluster, &this->codec, &this->metrics),
         promotions(&this->group),
-        keeper(this->context.get_executor(), &this->cluster, &this->store, &this->promotions, "d1"),
+        keeper(this->context.get_executor(),
+               &this->cluster,
+               &this->store,
+               &this->promotions,
+               &this->metrics,
+               "d1"),
         server(this->context.get_executor(), &this->cluster, &this->runner, &this->codec) {
     this->group.primary = "p";
     for (const char* id : {"p", "a", "b"}) {
@@ -103,6 +109,7 @@
   LineCodec codec;
   FakeGroup group;
   MemoryStore store;
+  Metrics metrics;
   Cluster cluster;
   StatementRunner runner;
   FakePromotions promotions;
--- /dev/null
+++ b/tests/telemetry/bounded_appender_test.cc
@@ -0,0 +1,79 @@
+#include "telemetry/bounded_appender.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+namespace poplarmoor {
+namespace {
+
+// A logger that writes into a pipe.
+class PipeLog {
+ public:
+  explicit PipeLog(uint32_t lines_per_second) {
+    REQUIRE(::pipe(this->ends.data()) == 0);
+    BoundedAppenderOptions options;
+    options.descriptor = this->ends[1];
+    options.lines_per_second = lines_per_second;
+    this->appender = new BoundedAppender(options);
+    this->appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    this->logger.setAdditivity(false);
+    this->logger.removeAllAppenders();
+    this->logger.addAppender(log4cplus::SharedAppenderPtr(this->appender));
+  }
+
+  ~PipeLog() {
+    this->logger.removeAllAppenders();
+    ::close(this->ends[0]);
+    ::close(this->ends[1]);
+  }
+
+  void Write(const std::string& text) {
+    this->logger.log(log4cplus::INFO_LOG_LEVEL, text, __FILE__, __LINE__, "");
+  }
+
+  std::string ReadAll() {
+    ::fcntl(this->ends[0], F_SETFL, O_NONBLOCK);
+    std::string all;
+    std::array<char, 4096> bytes{};
+    for (ssize_t size = 0; (size = ::read(this->ends[0], bytes.data(), bytes.size())) > 0;) {
+      all.append(bytes.data(), static_cast<size_t>(size));
+    }
+    return all;
+  }
+
+  std::array<int, 2> ends{};
+  log4cplus::Logger logger = log4cplus::Logger::getInstance("bounded");
+  BoundedAppender* appender = nullptr;  // The logger owns it.
+};
+
+TEST_CASE("a reader that stops loses lines, or the log blocks every request") {
+  PipeLog log(1000000);
+  for (int line = 0; line < 5000; ++line) {
+    log.Write(std::string(100, 'x'));
+  }
+  CHECK(log.appender->dropped() > 0);
+  CHECK(log.ReadAll().size() >= 60000);
+  log.Write("after");
+  const std::string rest = log.ReadAll();
+  CHECK(rest.find("log lines dropped") != std::string::npos);
+  CHECK(rest.find("after") != std::string::npos);
+}
+
+TEST_CASE("more lines than the limit of a second are counted, not written") {
+  PipeLog log(10);
+  for (int line = 0; line < 1000; ++line) {
+    log.Write("x");
+  }
+  // The loop may cross a second or two on a slow machine.
+  CHECK(log.appender->dropped() >= 900);
+}
+
+}  // namespace
+}  // namespace poplarmoor
