session: keep half of the connection share idle and back off after refused connections

Both incidents end with a loss of power: the endpoints still held the connections of the vanished daemons for 3 s and refused 3,175 new ones, each statement trying every 25 ms (docs/incidents).

--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -24,6 +24,10 @@
 // leaves room for those that its predecessor and the other daemons had before a common loss of
 // power.
 constexpr Duration kInheritedConnectionsAge = 3500ms;
+// Connections that an endpoint refuses cost it work; the pause doubles up to the maximum, which is
+// short against the 3 s after which it drops dead ones.
+constexpr Duration kFirstOpenPause = 25ms;
+constexpr Duration kMaxOpenPause = 200ms;
 // A replica that lacked a position is asked again after this time, doubled up to the maximum.
 constexpr Duration kFirstBehindPause = 50ms;
 constexpr Duration kMaxBehindPause = 400ms;
@@ -105,6 +109,11 @@
   if (lease.connection != nullptr) {
     co_return lease;
   }
+  if (lease.since < this->next_open) {
+    lease.failure = AcquireFailure::kTooMany;
+    this->Leave(transaction, lease.since);
+    co_return lease;
+  }
   const Duration left = patience - (lease.since - entered);
   co_return co_await this->OpenFor(std::move(lease), std::clamp(left, Duration(1ms), kOpenLimit));
 }
@@ -116,6 +125,7 @@
     const StatementAnswer answer =
         co_await connection->Open(this->current.service, this->current.id, limit);
     if (!answer.error) {
+      this->open_backoff = {};
       this->down = false;
       this->last_answer = BootNow();
       ++this->opened;
@@ -248,6 +258,8 @@
   const uint32_t in_use = this->admission.in_use();
   this->reached_limit = static_cast<uint32_t>(this->idle.size()) + (in_use > 0 ? in_use - 1 : 0);
   this->limited_until = BootNow() + kGrowthPause;
+  this->open_backoff = std::clamp(this->open_backoff * 2, kFirstOpenPause, kMaxOpenPause);
+  this->next_open = BootNow() + this->open_backoff;
   this->ApplyLimits();
 }
 
@@ -272,7 +284,9 @@
     this->ramping = false;
     this->ApplyLimits();
   }
-  const size_t kept = this->share;
+  // Half of the share leaves room at the endpoint for daemons that restart after a loss of power,
+  // while it still holds the connections of their predecessors.
+  const size_t kept = (this->share + 1) / 2;
   // The front entries have been idle for the longest time.
   while (this->idle.size() > kept && now - this->idle.front().since > age) {
     this->idle.erase(this->idle.begin());
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -154,7 +154,9 @@
   uint32_t share = 1;
   uint32_t borrowed = 0;
   uint32_t reached_limit = 0;  // Connections that it accepted when it refused one more; 0: unknown.
-  TimePoint limited_until;     // The endpoint refused a connection: no growth until then.
+  TimePoint next_open;         // No connection is opened before, after a refusal at the limit.
+  Duration open_backoff{};
+  TimePoint limited_until;  // The endpoint refused a connection: no growth until then.
 };
 
 }  // namespace poplarmoor
