--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -86,6 +86,7 @@
   for (auto& [service, group] : this->by_service) {
     for (auto& [id, pool] : group->members) {
       pool->CloseIdle(kSurplusIdleAge);
+      pool->WarmUp();
     }
   }
   for (auto missing = this->missing_since.begin(); missing != this->missing_since.end();) {
--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -1,14 +1,18 @@
 #include "session/endpoint_pool.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "net/random_bits.h"
 #include "session/boot_clock.h"
 #include "session/direct_channel.h"
 #include "session/relay_router.h"
 #include "session/statement_answer.h"
+#include "telemetry/log.h"
 
 namespace poplarmoor {
 
@@ -24,6 +28,9 @@
 // leaves room for those that its predecessor and the other daemons had before a common loss of
 // power.
 constexpr Duration kInheritedConnectionsAge = 3500ms;
+// All daemons of a fleet start together; their first connections are spread over this time.
+constexpr Duration kWarmUpSpread = 2s;
+constexpr Duration kWarmUpInterval = 500ms;  // Between two connections that are opened ahead.
 // Connections that an endpoint refuses cost it work; the pause doubles up to the maximum, which is
 // short against the 3 s after which it drops dead ones.
 constexpr Duration kFirstOpenPause = 25ms;
@@ -49,7 +56,10 @@
       codec(codec),
       current(std::move(record)),
       relays(relays),
-      created(BootNow()) {}
+      created(BootNow()),
+      warm_from(this->created + Duration(static_cast<int64_t>(
+                                    RandomBits() % static_cast<uint64_t>(kWarmUpSpread.count())))) {
+}
 
 EndpointPool::~EndpointPool() = default;
 
@@ -284,15 +294,41 @@
     this->ramping = false;
     this->ApplyLimits();
   }
-  // Half of the share leaves room at the endpoint for daemons that restart after a loss of power,
-  // while it still holds the connections of their predecessors.
-  const size_t kept = (this->share + 1) / 2;
+  const size_t kept = this->KeptIdle();
   // The front entries have been idle for the longest time.
   while (this->idle.size() > kept && now - this->idle.front().since > age) {
     this->idle.erase(this->idle.begin());
   }
 }
 
+uint32_t EndpointPool::KeptIdle() const {
+  // Half of the share leaves room at the endpoint for daemons that restart after a loss of power,
+  // while it still holds the connections of their predecessors.
+  return (this->share + 1) / 2;
+}
+
+void EndpointPool::WarmUp() {
+  const uint32_t target = this->ramping ? 1 : this->KeptIdle();
+  const TimePoint now = BootNow();
+  const bool enough = this->idle.size() + this->admission.in_use() >= target;
+  if (this->warming || this->relayed || this->down || this->current.leaving || enough ||
+      now < this->warm_from || now < this->next_open) {
+    return;
+  }
+  const auto work = [](std::shared_ptr<EndpointPool> pool) -> asio::awaitable<void> {
+    try {
+      co_await pool->Order(EndpointOrder::kStatus, 0, kOpenLimit, true);
+    } catch (const std::runtime_error& error) {
+      Log(LogLevel::kDebug, "connection not opened ahead",
+          {{"endpoint", pool->record().id}, {"cause", error.what()}});
+    }
+    pool->warm_from = BootNow() + kWarmUpInterval;
+    pool->warming = false;
+  };
+  this->warming = true;
+  asio::co_spawn(this->executor, work(this->shared_from_this()), asio::detached);
+}
+
 void EndpointPool::Abandon() {
   this->idle.clear();
   for (auto& [connection, since] : this->in_progress) {
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -83,6 +83,10 @@
   /// Closes idle connections above the limit that have been idle for longer than the age.
   void CloseIdle(Duration age);
 
+  /// Opens the connections that are kept idle, one at a time, so that the first statements after a
+  /// start do not all wait for one.
+  void WarmUp();
+
   /// Closes all connections; exchanges in progress fail.
   void Abandon();
 
@@ -133,6 +137,7 @@
   std::unique_ptr<EndpointChannel> TakeIdle(uint64_t session);
   void Leave(bool transaction, TimePoint since);
   void WakeNext();
+  uint32_t KeptIdle() const;
   void NoteLimitReached();
   void ApplyLimits();
 
@@ -142,6 +147,8 @@
   StatementQueue admission;
   RelayRouter* relays;
   bool relayed = false;
+  bool warming = false;
+  TimePoint warm_from;  // Spreads the openings of all daemons.
   uint32_t relayed_in_use = 0;
   std::vector<IdleConnection> idle;
   std::map<StatementQueue::Ticket, Waiter*> waiters;
