--- a/kernel/gateway_plan.cc
+++ b/kernel/gateway_plan.cc
@@ -78,6 +78,17 @@
                      [this](const Peer& peer) { return peer.daemon == this->self; });
 }
 
+std::vector<Peer> GatewayPlan::Others(const std::string& endpoint,
+                                      const std::string& failure_domain) const {
+  std::vector<Peer> others = this->live_peers;
+  std::erase_if(others, [this](const Peer& peer) { return peer.daemon == this->self; });
+  SortByScore(&others, endpoint + "/" + this->self);
+  std::stable_partition(others.begin(), others.end(), [&failure_domain](const Peer& peer) {
+    return peer.failure_domain == failure_domain;
+  });
+  return others;
+}
+
 std::vector<Peer> GatewayPlan::Watchers() const {
   std::string domain;
   for (const Peer& peer : this->live_peers) {
--- a/kernel/gateway_plan.h
+++ b/kernel/gateway_plan.h
@@ -37,6 +37,10 @@
                  const std::string& failure_domain,
                  uint32_t connections) const;
 
+  /// @returns All other daemons in this daemon's order of preference, those of the endpoint's
+  ///     failure domain first.
+  std::vector<Peer> Others(const std::string& endpoint, const std::string& failure_domain) const;
+
   /// @returns Whether this daemon watches the store itself. In a large fleet a few daemons of each
   ///     failure domain do, because the store's call rate grows more slowly than the fleet.
   bool IsWatcher() const;
--- a/kernel/read_placement.cc
+++ b/kernel/read_placement.cc
@@ -10,6 +10,8 @@
 // Traffic between failure domains is paid for; a read crosses only to avoid a queue of about the
 // time of one short statement.
 constexpr Duration kCrossDomainPenalty = 10ms;
+// Two more steps, and work for another daemon.
+constexpr Duration kRelayPenalty = 20ms;
 // The primary alone can serve writes, so reads leave it free while a replica is not loaded.
 constexpr Duration kPrimaryPenalty = 30ms;
 
@@ -19,6 +21,9 @@
   if (!candidate.same_failure_domain) {
     delay += kCrossDomainPenalty;
   }
+  if (candidate.relayed) {
+    delay += kRelayPenalty;
+  }
   if (candidate.is_primary) {
     delay += kPrimaryPenalty;
   }
--- a/kernel/read_placement.h
+++ b/kernel/read_placement.h
@@ -12,7 +12,8 @@
   std::string id;
   bool same_failure_domain = false;
   bool is_primary = false;
-  bool usable = true;       // Up, not leaving and not known to lag.
+  bool usable = true;       // Not leaving and not known to lag.
+  bool relayed = false;     // Another daemon has to pass the read on.
   uint32_t busy = 0;        // Statements of this daemon that run or wait there.
   uint32_t limit = 1;       // Statements that this daemon runs there at once.
   Duration service_time{};  // Smoothed time of a statement, queueing included.
--- a/kernel/statement_queue.cc
+++ b/kernel/statement_queue.cc
@@ -9,7 +9,7 @@
 // The most urgent statements may exceed the limit by this number, so that they do not wait for a
 // slower statement of the same daemon.
 constexpr uint32_t kUrgentExtra = 1;
-constexpr int kSmoothing = 8;               // Weight of the history against one sample.
+constexpr int kSmoothing = 8;  // Weight of the history against one sample.
 
 }  // namespace
 
--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -67,7 +67,7 @@
                                                      bool transaction,
                                                      Duration patience,
                                                      const SessionState& session) {
-  if (!this->relayed) {
+  if (!this->UsesRelay()) {
     co_return co_await this->AcquireDirect(rank, transaction, patience, session);
   }
   // The gateways queue and refuse; this daemon only counts what is in progress.
@@ -80,6 +80,10 @@
   co_return lease;
 }
 
+bool EndpointPool::UsesRelay() const {
+  return this->relayed || (this->down && this->relays->HasPeers());
+}
+
 void EndpointPool::SetRelayed(bool relayed) {
   if (relayed != this->relayed) {
     this->idle.clear();
@@ -211,7 +215,7 @@
                                                     Duration limit,
                                                     bool fresh) {
   const auto self = this->shared_from_this();
-  if (this->relayed) {
+  if (!fresh && this->UsesRelay()) {
     co_return co_await this->relays->Order(this->current, order, term, limit);
   }
   std::unique_ptr<EndpointChannel> channel = fresh ? nullptr : this->TakeIdle(0);
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -60,6 +60,10 @@
   void SetRelayed(bool relayed);
   bool is_relayed() const { return this->relayed; }
 
+  /// @returns Whether statements go by way of another daemon: always in a large fleet, and while
+  ///     this daemon alone may have lost the endpoint.
+  bool UsesRelay() const;
+
   /// Takes a connection back. It is kept when it is open.
   void Release(EndpointLease lease);
 
--- a/session/group_keeper.cc
+++ b/session/group_keeper.cc
@@ -207,8 +207,7 @@
     status.id = pool->record().id;
     status.leaving = pool->record().leaving;
     try {
-      const EndpointReport report =
-          co_await pool->Order(EndpointOrder::kStatus, 0, limit, pool->down);
+      const EndpointReport report = co_await pool->Order(EndpointOrder::kStatus, 0, limit, false);
       status.reachable = true;
       status.is_primary = report.is_primary;
       status.term = report.term;
--- a/session/relay_router.cc
+++ b/session/relay_router.cc
@@ -37,6 +37,9 @@
   }
   std::vector<Peer> peers =
       this->gateways.GatewaysOf(endpoint.id, endpoint.failure_domain, connections->second);
+  if (peers.empty()) {
+    peers = this->gateways.Others(endpoint.id, endpoint.failure_domain);
+  }
   const TimePoint now = BootNow();
   std::stable_partition(peers.begin(), peers.end(), [this, now](const Peer& peer) {
     const auto failure = this->failed.find(peer.address);
--- a/session/relay_router.h
+++ b/session/relay_router.h
@@ -51,6 +51,10 @@
                                                uint64_t term,
                                                Duration limit);
 
+  /// @returns Whether another daemon is known.
+  bool HasPeers() const { return this->network != nullptr && this->gateways.size() > 1; }
+
+  /// In a small fleet every other daemon may act as a gateway.
   /// @returns The endpoint's gateways that have not failed lately, best first.
   std::vector<Peer> UsableGateways(const EndpointRecord& endpoint) const;
 
--- a/session/relay_server.cc
+++ b/session/relay_server.cc
@@ -93,9 +93,10 @@
     held.pool = this->cluster->FindEndpoint(request.endpoint);
     const bool lost =
         request.transaction && request.opening == kOpeningNames.NameOf(Opening::kNone);
-    if (held.pool == nullptr || lost) {
+    if (held.pool == nullptr || held.pool->down || lost) {
       attempt.failure = AcquireFailure::kUnreachable;
-      attempt.cause = lost ? "the transaction has ended" : "the endpoint is unknown here";
+      attempt.cause =
+          lost ? "the transaction has ended" : "the gateway does not reach the endpoint";
       co_return ToAnswer(attempt);
     }
     held.lease = co_await held.pool->AcquireDirect(request.rank, request.transaction,
@@ -170,8 +171,8 @@
   const auto pool = this->cluster->FindEndpoint(request.endpoint);
   const auto order = kEndpointOrderNames.Find(request.order);
   RelayReport report;
-  if (pool == nullptr || !order || pool->is_relayed()) {
-    report.failure = "this daemon is no gateway of the endpoint";
+  if (pool == nullptr || !order || pool->is_relayed() || pool->down) {
+    report.failure = "this daemon does not reach the endpoint";
   } else {
     try {
       const EndpointReport answer = co_await pool->Order(
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -147,8 +147,9 @@
     candidate.id = id;
     candidate.same_failure_domain = pool->record().failure_domain == own_domain;
     candidate.is_primary = id == this->primary;
-    candidate.usable = !pool->down && !pool->record().leaving && pool->IsFreshEnough(demand_age) &&
-                       now >= pool->avoid_until;
+    candidate.relayed = pool->UsesRelay() && !pool->is_relayed();
+    candidate.usable = (!pool->down || pool->UsesRelay()) && !pool->record().leaving &&
+                       pool->IsFreshEnough(demand_age) && now >= pool->avoid_until;
     candidate.busy = pool->busy();
     candidate.limit = pool->queue().single_limit();
     candidate.service_time = pool->queue().service_time();
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -93,6 +93,9 @@
   }
   if (attempt.failure == AcquireFailure::kUnreachable) {
     pool->avoid_until = BootNow() + kUnreachablePause;
+    if (pool->down) {
+      group->LosePrimary(pool->record().id, "no daemon that was asked reaches it");
+    }
   }
   co_return attempt;
 }
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -32,6 +32,7 @@
 // Retry of a failed store call; the jitter keeps the daemons apart.
 constexpr Duration kFirstRetry = 100ms;
 constexpr Duration kMaxRetry = 1s;
+constexpr std::chrono::milliseconds kRetryWait{200};
 // The daemon count changes rarely and only shifts the connection shares.
 constexpr Duration kCountInterval = 15s;
 // An entry that has not been renewed for this time belongs to a daemon that is gone.
@@ -41,6 +42,7 @@
 // A daemon that does not watch the store asks a watcher again after this time, so that it soon
 // notices a watcher that is gone.
 constexpr Duration kPeerWait = 1s;
+constexpr int kPeersAsked = 3;  // Peers that a daemon without the store asks in each round.
 constexpr Duration kPeerAnswerLimit = 250ms;  // Beyond the wait.
 // In a large fleet the entries are renewed less often, which bounds the store's writes.
 constexpr Duration kCountIntervalPerDaemon = 400ms;
@@ -102,12 +104,16 @@
       continue;
     }
     kind->reachable = false;
-    if (has_peers) {
+    for (int number = 0; has_peers && number < kPeersAsked; ++number) {
       // Another daemon may still reach the store.
       const std::vector<Peer> peers = plan.peers();
       const Peer peer = peers[RandomBelow(&this->random, peers.size())];
+      bool told = false;
       if (peer.daemon != this->self.daemon) {
-        co_await this->FollowPeer(kind, peer, Duration{});
+        told = co_await this->FollowPeer(kind, peer, Duration{});
+      }
+      if (told) {
+        break;
       }
     }
     co_await Pause(retry + RandomDuration(&this->random, retry));
@@ -123,7 +129,9 @@
     if (complete) {
       snapshot = co_await this->store->List(kind->name, false);
     } else {
-      snapshot = co_await this->store->Watch(kind->name, kind->revision, kind->wait);
+      // Without the store, short tries leave time to ask the peers.
+      const auto wait = kind->reachable ? kind->wait : std::min(kind->wait, kRetryWait);
+      snapshot = co_await this->store->Watch(kind->name, kind->revision, wait);
     }
     if (!kind->reachable) {
       Log(LogLevel::kInfo, "store regained",
--- a/tests/kernel/gateway_plan_test.cc
+++ b/tests/kernel/gateway_plan_test.cc
@@ -72,6 +72,16 @@
   CHECK(plan.GatewaysOf("e", "fd9", 44).size() >= 2);
 }
 
+TEST_CASE("a daemon that lost an endpoint asks the others, those near the endpoint first") {
+  GatewayPlan plan("d0");
+  plan.SetPeers(MakePeers(8, 3));
+  const auto others = plan.Others("e", "fd1");
+  REQUIRE(others.size() == 7);
+  CHECK(others[0].failure_domain == "fd1");
+  CHECK(others[2].failure_domain == "fd1");
+  CHECK(others[3].failure_domain != "fd1");
+}
+
 TEST_CASE("few daemons of a large fleet watch the store, or its call rate is exceeded") {
   for (const auto& [count, expected] : {std::pair<size_t, size_t>{8, 8}, {90, 9}, {3300, 9}}) {
     const auto peers = MakePeers(count, 3);
