--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -1,14 +1,18 @@
 #include "session/endpoint_pool.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "net/random_bits.h"
 #include "session/boot_clock.h"
 #include "session/direct_channel.h"
 #include "session/relay_router.h"
 #include "session/statement_answer.h"
+#include "telemetry/log.h"
 
 namespace poplarmoor {
 
@@ -24,6 +28,13 @@
 // leaves room for those that its predecessor and the other daemons had before a common loss of
 // power.
 constexpr Duration kInheritedConnectionsAge = 3500ms;
+// All daemons of a fleet start together; their first connections are spread over this time.
+constexpr Duration kWarmUpSpread = 2s;
+constexpr Duration kWarmUpInterval = 500ms;  // Between two connections that are opened ahead.
+// Connections that an endpoint refuses cost it work; the pause doubles up to the maximum, which is
+// short against the 3 s after which it drops dead ones.
+constexpr Duration kFirstOpenPause = 25ms;
+constexpr Duration kMaxOpenPause = 200ms;
 // A replica that lacked a position is asked again after this time, doubled up to the maximum.
 constexpr Duration kFirstBehindPause = 50ms;
 constexpr Duration kMaxBehindPause = 400ms;
@@ -45,7 +56,10 @@
       codec(codec),
       current(std::move(record)),
       relays(relays),
-      created(BootNow()) {}
+      created(BootNow()),
+      warm_from(this->created + Duration(static_cast<int64_t>(
+                                    RandomBits() % static_cast<uint64_t>(kWarmUpSpread.count())))) {
+}
 
 EndpointPool::~EndpointPool() = default;
 
@@ -53,7 +67,7 @@
                                                      bool transaction,
                                                      Duration patience,
                                                      const SessionState& session) {
-  if (!this->relayed) {
+  if (!this->UsesRelay()) {
     co_return co_await this->AcquireDirect(rank, transaction, patience, session);
   }
   // The gateways queue and refuse; this daemon only counts what is in progress.
@@ -66,6 +80,10 @@
   co_return lease;
 }
 
+bool EndpointPool::UsesRelay() const {
+  return this->relayed || (this->down && this->relays->HasPeers());
+}
+
 void EndpointPool::SetRelayed(bool relayed) {
   if (relayed != this->relayed) {
     this->idle.clear();
@@ -105,6 +123,11 @@
   if (lease.connection != nullptr) {
     co_return lease;
   }
+  if (lease.since < this->next_open) {
+    lease.failure = AcquireFailure::kTooMany;
+    this->Leave(transaction, lease.since);
+    co_return lease;
+  }
   const Duration left = patience - (lease.since - entered);
   co_return co_await this->OpenFor(std::move(lease), std::clamp(left, Duration(1ms), kOpenLimit));
 }
@@ -116,6 +139,7 @@
     const StatementAnswer answer =
         co_await connection->Open(this->current.service, this->current.id, limit);
     if (!answer.error) {
+      this->open_backoff = {};
       this->down = false;
       this->last_answer = BootNow();
       ++this->opened;
@@ -191,7 +215,7 @@
                                                     Duration limit,
                                                     bool fresh) {
   const auto self = this->shared_from_this();
-  if (this->relayed) {
+  if (!fresh && this->UsesRelay()) {
     co_return co_await this->relays->Order(this->current, order, term, limit);
   }
   std::unique_ptr<EndpointChannel> channel = fresh ? nullptr : this->TakeIdle(0);
@@ -248,6 +272,8 @@
   const uint32_t in_use = this->admission.in_use();
   this->reached_limit = static_cast<uint32_t>(this->idle.size()) + (in_use > 0 ? in_use - 1 : 0);
   this->limited_until = BootNow() + kGrowthPause;
+  this->open_backoff = std::clamp(this->open_backoff * 2, kFirstOpenPause, kMaxOpenPause);
+  this->next_open = BootNow() + this->open_backoff;
   this->ApplyLimits();
 }
 
@@ -272,13 +298,41 @@
     this->ramping = false;
     this->ApplyLimits();
   }
-  const size_t kept = this->share;
+  const size_t kept = this->KeptIdle();
   // The front entries have been idle for the longest time.
   while (this->idle.size() > kept && now - this->idle.front().since > age) {
     this->idle.erase(this->idle.begin());
   }
 }
 
+uint32_t EndpointPool::KeptIdle() const {
+  // Half of the share leaves room at the endpoint for daemons that restart after a loss of power,
+  // while it still holds the connections of their predecessors.
+  return (this->share + 1) / 2;
+}
+
+void EndpointPool::WarmUp() {
+  const uint32_t target = this->ramping ? 1 : this->KeptIdle();
+  const TimePoint now = BootNow();
+  const bool enough = this->idle.size() + this->admission.in_use() >= target;
+  if (this->warming || this->relayed || this->down || this->current.leaving || enough ||
+      now < this->warm_from || now < this->next_open) {
+    return;
+  }
+  const auto work = [](std::shared_ptr<EndpointPool> pool) -> asio::awaitable<void> {
+    try {
+      co_await pool->Order(EndpointOrder::kStatus, 0, kOpenLimit, true);
+    } catch (const std::runtime_error& error) {
+      Log(LogLevel::kDebug, "connection not opened ahead",
+          {{"endpoint", pool->record().id}, {"cause", error.what()}});
+    }
+    pool->warm_from = BootNow() + kWarmUpInterval;
+    pool->warming = false;
+  };
+  this->warming = true;
+  asio::co_spawn(this->executor, work(this->shared_from_this()), asio::detached);
+}
+
 void EndpointPool::Abandon() {
   this->idle.clear();
   for (auto& [connection, since] : this->in_progress) {
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -60,6 +60,10 @@
   void SetRelayed(bool relayed);
   bool is_relayed() const { return this->relayed; }
 
+  /// @returns Whether statements go by way of another daemon: always in a large fleet, and while
+  ///     this daemon alone may have lost the endpoint.
+  bool UsesRelay() const;
+
   /// Takes a connection back. It is kept when it is open.
   void Release(EndpointLease lease);
 
@@ -83,6 +87,10 @@
   /// Closes idle connections above the limit that have been idle for longer than the age.
   void CloseIdle(Duration age);
 
+  /// Opens the connections that are kept idle, one at a time, so that the first statements after a
+  /// start do not all wait for one.
+  void WarmUp();
+
   /// Closes all connections; exchanges in progress fail.
   void Abandon();
 
@@ -133,6 +141,7 @@
   std::unique_ptr<EndpointChannel> TakeIdle(uint64_t session);
   void Leave(bool transaction, TimePoint since);
   void WakeNext();
+  uint32_t KeptIdle() const;
   void NoteLimitReached();
   void ApplyLimits();
 
@@ -142,6 +151,8 @@
   StatementQueue admission;
   RelayRouter* relays;
   bool relayed = false;
+  bool warming = false;
+  TimePoint warm_from;  // Spreads the openings of all daemons.
   uint32_t relayed_in_use = 0;
   std::vector<IdleConnection> idle;
   std::map<StatementQueue::Ticket, Waiter*> waiters;
@@ -154,7 +165,9 @@
   uint32_t share = 1;
   uint32_t borrowed = 0;
   uint32_t reached_limit = 0;  // Connections that it accepted when it refused one more; 0: unknown.
-  TimePoint limited_until;     // The endpoint refused a connection: no growth until then.
+  TimePoint next_open;         // No connection is opened before, after a refusal at the limit.
+  Duration open_backoff{};
+  TimePoint limited_until;  // The endpoint refused a connection: no growth until then.
 };
 
 }  // namespace poplarmoor
