--- /dev/null
+++ b/tests/platform/relay_test.cc
@@ -0,0 +1,174 @@
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+
+#include "net/key_ring.h"
+#include "net/peer_network.h"
+#include "platform/line_codec.h"
+#include "session/boot_clock.h"
+#include "session/cluster.h"
+#include "session/relay_server.h"
+#include "session/statement_runner.h"
+#include "telemetry/metrics.h"
+#include "tests/platform/fake_line_endpoint.h"
+
+namespace poplarmoor::platform {
+namespace {
+
+namespace asio = boost::asio;
+
+// Two daemons: "gate" reaches the endpoints, "entry" has lost them and knows "gate" as a peer.
+class RelayFixture {
+ public:
+  struct Daemon {
+    Daemon(asio::io_context* context, const LineCodec* codec, const KeyRing* keys, std::string name)
+        : cluster(context->get_executor(), codec, name, "fd1"),
+          runner(&this->cluster, codec, &this->metrics),
+          server(context->get_executor(), &this->cluster),
+          peers(context->get_executor(), name, keys) {
+      this->server.Attach(&this->peers);
+      this->peers.Listen("127.0.0.1:0");
+    }
+
+    Metrics metrics;
+    Cluster cluster;
+    StatementRunner runner;
+    RelayServer server;
+    PeerNetwork peers;
+  };
+
+  RelayFixture()
+      : keys("k", {{"k", "0123456789abcdef0123456789abcdef"}}),
+        gate(&this->context, &this->codec, &this->keys, "gate"),
+        entry(&this->context, &this->codec, &this->keys, "entry") {
+    this->group.primary = "p";
+    RouteTable table;
+    table.version = 1;
+    table.services["ledger"] = {"ledger", 40, 1};
+    this->route.name = this->route.database = "orders";
+    this->route.service = "ledger";
+    this->route.statement_timeout = 20s;
+    table.routes["orders"] = this->route;
+    for (Daemon* daemon : {&this->gate, &this->entry}) {
+      daemon->cluster.ApplyRoutes(table);
+      daemon->cluster.relays().SetNetwork(&daemon->peers);
+      daemon->cluster.SetPeers({{"gate", this->gate.peers.address(), "fd1"},
+                                {"entry", this->entry.peers.address(), "fd1"}});
+    }
+    for (const char* id : {"p", "a"}) {
+      this->endpoints.push_back(
+          std::make_unique<FakeLineEndpoint>(this->context.get_executor(), id, &this->group));
+      EndpointRecord record;
+      record.id = id;
+      record.service = "ledger";
+      record.failure_domain = "fd1";
+      record.claims_primary = record.id == "p";
+      record.revision = 2;
+      record.address = this->endpoints.back()->address();
+      this->gate.cluster.ApplyEndpoint(record);
+      record.address = "127.0.0.1:1";  // The entry cannot reach it.
+      this->entry.cluster.ApplyEndpoint(record);
+      this->entry.cluster.FindEndpoint(id)->down = true;
+    }
+  }
+
+  // Runs a coroutine to its end.
+  StatementAnswer Await(asio::awaitable<StatementAnswer> work) {
+    std::optional<StatementAnswer> result;
+    asio::co_spawn(this->context, std::move(work),
+                   [&result](std::exception_ptr failure, StatementAnswer answer) {
+                     REQUIRE_FALSE(failure);
+                     result = std::move(answer);
+                   });
+    const TimePoint limit = BootNow() + 60s;
+    while (!result && BootNow() < limit) {
+      this->context.run_one_for(std::chrono::milliseconds(20));
+    }
+    REQUIRE(result);
+    return *result;
+  }
+
+  StatementJob Job(const std::string& id, const std::string& text, bool writes) {
+    StatementJob job;
+    job.id = id;
+    job.text = text;
+    job.writes = writes;
+    job.route = &this->route;
+    job.arrived = BootNow();
+    job.deadline = job.arrived + this->route.statement_timeout;
+    return job;
+  }
+
+  asio::io_context context{1};
+  LineCodec codec;
+  KeyRing keys;
+  FakeGroup group;
+  DatabaseRoute route;
+  Daemon gate;
+  Daemon entry;
+  std::vector<std::unique_ptr<FakeLineEndpoint>> endpoints;
+};
+
+TEST_CASE("a daemon that alone lost a primary serves through a peer, or its callers are refused") {
+  RelayFixture fixture;
+  SessionState state;
+  state.session = 7;
+  state.values["role"] = "clerk";
+  const auto write =
+      fixture.Await(fixture.entry.runner.Run(fixture.Job("w1", "WRITE 1 x", true), &state));
+  CHECK_FALSE(write.error);
+  CHECK(write.signature == "signed.w1");
+  const auto read =
+      fixture.Await(fixture.entry.runner.Run(fixture.Job("r1", "READ 1", false), &state));
+  CHECK_FALSE(read.error);
+  CHECK(read.rows == std::vector<std::string>{"data"});
+  REQUIRE(fixture.group.executed.size() == 2);
+  CHECK(fixture.group.executed[0].values.at("role") == "clerk");
+  CHECK(fixture.group.executed[1].in_transaction);
+  CHECK(state.last_commit.index == 11);
+}
+
+TEST_CASE("a relayed transaction keeps its connection and is rolled back when it is discarded") {
+  RelayFixture fixture;
+  SessionState state;
+  state.session = 7;
+  SessionTransaction transaction;
+  for (const char* id : {"w1", "w2"}) {
+    const auto answer = fixture.Await(fixture.entry.runner.RunInTransaction(
+        fixture.Job(id, "WRITE 1 x", true), &state, &transaction));
+    CHECK_FALSE(answer.error);
+  }
+  CHECK(fixture.group.executed[1].in_transaction);
+  CHECK(fixture.endpoints[0]->opened == 1);
+  fixture.entry.runner.Discard(&transaction);
+  const TimePoint limit = BootNow() + 60s;
+  while (fixture.endpoints[0]->rolled_back == 0 && BootNow() < limit) {
+    fixture.context.run_one_for(std::chrono::milliseconds(20));
+  }
+  CHECK(fixture.endpoints[0]->rolled_back == 1);
+}
+
+TEST_CASE("a relayed commit whose answer is cut is in doubt, not retried at another gateway") {
+  RelayFixture fixture;
+  fixture.endpoints[0]->cut_answers = {"WRITE"};
+  SessionState state;
+  const auto answer =
+      fixture.Await(fixture.entry.runner.Run(fixture.Job("w1", "WRITE 1 x", true), &state));
+  CHECK(answer.error == StatementError::kInDoubt);
+  CHECK(fixture.group.executed.size() == 1);
+}
+
+TEST_CASE("an endpoint that no daemon reaches is refused as not run") {
+  RelayFixture fixture;
+  fixture.gate.cluster.FindEndpoint("p")->down = true;
+  fixture.route.statement_timeout = 300ms;
+  SessionState state;
+  const auto answer =
+      fixture.Await(fixture.entry.runner.Run(fixture.Job("w1", "WRITE 1 x", true), &state));
+  CHECK(answer.error == StatementError::kOverloaded);
+  CHECK(fixture.group.executed.empty());
+}
+
+}  // namespace
+}  // namespace poplarmoor::platform
