--- a/kernel/freshness_log.cc
+++ b/kernel/freshness_log.cc
@@ -34,7 +34,7 @@
   return *found;
 }
 
-std::optional<FreshnessEvidence> FreshnessLog::newest() const {
+std::optional<FreshnessEvidence> FreshnessLog::Newest() const {
   if (this->entries.empty()) {
     return std::nullopt;
   }
--- a/kernel/freshness_log.h
+++ b/kernel/freshness_log.h
@@ -32,10 +32,10 @@
   std::optional<FreshnessEvidence> Demand(TimePoint since) const;
 
   /// @returns The newest evidence.
-  std::optional<FreshnessEvidence> newest() const;
+  std::optional<FreshnessEvidence> Newest() const;
 
   /// @returns The highest position recorded; {0, 0} without one.
-  LogPosition highest() const { return this->highest_position; }
+  LogPosition Highest() const { return this->highest_position; }
 
  private:
   // Positions are kept at this distance, so that the log stays small.
--- a/kernel/gateway_plan.h
+++ b/kernel/gateway_plan.h
@@ -27,7 +27,7 @@
   /// @returns Live daemons, this one included.
   size_t size() const { return this->live_peers.size(); }
 
-  const std::vector<Peer>& peers() const { return this->live_peers; }
+  const std::vector<Peer>& Peers() const { return this->live_peers; }
 
   /// @param endpoint Id of an endpoint.
   /// @param failure_domain Where it runs.
--- a/kernel/read_placement.cc
+++ b/kernel/read_placement.cc
@@ -41,6 +41,7 @@
   }
   std::sort(order.begin(), order.end());
   std::vector<std::string> ids;
+  ids.reserve(order.size());
   for (auto& [delay, id] : order) {
     ids.push_back(std::move(id));
   }
--- a/kernel/session_state.h
+++ b/kernel/session_state.h
@@ -16,7 +16,9 @@
   bool read_only = true;
   std::string shape;  // Text that identifies the statement to the endpoint.
 
-  auto operator<=>(const PreparedStatement&) const = default;
+  // clang-tidy 14 takes a defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  friend auto operator<=>(const PreparedStatement&, const PreparedStatement&) = default;
 };
 
 /// Values that a session has set, by name.
--- a/kernel/statement_queue.cc
+++ b/kernel/statement_queue.cc
@@ -9,7 +9,8 @@
 // The most urgent statements may exceed the limit by this number, so that they do not wait for a
 // slower statement of the same daemon.
 constexpr uint32_t kUrgentExtra = 1;
-constexpr int kSmoothing = 8;  // Weight of the history against one sample.
+constexpr uint32_t kKeptForSingles = 1;  // Connections that transactions do not take.
+constexpr int kSmoothing = 8;            // Weight of the history against one sample.
 
 }  // namespace
 
@@ -23,8 +24,11 @@
     return false;
   }
   // A transaction mostly idles between statements, so that it takes no single statement's place.
+  // One connection is kept for single statements, or callers that rest in transactions block all
+  // others.
   if (transaction) {
-    return true;
+    return this->transactions + kKeptForSingles <
+           std::max(this->total_allowed, kKeptForSingles + 1);
   }
   return this->singles < this->singles_allowed + (rank == 0 ? kUrgentExtra : 0);
 }
@@ -87,7 +91,7 @@
   return this->smoothed_hold * ahead / this->singles_allowed;
 }
 
-uint32_t StatementQueue::busy() const {
+uint32_t StatementQueue::Busy() const {
   size_t count = this->singles + this->transactions;
   for (const auto& [rank, queue] : this->waiting) {
     count += queue.size();
--- a/kernel/statement_queue.h
+++ b/kernel/statement_queue.h
@@ -45,13 +45,13 @@
   Duration PredictedWait(int rank) const;
 
   /// @returns Requests that have a connection or wait for one.
-  uint32_t busy() const;
+  uint32_t Busy() const;
 
   /// @returns Connections in use.
-  uint32_t in_use() const { return this->singles + this->transactions; }
+  uint32_t InUse() const { return this->singles + this->transactions; }
 
-  uint32_t single_limit() const { return this->singles_allowed; }
-  Duration service_time() const { return this->smoothed_hold; }
+  uint32_t SingleLimit() const { return this->singles_allowed; }
+  Duration ServiceTime() const { return this->smoothed_hold; }
 
  private:
   struct Waiter {
--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -237,7 +237,7 @@
   messages.push_back(this->codec->EncodeOrder(order, term));
   const auto answers = co_await connection.Exchange(std::move(messages), limit);
   const StatementAnswer& answer = answers.front();
-  const bool has_room = this->idle.size() + this->admission.in_use() < this->share;
+  const bool has_room = this->idle.size() + this->admission.InUse() < this->share;
   if (channel->is_open() && has_room && !this->relayed) {
     this->idle.push_back({std::move(channel), BootNow()});
   }
@@ -269,7 +269,7 @@
 }
 
 void EndpointPool::NoteLimitReached() {
-  const uint32_t in_use = this->admission.in_use();
+  const uint32_t in_use = this->admission.InUse();
   this->reached_limit = static_cast<uint32_t>(this->idle.size()) + (in_use > 0 ? in_use - 1 : 0);
   this->limited_until = BootNow() + kGrowthPause;
   this->open_backoff = std::clamp(this->open_backoff * 2, kFirstOpenPause, kMaxOpenPause);
@@ -314,7 +314,7 @@
 void EndpointPool::WarmUp() {
   const uint32_t target = this->ramping ? 1 : this->KeptIdle();
   const TimePoint now = BootNow();
-  const bool enough = this->idle.size() + this->admission.in_use() >= target;
+  const bool enough = this->idle.size() + this->admission.InUse() >= target;
   if (this->warming || this->relayed || this->down || this->current.leaving || enough ||
       now < this->warm_from || now < this->next_open) {
     return;
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -117,7 +117,7 @@
 
   const EndpointRecord& record() const { return this->current; }
   /// @returns Statements and transactions of this daemon that run or wait there.
-  uint32_t busy() const { return this->admission.busy() + this->relayed_in_use; }
+  uint32_t busy() const { return this->admission.Busy() + this->relayed_in_use; }
   const StatementQueue& queue() const { return this->admission; }
 
   bool down = false;  // No fresh connection can be opened.
--- a/session/group_keeper.cc
+++ b/session/group_keeper.cc
@@ -99,7 +99,9 @@
   for (auto& [id, pool] : group->members) {
     const bool due = pool->down ? now - pool->down_since > kDownProbeInterval
                                 : pool->suspected || pool->Silence() > kSuspiciousSilence;
-    if (due && !pool->probing && !pool->is_relayed()) {
+    // A few daemons of each failure domain probe endpoints whose gateways may be cut off with them.
+    const bool probes = !pool->is_relayed() || this->cluster->relays().plan().IsWatcher();
+    if (due && !pool->probing && probes) {
       pool->probing = true;
       pool->suspected = false;
       this->Spawn(this->Probe(group, pool));
--- a/session/relay_router.cc
+++ b/session/relay_router.cc
@@ -17,6 +17,10 @@
 
 // A gateway that failed is tried again after this time, about that of a restart.
 constexpr Duration kFailurePause = 2s;
+// So many failed gateways of one endpoint mean that its failure domain is cut off; then only one
+// statement in this interval tries.
+constexpr size_t kFailuresOfCut = 3;
+constexpr Duration kTrialInterval = 300ms;
 constexpr Duration kOrderSlack = 50ms;  // Round trip to the gateway.
 
 }  // namespace
@@ -30,7 +34,7 @@
   return std::make_unique<RelayChannel>(this, endpoint, this->random(), rank, transaction);
 }
 
-std::vector<Peer> RelayRouter::UsableGateways(const EndpointRecord& endpoint) const {
+std::vector<Peer> RelayRouter::UsableGateways(const EndpointRecord& endpoint) {
   const auto connections = this->by_service.find(endpoint.service);
   if (connections == this->by_service.end()) {
     return {};
@@ -41,10 +45,20 @@
     peers = this->gateways.Others(endpoint.id, endpoint.failure_domain);
   }
   const TimePoint now = BootNow();
-  std::stable_partition(peers.begin(), peers.end(), [this, now](const Peer& peer) {
-    const auto failure = this->failed.find(peer.address);
-    return failure == this->failed.end() || now - failure->second > kFailurePause;
-  });
+  const auto usable =
+      std::stable_partition(peers.begin(), peers.end(), [this, now](const Peer& peer) {
+        const auto failure = this->failed.find(peer.address);
+        return failure == this->failed.end() || now - failure->second > kFailurePause;
+      });
+  const size_t failures = static_cast<size_t>(peers.end() - usable);
+  if (failures < std::min(kFailuresOfCut, peers.size())) {
+    return peers;
+  }
+  TimePoint& trial = this->next_trial[endpoint.id];
+  if (now < trial) {
+    return {};
+  }
+  trial = now + kTrialInterval;
   return peers;
 }
 
--- a/session/relay_router.h
+++ b/session/relay_router.h
@@ -55,8 +55,9 @@
   bool HasPeers() const { return this->network != nullptr && this->gateways.size() > 1; }
 
   /// In a small fleet every other daemon may act as a gateway.
-  /// @returns The endpoint's gateways that have not failed lately, best first.
-  std::vector<Peer> UsableGateways(const EndpointRecord& endpoint) const;
+  /// @returns The endpoint's gateways that have not failed lately, best first; none when several
+  ///     have, so that a cut failure domain costs no waiting time.
+  std::vector<Peer> UsableGateways(const EndpointRecord& endpoint);
 
   /// Other gateways go first for a while.
   void NoteFailure(const std::string& address);
@@ -69,8 +70,9 @@
  private:
   GatewayPlan gateways;
   PeerNetwork* network = nullptr;
-  std::map<std::string, TimePoint> failed;     // By address.
-  std::map<std::string, uint32_t> by_service;  // Connections.
+  std::map<std::string, TimePoint> next_trial;  // By endpoint, while its gateways fail.
+  std::map<std::string, TimePoint> failed;      // By address.
+  std::map<std::string, uint32_t> by_service;   // Connections.
   RandomEngine random;
 };
 
--- a/session/relay_server.cc
+++ b/session/relay_server.cc
@@ -121,7 +121,7 @@
       group->freshness.Record(deadline - Duration(static_cast<int64_t>(request.limit_us)),
                               *attempt.opened_at);
     }
-    if (const auto newest = group->freshness.newest()) {
+    if (const auto newest = group->freshness.Newest()) {
       answer.newest = newest->position;
       answer.newest_age_us = static_cast<uint64_t>((BootNow() - newest->sent).count());
     }
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -151,8 +151,8 @@
     candidate.usable = (!pool->down || pool->UsesRelay()) && !pool->record().leaving &&
                        pool->IsFreshEnough(demand_age) && now >= pool->avoid_until;
     candidate.busy = pool->busy();
-    candidate.limit = pool->queue().single_limit();
-    candidate.service_time = pool->queue().service_time();
+    candidate.limit = pool->queue().SingleLimit();
+    candidate.service_time = pool->queue().ServiceTime();
     candidates.push_back(std::move(candidate));
   }
   std::vector<std::shared_ptr<EndpointPool>> order;
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -92,6 +92,7 @@
     group->freshness.Record(sent, *attempt.answer.position);
   }
   if (attempt.failure == AcquireFailure::kUnreachable) {
+    pool->suspected = true;
     pool->avoid_until = BootNow() + kUnreachablePause;
     if (pool->down) {
       group->LosePrimary(pool->record().id, "no daemon that was asked reaches it");
@@ -268,7 +269,7 @@
         continue;
       }
       const Duration patience = std::min<Duration>(
-          TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
+          TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().ServiceTime());
       StatementAttempt attempt = co_await this->Send(&job, Opening::kNone, demand->position, *state,
                                                      group, pool, &lease, patience);
       pool->Release(std::move(lease));
@@ -373,7 +374,7 @@
 }
 
 void StatementRunner::RefreshEvidence(ServiceGroup* group, Duration max_age) {
-  const auto newest = group->freshness.newest();
+  const auto newest = group->freshness.Newest();
   const auto pool = group->Primary();
   if (group->refreshing || pool == nullptr || (newest && BootNow() - newest->sent < max_age)) {
     return;
@@ -518,7 +519,7 @@
         continue;
       }
       const Duration patience = std::min<Duration>(
-          TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().service_time());
+          TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().ServiceTime());
       StatementAttempt attempt = co_await this->Send(&job, Opening::kReadOnly, demand->position,
                                                      *state, group, pool, &lease, patience);
       if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -106,7 +106,7 @@
     kind->reachable = false;
     for (int number = 0; has_peers && number < kPeersAsked; ++number) {
       // Another daemon may still reach the store.
-      const std::vector<Peer> peers = plan.peers();
+      const std::vector<Peer> peers = plan.Peers();
       const Peer peer = peers[RandomBelow(&this->random, peers.size())];
       bool told = false;
       if (peer.daemon != this->self.daemon) {
--- a/telemetry/bounded_appender.h
+++ b/telemetry/bounded_appender.h
@@ -24,7 +24,7 @@
   void close() override {}
 
   /// @returns Lines dropped since the start.
-  uint64_t dropped() const { return this->dropped_total; }
+  uint64_t Dropped() const { return this->dropped_total; }
 
  protected:
   void append(const log4cplus::spi::InternalLoggingEvent& event) override;
--- a/telemetry/log.cc
+++ b/telemetry/log.cc
@@ -152,7 +152,7 @@
 
 uint64_t DroppedLogLines() {
   const LogState& state = State();
-  return state.bounded == nullptr ? 0 : state.bounded->dropped();
+  return state.bounded == nullptr ? 0 : state.bounded->Dropped();
 }
 
 void ShutDownLog() {
--- a/tests/kernel/freshness_log_test.cc
+++ b/tests/kernel/freshness_log_test.cc
@@ -42,7 +42,7 @@
   log.Record(At(1000), {2, 5});
   log.Record(At(1100), {1, 90});
   CHECK_FALSE(log.Demand(At(1050)));
-  CHECK(log.highest() == LogPosition{2, 5});
+  CHECK(log.Highest() == LogPosition{2, 5});
 }
 
 TEST_CASE("dense evidence is thinned without a gap, or the log grows with the load") {
@@ -54,7 +54,7 @@
   REQUIRE(demand);
   CHECK(demand->sent >= At(9000));
   CHECK(demand->sent <= At(9100));
-  CHECK(log.newest()->position == LogPosition{1, 10000});
+  CHECK(log.Newest()->position == LogPosition{1, 10000});
 }
 
 }  // namespace
--- a/tests/kernel/statement_queue_test.cc
+++ b/tests/kernel/statement_queue_test.cc
@@ -68,6 +68,20 @@
   CHECK(queue.Enter(5, 1, true, kPatience) == Decision::kWait);
 }
 
+TEST_CASE("callers that rest in transactions leave a connection to single statements") {
+  // Load: 120 callers begin, write and rest until the idle limit.
+  StatementQueue queue;
+  queue.SetLimits(2, 6);
+  for (StatementQueue::Ticket ticket = 1; ticket <= 120; ++ticket) {
+    queue.Enter(ticket, 1, true, 10s);
+  }
+  CHECK(queue.InUse() == 5);
+  CHECK(queue.Enter(1000, 1, false, 1s) == Decision::kWait);
+  CHECK(queue.Enter(1001, 0, false, 1s) == Decision::kStart);
+  queue.Leave(false, 10ms);
+  CHECK(queue.Next() == 1000);
+}
+
 TEST_CASE("a withdrawn statement is not started, or its place is lost") {
   StatementQueue queue;
   queue.SetLimits(1, 1);
@@ -76,7 +90,7 @@
   queue.Withdraw(2);
   queue.Leave(false, 10ms);
   CHECK_FALSE(queue.Next());
-  CHECK(queue.busy() == 0);
+  CHECK(queue.Busy() == 0);
 }
 
 }  // namespace
--- a/tests/telemetry/bounded_appender_test.cc
+++ b/tests/telemetry/bounded_appender_test.cc
@@ -58,7 +58,7 @@
   for (int line = 0; line < 5000; ++line) {
     log.Write(std::string(100, 'x'));
   }
-  CHECK(log.appender->dropped() > 0);
+  CHECK(log.appender->Dropped() > 0);
   CHECK(log.ReadAll().size() >= 60000);
   log.Write("after");
   const std::string rest = log.ReadAll();
@@ -72,7 +72,7 @@
     log.Write("x");
   }
   // The loop may cross a second or two on a slow machine.
-  CHECK(log.appender->dropped() >= 900);
+  CHECK(log.appender->Dropped() >= 900);
 }
 
 }  // namespace
