--- a/kernel/gateway_plan.cc
+++ b/kernel/gateway_plan.cc
@@ -1,6 +1,7 @@
 #include "kernel/gateway_plan.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "kernel/ownership.h"
 
@@ -23,11 +24,31 @@
   return std::max(connections / kConnectionsPerGateway, kMinGateways);
 }
 
-// Sorts by the rendezvous score under a key, the highest first.
-void SortByScore(std::vector<Peer>* peers, const std::string& key) {
-  std::sort(peers->begin(), peers->end(), [&key](const Peer& left, const Peer& right) {
-    return RendezvousScore(key, left.daemon) > RendezvousScore(key, right.daemon);
-  });
+using PeerPointers = std::vector<const Peer*>;
+
+// Sorts by the rendezvous score under a key, the highest first, and keeps the first `count`.
+void KeepHighest(PeerPointers* peers, const std::string& key, size_t count) {
+  std::vector<std::pair<uint64_t, const Peer*>> scored;
+  scored.reserve(peers->size());
+  for (const Peer* peer : *peers) {
+    scored.emplace_back(RendezvousScore(key, peer->daemon), peer);
+  }
+  const size_t kept = std::min(count, scored.size());
+  std::partial_sort(scored.begin(), scored.begin() + static_cast<ptrdiff_t>(kept), scored.end(),
+                    [](const auto& left, const auto& right) { return left.first > right.first; });
+  peers->resize(kept);
+  for (size_t place = 0; place < kept; ++place) {
+    (*peers)[place] = scored[place].second;
+  }
+}
+
+std::vector<Peer> Copy(const PeerPointers& peers) {
+  std::vector<Peer> copies;
+  copies.reserve(peers.size());
+  for (const Peer* peer : peers) {
+    copies.push_back(*peer);
+  }
+  return copies;
 }
 
 }  // namespace
@@ -49,21 +70,20 @@
   return static_cast<double>(this->live_peers.size()) * kMinConnectionsPerDaemon <= connections;
 }
 
-std::vector<Peer> GatewayPlan::Chosen(const std::string& endpoint,
-                                      const std::string& failure_domain,
-                                      uint32_t connections) const {
-  std::vector<Peer> near;
-  std::vector<Peer> far;
+std::vector<const Peer*> GatewayPlan::Chosen(const std::string& endpoint,
+                                             const std::string& failure_domain,
+                                             uint32_t connections) const {
+  PeerPointers near;
+  PeerPointers far;
   for (const Peer& peer : this->live_peers) {
-    (peer.failure_domain == failure_domain ? near : far).push_back(peer);
+    (peer.failure_domain == failure_domain ? near : far).push_back(&peer);
   }
-  SortByScore(&near, endpoint);
-  SortByScore(&far, endpoint);
   const size_t count = GatewayCount(connections);
+  KeepHighest(&near, endpoint, count);
   if (near.size() < kMinGateways) {
+    KeepHighest(&far, endpoint, count - near.size());
     near.insert(near.end(), far.begin(), far.end());
   }
-  near.resize(std::min(near.size(), count));
   return near;
 }
 
@@ -73,20 +93,24 @@
   if (this->EveryoneConnects(connections)) {
     return true;
   }
-  const std::vector<Peer> chosen = this->Chosen(endpoint, failure_domain, connections);
+  const PeerPointers chosen = this->Chosen(endpoint, failure_domain, connections);
   return std::any_of(chosen.begin(), chosen.end(),
-                     [this](const Peer& peer) { return peer.daemon == this->self; });
+                     [this](const Peer* peer) { return peer->daemon == this->self; });
 }
 
 std::vector<Peer> GatewayPlan::Others(const std::string& endpoint,
                                       const std::string& failure_domain) const {
-  std::vector<Peer> others = this->live_peers;
-  std::erase_if(others, [this](const Peer& peer) { return peer.daemon == this->self; });
-  SortByScore(&others, endpoint + "/" + this->self);
-  std::stable_partition(others.begin(), others.end(), [&failure_domain](const Peer& peer) {
-    return peer.failure_domain == failure_domain;
+  PeerPointers others;
+  for (const Peer& peer : this->live_peers) {
+    if (peer.daemon != this->self) {
+      others.push_back(&peer);
+    }
+  }
+  KeepHighest(&others, endpoint + "/" + this->self, others.size());
+  std::stable_partition(others.begin(), others.end(), [&failure_domain](const Peer* peer) {
+    return peer->failure_domain == failure_domain;
   });
-  return others;
+  return Copy(others);
 }
 
 std::vector<Peer> GatewayPlan::Watchers() const {
@@ -94,15 +118,14 @@
   for (const Peer& peer : this->live_peers) {
     domain = peer.daemon == this->self ? peer.failure_domain : domain;
   }
-  std::vector<Peer> watchers;
+  PeerPointers watchers;
   for (const Peer& peer : this->live_peers) {
     if (peer.failure_domain == domain) {
-      watchers.push_back(peer);
+      watchers.push_back(&peer);
     }
   }
-  SortByScore(&watchers, kWatchKey);
-  watchers.resize(std::min<size_t>(watchers.size(), kWatchersPerDomain));
-  return watchers;
+  KeepHighest(&watchers, kWatchKey, kWatchersPerDomain);
+  return Copy(watchers);
 }
 
 bool GatewayPlan::IsWatcher() const {
@@ -127,9 +150,9 @@
   if (this->EveryoneConnects(connections)) {
     return {};
   }
-  std::vector<Peer> chosen = this->Chosen(endpoint, failure_domain, connections);
-  SortByScore(&chosen, endpoint + "/" + this->self);
-  return chosen;
+  PeerPointers chosen = this->Chosen(endpoint, failure_domain, connections);
+  KeepHighest(&chosen, endpoint + "/" + this->self, chosen.size());
+  return Copy(chosen);
 }
 
 }  // namespace poplarmoor
--- a/kernel/gateway_plan.h
+++ b/kernel/gateway_plan.h
@@ -59,9 +59,9 @@
 
  private:
   bool EveryoneConnects(uint32_t connections) const;
-  std::vector<Peer> Chosen(const std::string& endpoint,
-                           const std::string& failure_domain,
-                           uint32_t connections) const;
+  std::vector<const Peer*> Chosen(const std::string& endpoint,
+                                  const std::string& failure_domain,
+                                  uint32_t connections) const;
 
   std::string self;
   std::vector<Peer> live_peers;
--- a/session/group_keeper.cc
+++ b/session/group_keeper.cc
@@ -36,10 +36,10 @@
 // platform's time for a promotion (1 s).
 constexpr Duration kClaimValidity = 2500ms;
 constexpr Duration kClaimRetry = 500ms;
-constexpr Duration kTakeoverLimit = 5s;    // Of a takeover before its promotion is ordered.
-constexpr Duration kRoundInterval = 30ms;  // Between two rounds of status calls.
-constexpr Duration kOrderLimit = 300ms;    // Of one order to an endpoint.
-constexpr Duration kPromotionLimit = 10s;  // Until an order without an answer is given up.
+constexpr Duration kTakeoverLimit = 5s;      // Of a takeover before its promotion is ordered.
+constexpr Duration kRoundInterval = 30ms;    // Between two rounds of status calls.
+constexpr Duration kOrderLimit = 300ms;      // Of one order to an endpoint.
+constexpr Duration kPromotionRetry = 100ms;  // Between orders without an answer; each is paid for.
 // The daemons spread their claims, so that mostly one of them pays for a call.
 constexpr Duration kUrgentJitter = 40ms;
 constexpr Duration kPlannedJitter = 400ms;
@@ -431,17 +431,22 @@
 asio::awaitable<bool> GroupKeeper::Promote(ServiceGroup* group,
                                            std::string endpoint,
                                            uint64_t token) {
-  const TimePoint started = BootNow();
+  // An order without an answer may be carried out later. The replicas stay paused until it is
+  // answered, or until a newer claim's token ends it.
   PromotionOutcome outcome = PromotionOutcome::kUnknown;
-  while (outcome == PromotionOutcome::kUnknown && BootNow() - started < kPromotionLimit &&
-         group->claim.revision == token) {
+  while (group->claim.revision == token) {
     outcome = co_await this->promotions->Promote(group->name, endpoint, token);
     Log(LogLevel::kInfo, "promotion ordered",
         {{"service", group->name},
          {"endpoint", endpoint},
          {"token", token},
          {"outcome", kPromotionOutcomeNames.NameOf(outcome)}});
+    if (outcome != PromotionOutcome::kUnknown) {
+      break;
+    }
+    co_await Pause(kPromotionRetry);
   }
+  const TimePoint started = BootNow();
   this->metrics->Add(Metric::kPromotions, {group->name, kPromotionOutcomeNames.NameOf(outcome)});
   if (outcome != PromotionOutcome::kAccepted) {
     co_return false;
--- a/session/statement_error.h
+++ b/session/statement_error.h
@@ -39,4 +39,21 @@
     {StatementError::kOther, "other"},
 }}};
 
+/// @param error Any error of an endpoint.
+/// @returns Whether it promises that the statement has not run.
+constexpr bool HasNotRun(StatementError error) {
+  switch (error) {
+    case StatementError::kOverloaded:
+    case StatementError::kBehind:
+    case StatementError::kReadOnly:
+    case StatementError::kUnknownStatement:
+    case StatementError::kAborted:
+    case StatementError::kWrongEndpoint:
+    case StatementError::kTooManyConnections:
+      return true;
+    default:
+      return false;
+  }
+}
+
 }  // namespace poplarmoor
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -21,8 +21,6 @@
 constexpr Duration kEvidenceLimit = 500ms;
 // The time of a caller's first byte is known only up to scheduling delays.
 constexpr Duration kStalenessMargin = 50ms;
-// An endpoint with a full queue is left alone for about the time of one statement.
-constexpr Duration kOverloadPause = 20ms;
 // A read whose answer is lost is repeated elsewhere after this time and several usual ones.
 constexpr Duration kMinReadPatience = 300ms;
 constexpr int kReadPatienceFactor = 5;
@@ -30,27 +28,12 @@
 // An endpoint without a gateway that answers is left alone for about the time of a reconnect.
 constexpr Duration kUnreachablePause = 100ms;
 
-Duration TimeLeft(const StatementJob& job) {
-  return std::max<Duration>(job.deadline - BootNow(), 1ms);
-}
+}  // namespace
 
-bool ChangesNothing(StatementError error) {
-  switch (error) {
-    case StatementError::kOverloaded:
-    case StatementError::kBehind:
-    case StatementError::kReadOnly:
-    case StatementError::kUnknownStatement:
-    case StatementError::kAborted:
-    case StatementError::kWrongEndpoint:
-    case StatementError::kTooManyConnections:
-      return true;
-    default:
-      return false;
-  }
+Duration StatementJob::TimeLeft() const {
+  return std::max<Duration>(this->deadline - BootNow(), 1ms);
 }
 
-}  // namespace
-
 // -----------------------------------------------------------------------------
 // Sending one statement
 
@@ -158,7 +141,7 @@
 
 void StatementRunner::CountAnswer(const StatementJob& job, std::optional<StatementError> error) {
   Verdict verdict = Verdict::kRan;
-  if (error && ChangesNothing(*error)) {
+  if (error && HasNotRun(*error)) {
     verdict = Verdict::kNotRun;
   } else if (error == StatementError::kInDoubt || error == StatementError::kTimeout) {
     verdict = Verdict::kMayHaveRun;
@@ -202,7 +185,7 @@
                                                         const SessionState& state) {
   const TimePoint begun = BootNow();
   EndpointLease lease =
-      co_await pool->Acquire(job->route->rank, transaction, TimeLeft(*job), state);
+      co_await pool->Acquire(job->route->rank, transaction, job->TimeLeft(), state);
   job->queued += BootNow() - begun;
   co_return lease;
 }
@@ -220,6 +203,58 @@
   asio::co_spawn(pool->io_executor(), work(pool, std::move(lease)), asio::detached);
 }
 
+// -----------------------------------------------------------------------------
+// Reaching the primary
+
+asio::awaitable<StatementRunner::PrimaryLease> StatementRunner::LeasePrimary(
+    StatementJob* job,
+    ServiceGroup* group,
+    bool transaction,
+    const SessionState& state,
+    std::string last_cause) {
+  PrimaryLease result;
+  result.cause = std::move(last_cause);
+  while (group != nullptr && job->deadline - BootNow() > 1ms) {
+    result.pool = co_await group->AwaitPrimary(job->TimeLeft());
+    if (result.pool == nullptr) {
+      result.cause = "no primary is expected in time; last: " + result.cause;
+      break;
+    }
+    result.lease = co_await this->Acquire(job, result.pool, transaction, state);
+    if (result.lease.connection != nullptr) {
+      break;
+    }
+    result.cause = kAcquireFailureNames.NameOf(result.lease.failure);
+    this->NoteAttempt(job, *result.pool, std::nullopt, result.cause);
+    if (result.lease.failure == AcquireFailure::kOverloaded) {
+      break;
+    }
+    co_await Pause(kOverloadPause);
+  }
+  co_return result;
+}
+
+asio::awaitable<void> StatementRunner::AfterFailureAtPrimary(StatementJob* job,
+                                                             ServiceGroup* group,
+                                                             std::shared_ptr<EndpointPool> pool,
+                                                             std::optional<StatementError> error,
+                                                             std::string cause) {
+  this->NoteAttempt(job, *pool, std::nullopt, cause);
+  if (error == StatementError::kReadOnly) {
+    group->LosePrimary(pool->record().id, "it refused what only the primary runs");
+    co_return;
+  }
+  if (error) {
+    this->NoteRefusal(pool.get(), *error);
+  }
+  co_await Pause(kOverloadPause);
+}
+
+Duration StatementRunner::ReadPatience(const StatementJob& job, const EndpointPool& pool) {
+  return std::min<Duration>(job.TimeLeft(),
+                            kMinReadPatience + kReadPatienceFactor * pool.queue().ServiceTime());
+}
+
 // -----------------------------------------------------------------------------
 // Statements outside transactions
 
@@ -268,8 +303,7 @@
         cause = kAcquireFailureNames.NameOf(lease.failure);
         continue;
       }
-      const Duration patience = std::min<Duration>(
-          TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().ServiceTime());
+      const Duration patience = ReadPatience(job, *pool);
       StatementAttempt attempt = co_await this->Send(&job, Opening::kNone, demand->position, *state,
                                                      group, pool, &lease, patience);
       pool->Release(std::move(lease));
@@ -287,7 +321,7 @@
       if (*attempt.answer.error == StatementError::kBehind) {
         pool->NoteBehind(BootNow() - demand->sent);
       }
-      if (!ChangesNothing(*attempt.answer.error)) {
+      if (!HasNotRun(*attempt.answer.error)) {
         co_return this->Fail(job, *attempt.answer.error, attempt.answer.error_text, last);
       }
       this->NoteRefusal(pool.get(), *attempt.answer.error);
@@ -310,67 +344,38 @@
   // write.
   const Opening opening = job.writes ? Opening::kNone : Opening::kWritable;
   std::string cause = "no primary is known";
-  std::shared_ptr<EndpointPool> pool;
   for (;;) {
-    const Duration left = job.deadline - BootNow();
-    if (group == nullptr || left <= 1ms) {
-      break;
-    }
-    pool = co_await group->AwaitPrimary(left);
-    if (pool == nullptr) {
-      cause = "no primary is expected in time; last: " + cause;
-      break;
-    }
-    EndpointLease lease = co_await this->Acquire(&job, pool, false, *state);
-    if (lease.connection == nullptr) {
-      cause = kAcquireFailureNames.NameOf(lease.failure);
-      this->NoteAttempt(&job, *pool, std::nullopt, cause);
-      if (lease.failure == AcquireFailure::kOverloaded) {
-        break;
-      }
-      co_await Pause(kOverloadPause);
-      continue;
+    PrimaryLease primary = co_await this->LeasePrimary(&job, group, false, *state, cause);
+    const auto pool = primary.pool;
+    if (primary.lease.connection == nullptr) {
+      co_return this->Fail(job, StatementError::kOverloaded, primary.cause, pool.get());
     }
-    // A read at a server that has lost the lead is refused only inside a transaction that may
-    // write.
     StatementAttempt attempt = co_await this->Send(&job, opening, LogPosition{}, *state, group,
-                                                   pool, &lease, TimeLeft(job));
-    if (attempt.outcome == Outcome::kAnswered && !job.writes) {
-      this->CleanUp(pool, std::move(lease));
+                                                   pool, &primary.lease, job.TimeLeft());
+    const bool answered = attempt.outcome == Outcome::kAnswered;
+    if (answered && !job.writes) {
+      this->CleanUp(pool, std::move(primary.lease));
       attempt.answer.state = TransactionState::kNone;
     } else {
-      pool->Release(std::move(lease));
+      pool->Release(std::move(primary.lease));
     }
     if (attempt.outcome == Outcome::kLost && job.writes) {
       co_return this->Fail(job, StatementError::kInDoubt, attempt.cause, pool.get());
     }
-    if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
+    const auto error = attempt.answer.error;
+    if (answered && !error) {
       if (job.writes) {
         this->NoteCommit(state, attempt.answer);
       }
       this->NoteServed(job, *pool);
       co_return attempt.answer;
     }
-    if (!attempt.answer.error) {
-      cause = attempt.cause;
-      this->NoteAttempt(&job, *pool, std::nullopt, cause);
-      co_await Pause(kOverloadPause);
-      continue;
-    }
-    const StatementError error = *attempt.answer.error;
-    if (!ChangesNothing(error)) {
-      co_return this->Fail(job, error, attempt.answer.error_text, pool.get());
-    }
-    cause = kStatementErrorNames.NameOf(error);
-    this->NoteAttempt(&job, *pool, std::nullopt, cause);
-    if (error == StatementError::kReadOnly) {
-      group->LosePrimary(pool->record().id, "it refused a write");
-    } else {
-      this->NoteRefusal(pool.get(), error);
-      co_await Pause(kOverloadPause);
+    if (error && !HasNotRun(*error)) {
+      co_return this->Fail(job, *error, attempt.answer.error_text, pool.get());
     }
+    cause = error ? std::string(kStatementErrorNames.NameOf(*error)) : attempt.cause;
+    co_await this->AfterFailureAtPrimary(&job, group, pool, error, cause);
   }
-  co_return this->Fail(job, StatementError::kOverloaded, cause, pool.get());
 }
 
 void StatementRunner::RefreshEvidence(ServiceGroup* group, Duration max_age) {
@@ -398,201 +403,4 @@
   asio::co_spawn(pool->io_executor(), work(this, group, pool), asio::detached);
 }
 
-// -----------------------------------------------------------------------------
-// Transactions
-
-asio::awaitable<StatementAnswer> StatementRunner::RunInTransaction(
-    StatementJob job,
-    SessionState* state,
-    SessionTransaction* transaction) {
-  if (transaction->lease.connection == nullptr) {
-    const bool at_replica =
-        transaction->read_only && job.route->consistency != Consistency::kPrimary;
-    if (at_replica) {
-      co_return co_await this->BeginAtReplica(std::move(job), state, transaction);
-    }
-    co_return co_await this->BeginAtPrimary(std::move(job), state, transaction);
-  }
-  ServiceGroup* group = this->cluster->FindGroup(job.route->service);
-  const auto pool = transaction->pool;
-  for (;;) {
-    const Duration left = TimeLeft(job);
-    StatementAttempt attempt = co_await this->Send(&job, Opening::kNone, LogPosition{}, *state,
-                                                   group, pool, &transaction->lease, left);
-    if (attempt.outcome != Outcome::kAnswered) {
-      this->Discard(transaction);
-      co_return this->Fail(job, StatementError::kAborted, attempt.cause, pool.get());
-    }
-    StatementAnswer& answer = attempt.answer;
-    if (!answer.error) {
-      transaction->wrote = transaction->wrote || job.writes;
-      this->NoteServed(job, *pool);
-      co_return answer;
-    }
-    const bool retriable = *answer.error == StatementError::kOverloaded &&
-                           answer.state == TransactionState::kOpen && left > 2 * kOverloadPause;
-    if (retriable) {
-      co_await Pause(kOverloadPause);
-      continue;
-    }
-    if (*answer.error == StatementError::kReadOnly && !transaction->read_only) {
-      group->LosePrimary(pool->record().id, "it refused a transaction's statement");
-    }
-    // The connection is rolled back, so that the promise of any of these errors holds.
-    this->Discard(transaction);
-    co_return this->Fail(job,
-                         ChangesNothing(*answer.error) ? StatementError::kAborted : *answer.error,
-                         answer.error_text, pool.get());
-  }
-}
-
-asio::awaitable<StatementAnswer> StatementRunner::BeginAtPrimary(StatementJob job,
-                                                                 SessionState* state,
-                                                                 SessionTransaction* transaction) {
-  ServiceGroup* group = this->cluster->FindGroup(job.route->service);
-  std::string cause = "no primary is known";
-  std::shared_ptr<EndpointPool> pool;
-  for (;;) {
-    const Duration left = job.deadline - BootNow();
-    if (group == nullptr || left <= 1ms) {
-      break;
-    }
-    pool = co_await group->AwaitPrimary(left);
-    if (pool == nullptr) {
-      cause = "no primary is expected in time; last: " + cause;
-      break;
-    }
-    EndpointLease lease = co_await this->Acquire(&job, pool, true, *state);
-    if (lease.connection == nullptr) {
-      cause = kAcquireFailureNames.NameOf(lease.failure);
-      this->NoteAttempt(&job, *pool, std::nullopt, cause);
-      if (lease.failure == AcquireFailure::kOverloaded) {
-        break;
-      }
-      co_await Pause(kOverloadPause);
-      continue;
-    }
-    StatementAttempt attempt = co_await this->Send(&job, Opening::kWritable, LogPosition{}, *state,
-                                                   group, pool, &lease, TimeLeft(job));
-    if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
-      transaction->wrote = job.writes;
-      transaction->pool = pool;
-      transaction->lease = std::move(lease);
-      this->NoteServed(job, *pool);
-      co_return attempt.answer;
-    }
-    this->CleanUp(pool, std::move(lease));
-    const auto error = attempt.answer.error;
-    cause = error ? std::string(kStatementErrorNames.NameOf(*error)) : attempt.cause;
-    this->NoteAttempt(&job, *pool, std::nullopt, cause);
-    if (error && !ChangesNothing(*error)) {
-      transaction->finished = true;
-      co_return this->Fail(job, *error, attempt.answer.error_text, pool.get());
-    }
-    if (error == StatementError::kReadOnly) {
-      group->LosePrimary(pool->record().id, "it refused a transaction that may write");
-    } else {
-      if (error) {
-        this->NoteRefusal(pool.get(), *error);
-      }
-      co_await Pause(kOverloadPause);
-    }
-  }
-  transaction->finished = true;
-  co_return this->Fail(job, StatementError::kOverloaded, cause, pool.get());
-}
-
-asio::awaitable<StatementAnswer> StatementRunner::BeginAtReplica(StatementJob job,
-                                                                 SessionState* state,
-                                                                 SessionTransaction* transaction) {
-  ServiceGroup* group = this->cluster->FindGroup(job.route->service);
-  const auto demand = group == nullptr ? std::nullopt : this->DemandFor(job, *state, group);
-  if (demand) {
-    for (const auto& pool :
-         group->ReadOrder(this->cluster->failure_domain(), BootNow() - demand->sent)) {
-      const Duration left = job.deadline - BootNow();
-      if (left <= 1ms) {
-        break;
-      }
-      EndpointLease lease = co_await this->Acquire(&job, pool, true, *state);
-      if (lease.connection == nullptr) {
-        continue;
-      }
-      const Duration patience = std::min<Duration>(
-          TimeLeft(job), kMinReadPatience + kReadPatienceFactor * pool->queue().ServiceTime());
-      StatementAttempt attempt = co_await this->Send(&job, Opening::kReadOnly, demand->position,
-                                                     *state, group, pool, &lease, patience);
-      if (attempt.outcome == Outcome::kAnswered && !attempt.answer.error) {
-        transaction->pool = pool;
-        transaction->lease = std::move(lease);
-        pool->NoteCaughtUp(BootNow() - demand->sent);
-        this->NoteServed(job, *pool);
-        co_return attempt.answer;
-      }
-      this->CleanUp(pool, std::move(lease));
-      if (attempt.answer.error == StatementError::kBehind) {
-        pool->NoteBehind(BootNow() - demand->sent);
-      }
-      if (attempt.answer.error) {
-        this->NoteRefusal(pool.get(), *attempt.answer.error);
-      }
-    }
-  }
-  co_return co_await this->BeginAtPrimary(std::move(job), state, transaction);
-}
-
-asio::awaitable<StatementAnswer> StatementRunner::Commit(StatementJob job,
-                                                         SessionState* state,
-                                                         SessionTransaction* transaction) {
-  if (transaction->lease.connection == nullptr) {
-    // The commit of an empty transaction also needs an endpoint's signature.
-    StatementAnswer answer = co_await this->RunInTransaction(std::move(job), state, transaction);
-    if (!answer.error) {
-      transaction->pool->Release(std::move(transaction->lease));
-      *transaction = {};
-    }
-    answer.state = TransactionState::kNone;
-    co_return answer;
-  }
-  ServiceGroup* group = this->cluster->FindGroup(job.route->service);
-  const auto pool = transaction->pool;
-  const bool wrote = transaction->wrote;
-  job.commits = wrote;
-  StatementAttempt attempt = co_await this->Send(&job, Opening::kNone, LogPosition{}, *state, group,
-                                                 pool, &transaction->lease, TimeLeft(job));
-  StatementAnswer answer = std::move(attempt.answer);
-  if (attempt.outcome == Outcome::kLost) {
-    answer = this->Fail(job, wrote ? StatementError::kInDoubt : StatementError::kAborted,
-                        attempt.cause, pool.get());
-  } else if (attempt.outcome == Outcome::kNotSent) {
-    answer = this->Fail(job, StatementError::kAborted, attempt.cause, pool.get());
-  } else if (answer.error) {
-    const bool promise = ChangesNothing(*answer.error);
-    answer = this->Fail(job, promise ? StatementError::kAborted : *answer.error, answer.error_text,
-                        pool.get());
-  } else {
-    if (wrote) {
-      this->NoteCommit(state, answer);
-    }
-    this->NoteServed(job, *pool);
-  }
-  if (answer.error) {
-    this->Discard(transaction);
-  } else {
-    pool->Release(std::move(transaction->lease));
-  }
-  *transaction = {};
-  answer.state = TransactionState::kNone;
-  co_return answer;
-}
-
-void StatementRunner::Discard(SessionTransaction* transaction) {
-  if (transaction->lease.connection != nullptr) {
-    this->CleanUp(transaction->pool, std::move(transaction->lease));
-  }
-  transaction->lease = {};
-  transaction->pool = nullptr;
-  transaction->finished = true;
-}
-
 }  // namespace poplarmoor
--- a/session/statement_runner.h
+++ b/session/statement_runner.h
@@ -30,6 +30,9 @@
   TimePoint arrived;
   TimePoint deadline;
 
+  /// @returns Time to the deadline, at least 1 ms.
+  Duration TimeLeft() const;
+
   // What the statement spent its time on, for the log.
   Duration queued{};   // Waiting for connections, opening them included.
   Duration setup{};    // Preparing connections for the session.
@@ -103,6 +106,31 @@
   std::optional<FreshnessEvidence> DemandFor(const StatementJob& job,
                                              const SessionState& state,
                                              ServiceGroup* group);
+  // A connection to the primary, or the reason why there is none in time.
+  struct PrimaryLease {
+    std::shared_ptr<EndpointPool> pool;
+    EndpointLease lease;
+    std::string cause;
+  };
+
+  // Waits for a primary and for a connection to it.
+  // @param last_cause Why the last attempt failed; part of the cause when no primary is expected.
+  boost::asio::awaitable<PrimaryLease> LeasePrimary(StatementJob* job,
+                                                    ServiceGroup* group,
+                                                    bool transaction,
+                                                    const SessionState& state,
+                                                    std::string last_cause);
+
+  // Records a failed attempt at the primary and pauses before the next one.
+  boost::asio::awaitable<void> AfterFailureAtPrimary(StatementJob* job,
+                                                     ServiceGroup* group,
+                                                     std::shared_ptr<EndpointPool> pool,
+                                                     std::optional<StatementError> error,
+                                                     std::string cause);
+
+  // Time after which a read whose answer does not come is repeated at another endpoint.
+  static Duration ReadPatience(const StatementJob& job, const EndpointPool& pool);
+
   void NoteRefusal(EndpointPool* pool, StatementError error);
   void NoteCommit(SessionState* state, const StatementAnswer& answer);
   StatementAnswer Fail(const StatementJob& job,
@@ -122,6 +150,9 @@
                                                 const SessionState& state);
   void CleanUp(std::shared_ptr<EndpointPool> pool, EndpointLease lease);
 
+  // An endpoint with a full queue is left alone for about the time of one statement.
+  static constexpr Duration kOverloadPause = 20ms;
+
   Cluster* cluster;
   const SessionCodec* codec;
   Metrics* metrics;
--- a/tests/kernel/gateway_plan_test.cc
+++ b/tests/kernel/gateway_plan_test.cc
@@ -26,20 +26,21 @@
 
 TEST_CASE("the connections of all gateways fit an endpoint's limit at any fleet size") {
   for (const size_t count : {1, 2, 8, 14, 15, 29, 30, 88, 300, 3300}) {
-    for (const uint32_t connections : {1U, 5U, 21U, 44U, 164U}) {
-      const auto peers = MakePeers(count, 3);
-      size_t used = 0;
-      for (const Peer& peer : peers) {
-        GatewayPlan plan(peer.daemon);
-        plan.SetPeers(peers);
-        used += plan.IsGateway("e", "fd1", connections) ? plan.ShareOf(connections) : 0;
-        if (count > 300 && used > connections) {
-          break;
-        }
+    const auto peers = MakePeers(count, 3);
+    std::map<uint32_t, size_t> used;  // By the endpoint's limit.
+    for (const Peer& peer : peers) {
+      GatewayPlan plan(peer.daemon);
+      plan.SetPeers(peers);
+      for (const uint32_t connections : {1U, 5U, 21U, 44U, 164U}) {
+        used[connections] +=
+            plan.IsGateway("e", "fd1", connections) ? plan.ShareOf(connections) : 0;
       }
-      INFO(count << " daemons, " << connections << " connections: " << used);
+    }
+    for (const auto& [connections, sum] : used) {
+      INFO(count << " daemons, " << connections << " connections: " << sum);
       // Two gateways are kept even where the limit has room for one connection only.
-      CHECK(used <= std::max(connections, 2U));
+      CHECK(sum <= std::max(connections, 2U));
+      CHECK(sum > 0);
     }
   }
 }
--- a/tests/platform/fake_line_endpoint.cc
+++ b/tests/platform/fake_line_endpoint.cc
@@ -54,6 +54,9 @@
       co_return;
     }
     ++this->opened;
+    if (this->connections.size() >= this->max_connections) {
+      continue;  // The socket's destructor closes it.
+    }
     auto connection = std::make_shared<Connection>(std::move(socket));
     this->connections.insert(connection);
     asio::co_spawn(this->acceptor.get_executor(), this->Serve(connection), asio::detached);
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -11,6 +11,7 @@
 #include "session/promotion_api.h"
 #include "session/session_server.h"
 #include "session/statement_runner.h"
+#include "session/wait_list.h"
 #include "telemetry/metrics.h"
 #include "tests/platform/fake_line_endpoint.h"
 #include "tests/platform/memory_store.h"
@@ -30,6 +31,11 @@
                                             std::string endpoint,
                                             uint64_t token) override {
     this->tokens.push_back(token);
+    if (this->unanswered > 0) {
+      --this->unanswered;
+      co_await Pause(1ms);
+      co_return PromotionOutcome::kUnknown;
+    }
     this->group->primary = endpoint;
     ++this->group->term;
     co_return PromotionOutcome::kAccepted;
@@ -37,6 +43,7 @@
 
   FakeGroup* group;
   std::vector<uint64_t> tokens;
+  int unanswered = 0;  // Orders that fail at once, as those to a platform that is down.
 };
 
 // One daemon before a group of three endpoints; the test's own code is its caller.
@@ -286,6 +293,59 @@
   CHECK((fixture.endpoints[1]->held_term != 0) != (fixture.endpoints[2]->held_term != 0));
 }
 
+TEST_CASE(
+    "a promotion that is refused at once is repeated with pauses and its replicas stay paused") {
+  Fixture fixture;
+  fixture.promotions.unanswered = 1000000;
+  fixture.keeper.Start();
+  fixture.endpoints[0]->Crash();
+  fixture.group.primary.clear();
+  fixture.cluster.FindEndpoint("p")->suspected = true;
+  fixture.RunUntil([&] { return !fixture.promotions.tokens.empty(); });
+  const TimePoint limit = BootNow() + 1s;
+  while (BootNow() < limit) {
+    fixture.context.run_one_for(std::chrono::milliseconds(20));
+  }
+  CHECK(fixture.promotions.tokens.size() <= 11);  // One each 100 ms.
+  CHECK((fixture.endpoints[1]->held_term != 0) != (fixture.endpoints[2]->held_term != 0));
+  fixture.promotions.unanswered = 0;
+  fixture.RunUntil([&] { return !fixture.group.primary.empty(); });
+  for (const uint64_t token : fixture.promotions.tokens) {
+    CHECK(token == fixture.promotions.tokens.front());
+  }
+}
+
+TEST_CASE(
+    "an endpoint full of dead connections is not stormed, or it spends its slots on refusals") {
+  // Load: after a common loss of power the endpoint still holds the vanished daemons' connections.
+  Fixture fixture;
+  fixture.endpoints[0]->max_connections = 0;
+  DatabaseRoute route;
+  route.service = "ledger";
+  route.statement_timeout = 400ms;
+  StatementJob job;
+  job.text = "WRITE 1 x";
+  job.writes = true;
+  job.route = &route;
+  job.arrived = BootNow();
+  job.deadline = job.arrived + route.statement_timeout;
+  SessionState state;
+  std::optional<StatementAnswer> answer;
+  asio::co_spawn(fixture.context, fixture.runner.Run(job, &state),
+                 [&](std::exception_ptr, StatementAnswer result) { answer = result; });
+  fixture.RunUntil([&] { return answer.has_value(); });
+  CHECK(answer->error == StatementError::kOverloaded);
+  CHECK(fixture.endpoints[0]->opened <= 5);  // Pauses of 25, 50, 100 and 200 ms between the tries.
+  fixture.endpoints[0]->max_connections = 10;
+  job.arrived = BootNow();
+  job.deadline = job.arrived + 20s;
+  answer.reset();
+  asio::co_spawn(fixture.context, fixture.runner.Run(job, &state),
+                 [&](std::exception_ptr, StatementAnswer result) { answer = result; });
+  fixture.RunUntil([&] { return answer.has_value(); });
+  CHECK_FALSE(answer->error);
+}
+
 TEST_CASE("bad input of callers is an error or a close, and other sessions go on") {
   Fixture fixture;
   Caller unknown(&fixture, "nothing");
