--- a/kernel/gateway_plan.cc
+++ b/kernel/gateway_plan.cc
@@ -144,13 +144,36 @@
   return std::max<uint32_t>(connections / GatewayCount(connections), 1);
 }
 
+std::vector<const Peer*> GatewayPlan::Substitutes(
+    const std::string& endpoint,
+    const std::string& failure_domain,
+    const std::vector<const Peer*>& chosen,
+    const std::function<bool(const Peer&)>& usable) const {
+  PeerPointers others;
+  for (const Peer& peer : this->live_peers) {
+    const bool known = std::find(chosen.begin(), chosen.end(), &peer) != chosen.end();
+    if (peer.failure_domain == failure_domain && !known && usable(peer)) {
+      others.push_back(&peer);
+    }
+  }
+  KeepHighest(&others, endpoint, kMinGateways);
+  return others;
+}
+
 std::vector<Peer> GatewayPlan::GatewaysOf(const std::string& endpoint,
                                           const std::string& failure_domain,
-                                          uint32_t connections) const {
+                                          uint32_t connections,
+                                          const std::function<bool(const Peer&)>& usable) const {
   if (this->EveryoneConnects(connections)) {
     return {};
   }
   PeerPointers chosen = this->Chosen(endpoint, failure_domain, connections);
+  const PeerPointers planned = chosen;
+  std::erase_if(chosen, [&usable](const Peer* peer) { return !usable(*peer); });
+  if (chosen.size() < kMinGateways) {
+    const PeerPointers more = this->Substitutes(endpoint, failure_domain, planned, usable);
+    chosen.insert(chosen.end(), more.begin(), more.end());
+  }
   KeepHighest(&chosen, endpoint + "/" + this->self, chosen.size());
   return Copy(chosen);
 }
--- a/kernel/gateway_plan.h
+++ b/kernel/gateway_plan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -51,17 +52,27 @@
   /// @returns Connections of one gateway.
   uint32_t ShareOf(uint32_t connections) const;
 
-  /// @returns The endpoint's gateways in this daemon's order of preference; empty when every daemon
-  ///     connects for itself.
+  /// @param usable Whether this daemon reaches a peer. While hardly any gateway is usable, the next
+  ///     daemons in rendezvous order take their place.
+  /// @returns The endpoint's usable gateways in this daemon's order of preference; empty when every
+  ///     daemon connects for itself.
   std::vector<Peer> GatewaysOf(const std::string& endpoint,
                                const std::string& failure_domain,
-                               uint32_t connections) const;
+                               uint32_t connections,
+                               const std::function<bool(const Peer&)>& usable) const;
 
- private:
+  /// @param connections Connections that an endpoint accepts from all daemons together.
+  /// @returns Whether each daemon has connections of its own.
   bool EveryoneConnects(uint32_t connections) const;
+
+ private:
   std::vector<const Peer*> Chosen(const std::string& endpoint,
                                   const std::string& failure_domain,
                                   uint32_t connections) const;
+  std::vector<const Peer*> Substitutes(const std::string& endpoint,
+                                       const std::string& failure_domain,
+                                       const std::vector<const Peer*>& chosen,
+                                       const std::function<bool(const Peer&)>& usable) const;
 
   std::string self;
   std::vector<Peer> live_peers;
--- a/kernel/takeover_plan.cc
+++ b/kernel/takeover_plan.cc
@@ -81,6 +81,13 @@
     }
     return {Kind::kStepDown, primary->id, "a replica with an unknown log does not answer"};
   }
+  if (view.resume_pending && !stepped_down) {
+    // A pause proves nothing: the primary may acknowledge commits that only a resumed replica has.
+    if (!primary_answers) {
+      return {Kind::kWait, candidate->id, "a resume order of an earlier takeover may be pending"};
+    }
+    return {Kind::kStepDown, primary->id, "a resume order of an earlier takeover may be pending"};
+  }
   for (const MemberStatus* replica : replicas) {
     if (replica != candidate && replica->held_term < view.pause_term) {
       return {Kind::kPause, replica->id, "a replica still receives"};
--- a/kernel/takeover_plan.h
+++ b/kernel/takeover_plan.h
@@ -38,7 +38,8 @@
   TakeoverReason reason = TakeoverReason::kPrimaryLost;
   std::string old_primary;  // Empty when no member claimed the lead.
   std::vector<MemberStatus> members;
-  uint64_t pause_term = 0;  // Term of this takeover's pause orders.
+  uint64_t pause_term = 0;      // Term of this takeover's pause orders.
+  bool resume_pending = false;  // A replica may start to receive again in spite of its pause.
 };
 
 /// Next step of a takeover.
--- a/net/peer_network.cc
+++ b/net/peer_network.cc
@@ -1,5 +1,6 @@
 #include "net/peer_network.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio.hpp>
 #include <map>
@@ -50,6 +51,7 @@
     std::string frame;  // Until the connection is open.
     bool sent = false;
     TimePoint started;
+    PeerCallKind kind = PeerCallKind::kOnce;
   };
 
   std::string address;
@@ -412,9 +414,61 @@
   }
 }
 
+std::vector<std::string> PeerNetwork::SilentPeers(std::chrono::milliseconds silence) const {
+  const TimePoint limit = Now() - silence;
+  std::vector<std::string> silent;
+  for (const auto& peer : this->impl->Outgoing()) {
+    std::lock_guard lock(peer->mutex);
+    const bool waits =
+        std::any_of(peer->calls.begin(), peer->calls.end(), [limit](const auto& entry) {
+          return entry.second.kind != PeerCallKind::kLongPoll && entry.second.started < limit;
+        });
+    if (waits && peer->connection->last_received() < limit) {
+      silent.push_back(peer->address);
+    }
+  }
+  return silent;
+}
+
+void PeerNetwork::EndSilentCalls(const std::string& address) {
+  std::shared_ptr<OutgoingPeer> peer;
+  {
+    std::lock_guard lock(this->impl->mutex);
+    const auto found = this->impl->outgoing.find(address);
+    if (found == this->impl->outgoing.end()) {
+      return;
+    }
+    peer = found->second;
+    this->impl->outgoing.erase(found);
+  }
+  std::vector<OutgoingPeer::Call> ended;
+  bool done = false;
+  {
+    std::lock_guard lock(peer->mutex);
+    for (auto call = peer->calls.begin(); call != peer->calls.end();) {
+      const bool unsent = call->second.kind == PeerCallKind::kOnce && !call->second.sent;
+      if (call->second.kind == PeerCallKind::kRepeatable || unsent) {
+        ended.push_back(std::move(call->second));
+        call = peer->calls.erase(call);
+      } else {
+        ++call;
+      }
+    }
+    peer->retired = true;
+    done = peer->calls.empty();
+  }
+  for (const OutgoingPeer::Call& call : ended) {
+    call.slot->Set({{}, "peer " + address + " does not answer", call.sent});
+  }
+  if (done) {
+    peer->connection->Close();
+  }
+}
+
 asio::awaitable<PeerMessage> PeerNetwork::Call(std::string address,
                                                PeerMessage message,
-                                               std::chrono::milliseconds timeout) {
+                                               std::chrono::milliseconds timeout,
+                                               PeerCallKind kind) {
   const std::shared_ptr<Impl> impl = this->impl;
   const TimePoint deadline = Now() + timeout;
   const auto slot = std::make_shared<CallSlot>(co_await asio::this_coro::executor);
@@ -437,7 +491,7 @@
       throw PeerError(error.what(), false);
     }
     peer->last_used = Now();
-    OutgoingPeer::Call call{slot, {}, peer->open, peer->last_used};
+    OutgoingPeer::Call call{slot, {}, peer->open, peer->last_used, kind};
     if (peer->open) {
       peer->connection->Send(std::move(frame));
     } else {
--- a/net/peer_network.h
+++ b/net/peer_network.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 namespace poplarmoor {
 
@@ -34,6 +35,13 @@
   bool sent = false;
 };
 
+/// What becomes of a call when its peer falls silent.
+enum class PeerCallKind {
+  kLongPoll,    // The peer may take its time: silence is expected.
+  kOnce,        // Once it was sent, it waits for its answer until the time limit.
+  kRepeatable,  // Ended by EndSilentCalls(), so that the caller can ask another daemon.
+};
+
 /// Authenticated connections to the other daemons; calls are multiplexed over one connection for
 /// each peer. Safe to use from several threads.
 class PeerNetwork {
@@ -62,11 +70,20 @@
   /// @param address Address of its peer listener.
   /// @param message Message.
   /// @param timeout Time limit, connecting included.
+  /// @param kind What becomes of the call when the peer falls silent.
   /// @returns Its answer.
   /// @throws PeerError.
   boost::asio::awaitable<PeerMessage> Call(std::string address,
                                            PeerMessage message,
-                                           std::chrono::milliseconds timeout);
+                                           std::chrono::milliseconds timeout,
+                                           PeerCallKind kind = PeerCallKind::kOnce);
+
+  /// @param silence Time without any byte of the peer.
+  /// @returns Addresses of peers that have been silent for longer while a call waits for them.
+  std::vector<std::string> SilentPeers(std::chrono::milliseconds silence) const;
+
+  /// Ends the calls to a peer that are repeatable or were not sent. New calls use a new connection.
+  void EndSilentCalls(const std::string& address);
 
   /// Closes the listener and all connections.
   void Stop();
--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -31,7 +31,7 @@
     : executor(executor),
       codec(codec),
       own_domain(std::move(failure_domain)),
-      router(std::move(daemon)),
+      router(std::move(daemon), this->own_domain),
       changed(executor) {}
 
 void Cluster::ApplyRoutes(RouteTable table) {
@@ -107,7 +107,7 @@
 }
 
 void Cluster::SetPeers(std::vector<Peer> live) {
-  this->router.plan().SetPeers(std::move(live));
+  this->router.SetPeers(std::move(live));
   for (auto& [service, group] : this->by_service) {
     for (auto& [id, pool] : group->members) {
       this->SetLimits(pool.get());
--- a/session/endpoint_channel.h
+++ b/session/endpoint_channel.h
@@ -49,7 +49,8 @@
   std::string text;                           // Empty: only open the transaction.
   std::optional<PreparedStatement> prepared;  // That the text executes.
   Opening opening = Opening::kNone;
-  LogPosition demanded;  // Position that the endpoint must hold; {0, 0}: none.
+  LogPosition demanded;    // Position that the endpoint must hold; {0, 0}: none.
+  bool repeatable = true;  // It may run again elsewhere: it commits nothing.
 };
 
 /// Result of one try at an endpoint.
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -152,13 +152,13 @@
   RelayRouter* relays;
   bool relayed = false;
   bool warming = false;
-  TimePoint warm_from;  // Spreads the openings of all daemons.
   uint32_t relayed_in_use = 0;
   std::vector<IdleConnection> idle;
   std::map<StatementQueue::Ticket, Waiter*> waiters;
   std::map<EndpointChannel*, TimePoint> in_progress;  // By connection: when it was sent.
   TimePoint last_answer;
   TimePoint created;
+  TimePoint warm_from;  // Spreads the openings of all daemons.
   bool ramping = true;  // The limits of the first seconds apply.
   StatementQueue::Ticket next_ticket = 1;
   uint32_t single_limit = 1;
--- a/session/group_keeper.cc
+++ b/session/group_keeper.cc
@@ -31,7 +31,12 @@
 constexpr Duration kProbeGap = 80ms;            // Between the starts of two attempts.
 constexpr Duration kDownProbeInterval = 400ms;  // An endpoint that is down is asked this often.
 constexpr Duration kSeekInterval = 100ms;
+// Each status call takes a place at the endpoint; in a large fleet many daemons seek at once, and
+// most learn of a new primary from the store.
+constexpr Duration kRelayedSeekInterval = 400ms;
 constexpr Duration kSeekLimit = 250ms;  // Of one status call.
+// Once the other members have answered, those that are down are awaited for some round trips.
+constexpr Duration kDownPatience = 80ms;
 // A claim is respected for this time; its holder has died or lost the store after it. Above the
 // platform's time for a promotion (1 s).
 constexpr Duration kClaimValidity = 2500ms;
@@ -48,6 +53,14 @@
 // Without any primary in the registry, members are asked for this time before one is promoted.
 constexpr Duration kNoPrimaryLimit = 1s;
 
+void ApplyReport(const EndpointReport& report, MemberStatus* status) {
+  status->reachable = true;
+  status->is_primary = report.is_primary;
+  status->term = report.term;
+  status->received = report.received;
+  status->held_term = report.held_term;
+}
+
 bool IsGatewayOfAny(const ServiceGroup& group) {
   return std::any_of(group.members.begin(), group.members.end(),
                      [](const auto& member) { return !member.second->is_relayed(); });
@@ -195,43 +208,79 @@
   }
 }
 
-asio::awaitable<std::vector<MemberStatus>> GroupKeeper::Statuses(ServiceGroup* group,
-                                                                 Duration limit) {
-  struct Round {
-    std::vector<MemberStatus> statuses;
-    size_t pending = 0;
-    WaitList changed;
-  };
-  const auto round = std::make_shared<Round>(Round{{}, 0, WaitList(this->executor)});
-  const auto ask = [](std::shared_ptr<Round> round, std::shared_ptr<EndpointPool> pool,
-                      size_t place, Duration limit) -> asio::awaitable<void> {
+struct GroupKeeper::StatusRound {
+  struct Question {
+    std::shared_ptr<EndpointPool> pool;
     MemberStatus status;
-    status.id = pool->record().id;
-    status.leaving = pool->record().leaving;
-    try {
-      const EndpointReport report = co_await pool->Order(EndpointOrder::kStatus, 0, limit, false);
-      status.reachable = true;
-      status.is_primary = report.is_primary;
-      status.term = report.term;
-      status.received = report.received;
-      status.held_term = report.held_term;
-    } catch (const std::runtime_error& error) {
-      Log(LogLevel::kDebug, "status unknown", {{"endpoint", status.id}, {"cause", error.what()}});
-    }
-    round->statuses[place] = std::move(status);
-    --round->pending;
-    round->changed.NotifyAll();
+    int pending = 0;  // Ways on which it was asked and that have not failed yet.
   };
-  round->statuses.resize(group->members.size());
-  round->pending = group->members.size();
-  size_t place = 0;
+
+  explicit StatusRound(asio::any_io_executor executor) : changed(std::move(executor)) {}
+
+  // Questions without an answer that may still get one.
+  size_t Open() const {
+    return static_cast<size_t>(
+        std::count_if(this->questions.begin(), this->questions.end(), [](const Question& question) {
+          return question.pending > 0 && !question.status.reachable;
+        }));
+  }
+
+  std::vector<Question> questions;
+  WaitList changed;
+};
+
+asio::awaitable<void> GroupKeeper::Ask(std::shared_ptr<StatusRound> round,
+                                       size_t place,
+                                       Duration limit,
+                                       bool fresh) {
+  StatusRound::Question& question = round->questions[place];
+  try {
+    const EndpointReport report =
+        co_await question.pool->Order(EndpointOrder::kStatus, 0, limit, fresh);
+    ApplyReport(report, &question.status);
+  } catch (const std::runtime_error& error) {
+    Log(LogLevel::kDebug, "status unknown",
+        {{"endpoint", question.status.id}, {"fresh", fresh}, {"cause", error.what()}});
+  }
+  --question.pending;
+  round->changed.NotifyAll();
+}
+
+asio::awaitable<std::vector<MemberStatus>> GroupKeeper::Statuses(ServiceGroup* group,
+                                                                 Duration limit) {
+  const auto round = std::make_shared<StatusRound>(this->executor);
   for (const auto& [id, pool] : group->members) {
-    this->Spawn(ask(round, pool, place++, limit));
+    StatusRound::Question question;
+    question.pool = pool;
+    question.status.id = id;
+    question.status.leaving = pool->record().leaving;
+    // An endpoint that is down is asked by way of a peer and directly: either way may have healed.
+    question.pending = pool->down && pool->UsesRelay() ? 2 : 1;
+    round->questions.push_back(std::move(question));
+  }
+  size_t down = 0;
+  for (size_t place = 0; place < round->questions.size(); ++place) {
+    const StatusRound::Question& question = round->questions[place];
+    down += question.pool->down ? 1 : 0;
+    this->Spawn(this->Ask(round, place, limit, false));
+    if (question.pending > 1) {
+      this->Spawn(this->Ask(round, place, limit, true));
+    }
   }
-  while (round->pending > 0) {
+  const TimePoint deadline = BootNow() + limit;
+  while (round->Open() > down && BootNow() < deadline) {
     co_await round->changed.Wait(limit);
   }
-  co_return round->statuses;
+  // Endpoints that are down mostly use the whole limit up; the others do not wait for them.
+  const TimePoint patience = std::min(deadline, BootNow() + kDownPatience);
+  while (round->Open() > 0 && BootNow() < patience) {
+    co_await round->changed.Wait(patience - BootNow());
+  }
+  std::vector<MemberStatus> statuses;
+  for (const StatusRound::Question& question : round->questions) {
+    statuses.push_back(question.status);
+  }
+  co_return statuses;
 }
 
 asio::awaitable<void> GroupKeeper::Seek(ServiceGroup* group) {
@@ -256,7 +305,7 @@
       co_await this->TakeOver(group, group->old_primary.empty() ? TakeoverReason::kNoPrimary
                                                                 : TakeoverReason::kPrimaryLost);
     }
-    co_await Pause(kSeekInterval);
+    co_await Pause(IsGatewayOfAny(*group) ? kSeekInterval : kRelayedSeekInterval);
   }
   group->seeking = false;
 }
@@ -342,13 +391,18 @@
   std::vector<std::string> paused;
   const TimePoint limit = BootNow() + kTakeoverLimit;
   std::string last_cause;
+  bool outdated = true;
   while (BootNow() < limit && group->claim.revision == token) {
-    view.members = co_await this->Statuses(group, kOrderLimit);
-    uint64_t newest = group->term;
-    for (const MemberStatus& member : view.members) {
-      newest = std::max(newest, member.term);
+    if (outdated) {
+      view.members = co_await this->Statuses(group, kOrderLimit);
+      outdated = false;
+      uint64_t newest = group->term;
+      for (const MemberStatus& member : view.members) {
+        newest = std::max(newest, member.term);
+      }
+      view.pause_term = std::max(view.pause_term, newest + 1);
     }
-    view.pause_term = std::max(view.pause_term, newest + 1);
+    view.resume_pending = BootNow() < group->resume_pending_until;
     const TakeoverStep step = NextTakeoverStep(view);
     if (step.cause != last_cause) {
       last_cause = step.cause;
@@ -368,35 +422,48 @@
       }
       break;
     }
-    if (step.kind == TakeoverStep::Kind::kWait) {
-      co_await Pause(kRoundInterval);
-      continue;
-    }
-    const auto pool = this->cluster->FindEndpoint(step.endpoint);
-    if (pool == nullptr) {
-      continue;
-    }
-    const bool pause = step.kind == TakeoverStep::Kind::kPause;
-    bool accepted = false;
-    try {
-      co_await pool->Order(pause ? EndpointOrder::kPause : EndpointOrder::kStepDown,
-                           view.pause_term, kOrderLimit, false);
-      accepted = true;
-    } catch (const std::runtime_error& error) {
-      // The order may be carried out later; the next status shows it.
-      Log(LogLevel::kWarn, "order without effect",
-          {{"service", group->name}, {"endpoint", step.endpoint}, {"cause", error.what()}});
+    if (step.kind == TakeoverStep::Kind::kPause) {
+      paused.push_back(step.endpoint);
     }
-    if (!accepted) {
+    // The answer to an order says what the comparison needs of that member.
+    const bool ordered =
+        step.kind != TakeoverStep::Kind::kWait && co_await this->OrderMember(group, step, &view);
+    if (!ordered) {
       co_await Pause(kRoundInterval);
-    }
-    if (pause) {
-      paused.push_back(step.endpoint);
+      outdated = true;
     }
   }
   co_await this->Abandon(group, std::move(paused), view.pause_term);
 }
 
+asio::awaitable<bool> GroupKeeper::OrderMember(ServiceGroup* group,
+                                               TakeoverStep step,
+                                               TakeoverView* view) {
+  const auto pool = this->cluster->FindEndpoint(step.endpoint);
+  if (pool == nullptr) {
+    co_return false;
+  }
+  const EndpointOrder order =
+      step.kind == TakeoverStep::Kind::kPause ? EndpointOrder::kPause : EndpointOrder::kStepDown;
+  try {
+    const EndpointReport report = co_await pool->Order(order, view->pause_term, kOrderLimit, false);
+    for (MemberStatus& member : view->members) {
+      if (member.id == step.endpoint) {
+        ApplyReport(report, &member);
+      }
+    }
+    co_return true;
+  } catch (const std::runtime_error& error) {
+    // The order may be carried out later; the next status shows it.
+    Log(LogLevel::kWarn, "order without effect",
+        {{"service", group->name},
+         {"endpoint", step.endpoint},
+         {"order", kEndpointOrderNames.NameOf(order)},
+         {"cause", error.what()}});
+  }
+  co_return false;
+}
+
 asio::awaitable<void> GroupKeeper::Abandon(ServiceGroup* group,
                                            std::vector<std::string> paused,
                                            uint64_t term) {
@@ -405,6 +472,12 @@
   if (group->claim.holder != this->daemon) {
     co_return;  // The newer holder decides about the paused replicas.
   }
+  // A resume order whose answer is lost may be carried out during the next takeover, whose holder
+  // has to know of it.
+  if (!paused.empty()) {
+    co_await this->Announce(group, TakeoverPhase::kResuming, "");
+  }
+  bool all_resumed = true;
   for (const std::string& endpoint : paused) {
     const auto pool = this->cluster->FindEndpoint(endpoint);
     try {
@@ -412,19 +485,31 @@
         co_await pool->Order(EndpointOrder::kResume, term, kOrderLimit, false);
       }
     } catch (const std::runtime_error& error) {
+      all_resumed = false;
       Log(LogLevel::kWarn, "replica not resumed",
           {{"service", group->name}, {"endpoint", endpoint}, {"cause", error.what()}});
     }
   }
+  if (all_resumed) {
+    co_await this->Announce(group, TakeoverPhase::kAbandoned, "");
+  }
+}
+
+asio::awaitable<void> GroupKeeper::Announce(ServiceGroup* group,
+                                            TakeoverPhase phase,
+                                            std::string endpoint) {
   TakeoverClaim claim = group->claim;
-  claim.phase = TakeoverPhase::kAbandoned;
+  claim.phase = phase;
+  claim.endpoint = std::move(endpoint);
   try {
     claim.revision = co_await this->store->Put(kTakeoverKind, group->name,
                                                EncodeTakeoverClaim(claim), claim.revision);
-    group->OnClaim(claim);
+    group->OnClaim(std::move(claim));
   } catch (const StoreError& error) {
-    Log(LogLevel::kInfo, "claim not withdrawn",
-        {{"service", group->name}, {"cause", error.what()}});
+    Log(LogLevel::kInfo, "takeover phase not announced",
+        {{"service", group->name},
+         {"phase", kTakeoverPhaseNames.NameOf(phase)},
+         {"cause", error.what()}});
   }
 }
 
@@ -452,17 +537,7 @@
     co_return false;
   }
   group->promotion_ordered = BootNow();
-  TakeoverClaim claim = group->claim;
-  claim.phase = TakeoverPhase::kOrdered;
-  claim.endpoint = endpoint;
-  try {
-    claim.revision = co_await this->store->Put(kTakeoverKind, group->name,
-                                               EncodeTakeoverClaim(claim), claim.revision);
-    group->OnClaim(claim);
-  } catch (const StoreError& error) {
-    Log(LogLevel::kInfo, "promotion not announced",
-        {{"service", group->name}, {"cause", error.what()}});
-  }
+  co_await this->Announce(group, TakeoverPhase::kOrdered, endpoint);
   while (BootNow() - started < kClaimValidity) {
     const auto pool = this->cluster->FindEndpoint(endpoint);
     if (pool == nullptr) {
--- a/session/group_keeper.h
+++ b/session/group_keeper.h
@@ -48,6 +48,21 @@
   boost::asio::awaitable<void> Abandon(ServiceGroup* group,
                                        std::vector<std::string> paused,
                                        uint64_t term);
+  // Carries out a pause or step-down and enters the member's answer into the view.
+  // @returns Whether the member answered.
+  boost::asio::awaitable<bool> OrderMember(ServiceGroup* group,
+                                           TakeoverStep step,
+                                           TakeoverView* view);
+  // Stores the claim's new phase, so that the other daemons know of it.
+  boost::asio::awaitable<void> Announce(ServiceGroup* group,
+                                        TakeoverPhase phase,
+                                        std::string endpoint);
+
+  struct StatusRound;
+  boost::asio::awaitable<void> Ask(std::shared_ptr<StatusRound> round,
+                                   size_t place,
+                                   Duration limit,
+                                   bool fresh);
   boost::asio::awaitable<std::vector<MemberStatus>> Statuses(ServiceGroup* group, Duration limit);
   bool IsClaimed(const ServiceGroup& group) const;
   void Spawn(boost::asio::awaitable<void> work);
--- a/session/relay_channel.cc
+++ b/session/relay_channel.cc
@@ -1,5 +1,9 @@
 #include "session/relay_channel.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
 #include "net/peer_network.h"
 #include "session/boot_clock.h"
 #include "session/relay_router.h"
@@ -16,7 +20,7 @@
 // The gateway's own time limit ends the statement; its answer needs a round trip more.
 constexpr Duration kRelaySlack = 20ms;
 constexpr Duration kEndLimit = 1s;  // Of the message that ends a transaction.
-constexpr int kMaxGateways = 2;     // Gateways that one statement tries.
+constexpr int kMaxGateways = 3;     // Gateways that one statement tries.
 
 std::chrono::milliseconds ToCallLimit(Duration limit) {
   return std::chrono::milliseconds(ToMillis(limit + kRelaySlack) + 1);
@@ -51,6 +55,19 @@
   return attempt;
 }
 
+// Tells a gateway that a transaction has ended.
+asio::awaitable<void> TellOfEnd(RelayRouter* router, std::string gateway, uint64_t lease) {
+  PeerMessage message(kRelayEndMessage, std::to_string(lease));
+  try {
+    co_await router->peers()->Call(gateway, std::move(message), ToCallLimit(kEndLimit),
+                                   PeerCallKind::kRepeatable);
+  } catch (const PeerError& error) {
+    // The gateway ends transactions that stay idle.
+    Log(LogLevel::kInfo, "gateway not told of a transaction's end",
+        {{"gateway", gateway}, {"cause", error.what()}});
+  }
+}
+
 }  // namespace
 
 RelayChannel::RelayChannel(RelayRouter* router,
@@ -87,8 +104,9 @@
 
   StatementAttempt attempt;
   attempt.failure = AcquireFailure::kUnreachable;
-  attempt.cause = "no gateway is known";
+  attempt.cause = "no gateway of the endpoint is reachable";
   const TimePoint deadline = BootNow() + limit;
+  const PeerCallKind kind = spec.repeatable ? PeerCallKind::kRepeatable : PeerCallKind::kOnce;
   int tries = 0;
   for (const Peer& peer : this->router->UsableGateways(this->endpoint)) {
     if (this->router->peers() == nullptr || tries == kMaxGateways || BootNow() >= deadline) {
@@ -98,12 +116,21 @@
       continue;  // The transaction's connection is at another gateway.
     }
     ++tries;
+    request.limit_us = static_cast<uint64_t>((deadline - BootNow()).count());
     std::string body = EncodeRelayRequest(request);
     PeerMessage message(kRelayMessage, std::move(body));
+    bool sent = false;
     try {
       const PeerMessage answer = co_await this->router->peers()->Call(
-          peer.address, std::move(message), ToCallLimit(deadline - BootNow()));
+          peer.address, std::move(message), ToCallLimit(deadline - BootNow()), kind);
       attempt = ToAttempt(DecodeRelayAnswer(answer.body));
+      this->router->health().NoteAnswer(peer, BootNow());
+      const bool unreached = attempt.outcome == StatementAttempt::Outcome::kNotSent &&
+                             attempt.failure == AcquireFailure::kUnreachable;
+      if (unreached && this->gateway.empty()) {
+        this->router->health().NoteUnreached(this->endpoint.id, peer, BootNow());
+        continue;
+      }
       if (this->transaction) {
         this->gateway = peer.address;
         this->holds_connection = attempt.outcome == StatementAttempt::Outcome::kAnswered &&
@@ -111,18 +138,25 @@
       }
       co_return attempt;
     } catch (const PeerError& error) {
-      this->router->NoteFailure(peer.address);
       attempt.cause = error.what();
-      if (error.sent) {
-        attempt.outcome = StatementAttempt::Outcome::kLost;
-        this->open = false;
-        co_return attempt;
+      sent = error.sent;
+      if (!error.sent) {
+        this->router->health().NoteFailure(peer, BootNow());
       }
     } catch (const CodecError& error) {
       attempt.cause = error.what();
+      sent = true;
+    }
+    if (sent && this->transaction) {
+      // The gateway may have opened the transaction, which would keep its connection.
+      this->holds_connection = false;
+      asio::co_spawn(co_await asio::this_coro::executor,
+                     TellOfEnd(this->router, peer.address, this->lease), asio::detached);
+    }
+    const bool may_go_elsewhere = spec.repeatable && this->gateway.empty() && BootNow() < deadline;
+    if (sent && !may_go_elsewhere) {
       attempt.outcome = StatementAttempt::Outcome::kLost;
-      this->open = false;
-      co_return attempt;
+      break;
     }
   }
   this->open = false;
@@ -134,14 +168,7 @@
     co_return;
   }
   this->holds_connection = false;
-  PeerMessage message(kRelayEndMessage, std::to_string(this->lease));
-  try {
-    co_await this->router->peers()->Call(this->gateway, std::move(message), ToCallLimit(kEndLimit));
-  } catch (const PeerError& error) {
-    // The gateway ends transactions that stay idle.
-    Log(LogLevel::kInfo, "gateway not told of a transaction's end",
-        {{"gateway", this->gateway}, {"cause", error.what()}});
-  }
+  co_await TellOfEnd(this->router, this->gateway, this->lease);
   this->open = false;
 }
 
--- a/session/relay_router.cc
+++ b/session/relay_router.cc
@@ -1,12 +1,17 @@
 #include "session/relay_router.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <exception>
 #include <random>
 #include <stdexcept>
 
 #include "net/peer_network.h"
 #include "session/boot_clock.h"
 #include "session/relay_channel.h"
+#include "session/wait_list.h"
+#include "telemetry/log.h"
 #include "wire/relay_codec.h"
 
 namespace poplarmoor {
@@ -15,18 +20,23 @@
 
 namespace {
 
-// A gateway that failed is tried again after this time, about that of a restart.
-constexpr Duration kFailurePause = 2s;
-// So many failed gateways of one endpoint mean that its failure domain is cut off; then only one
-// statement in this interval tries.
-constexpr size_t kFailuresOfCut = 3;
-constexpr Duration kTrialInterval = 300ms;
-constexpr Duration kOrderSlack = 50ms;  // Round trip to the gateway.
+constexpr Duration kWatchInterval = 40ms;
+// Silence of a peer with calls in progress; above the usual statement (20 ms) behind a short queue.
+// It only leads to a probe.
+constexpr std::chrono::milliseconds kSuspiciousSilence{120};
+// Two round trips and the handshake take some milliseconds; the rest covers a busy processor.
+constexpr Duration kPingLimit = 100ms;
+constexpr Duration kFreshPingLimit = 200ms;  // Over a new connection; covers one lost packet.
+constexpr Duration kOrderSlack = 50ms;       // Round trip to the gateway.
+constexpr int kMaxOrderTries = 3;            // Gateways that one order tries.
 
 }  // namespace
 
-RelayRouter::RelayRouter(std::string self)
-    : gateways(std::move(self)), random(std::random_device{}()) {}
+RelayRouter::RelayRouter(std::string self, std::string failure_domain)
+    : self(self),
+      gateways(std::move(self)),
+      peer_health(std::move(failure_domain)),
+      random(std::random_device{}()) {}
 
 std::unique_ptr<EndpointChannel> RelayRouter::OpenChannel(const EndpointRecord& endpoint,
                                                           int rank,
@@ -39,31 +49,102 @@
   if (connections == this->by_service.end()) {
     return {};
   }
-  std::vector<Peer> peers =
-      this->gateways.GatewaysOf(endpoint.id, endpoint.failure_domain, connections->second);
-  if (peers.empty()) {
-    peers = this->gateways.Others(endpoint.id, endpoint.failure_domain);
-  }
   const TimePoint now = BootNow();
-  const auto usable =
-      std::stable_partition(peers.begin(), peers.end(), [this, now](const Peer& peer) {
-        const auto failure = this->failed.find(peer.address);
-        return failure == this->failed.end() || now - failure->second > kFailurePause;
+  const auto usable = [this, &endpoint, now](const Peer& peer) {
+    return peer.daemon != this->self && !this->peer_health.IsLost(peer, now) &&
+           !this->peer_health.IsUnreached(endpoint.id, peer, now);
+  };
+  if (this->gateways.EveryoneConnects(connections->second)) {
+    std::vector<Peer> others = this->gateways.Others(endpoint.id, endpoint.failure_domain);
+    std::erase_if(others, [&usable](const Peer& peer) { return !usable(peer); });
+    return others;
+  }
+  return this->gateways.GatewaysOf(endpoint.id, endpoint.failure_domain, connections->second,
+                                   usable);
+}
+
+// -----------------------------------------------------------------------------
+// Health of the peers
+
+void RelayRouter::SetPeers(std::vector<Peer> live) {
+  this->gateways.SetPeers(std::move(live));
+  this->peer_health.Retain(this->gateways.Peers());
+}
+
+void RelayRouter::Spawn(asio::awaitable<void> work, const asio::any_io_executor& executor) {
+  asio::co_spawn(executor, std::move(work), [](std::exception_ptr failure) {
+    if (failure) {
+      std::rethrow_exception(failure);
+    }
+  });
+}
+
+asio::awaitable<void> RelayRouter::WatchPeers() {
+  const auto executor = co_await asio::this_coro::executor;
+  for (;;) {
+    co_await Pause(kWatchInterval);
+    for (const std::string& address : this->network->SilentPeers(kSuspiciousSilence)) {
+      const auto& live = this->gateways.Peers();
+      const auto peer = std::find_if(live.begin(), live.end(), [&address](const Peer& candidate) {
+        return candidate.address == address;
       });
-  const size_t failures = static_cast<size_t>(peers.end() - usable);
-  if (failures < std::min(kFailuresOfCut, peers.size())) {
-    return peers;
+      if (peer != live.end() && this->checking.insert(address).second) {
+        this->Spawn(this->Check(*peer), executor);
+      }
+    }
+    for (const Peer& peer : this->peer_health.TakeDueProbes(BootNow())) {
+      this->Spawn(this->Probe(peer, true), executor);
+    }
   }
-  TimePoint& trial = this->next_trial[endpoint.id];
-  if (now < trial) {
-    return {};
+}
+
+asio::awaitable<bool> RelayRouter::Ping(Peer peer, Duration limit) {
+  PeerMessage message(kPingMessage, std::string());
+  try {
+    co_await this->network->Call(peer.address, std::move(message),
+                                 std::chrono::milliseconds(ToMillis(limit)),
+                                 PeerCallKind::kRepeatable);
+    co_return true;
+  } catch (const PeerError& error) {
+    Log(LogLevel::kDebug, "peer does not answer", {{"peer", peer.daemon}, {"cause", error.what()}});
   }
-  trial = now + kTrialInterval;
-  return peers;
+  co_return false;
 }
 
-void RelayRouter::NoteFailure(const std::string& address) {
-  this->failed[address] = BootNow();
+asio::awaitable<void> RelayRouter::Check(Peer peer) {
+  const bool answers = co_await this->Ping(peer, kPingLimit);
+  if (!answers) {
+    // The connection may have gone silent while new ones work.
+    this->network->EndSilentCalls(peer.address);
+    co_await this->Probe(peer, false);
+  }
+  this->checking.erase(peer.address);
+}
+
+asio::awaitable<void> RelayRouter::Probe(Peer peer, bool was_lost) {
+  const bool answers = co_await this->Ping(peer, kFreshPingLimit);
+  if (answers) {
+    if (was_lost) {
+      Log(LogLevel::kInfo, "peer regained",
+          {{"peer", peer.daemon}, {"failure_domain", peer.failure_domain}});
+    }
+    this->peer_health.NoteAnswer(peer, BootNow());
+    co_return;
+  }
+  const bool known = this->peer_health.IsLost(peer, BootNow());
+  this->peer_health.NoteFailure(peer, BootNow());
+  if (known) {
+    co_return;
+  }
+  Log(LogLevel::kWarn, "peer lost",
+      {{"peer", peer.daemon}, {"failure_domain", peer.failure_domain}});
+  const auto executor = co_await asio::this_coro::executor;
+  for (const Peer& witness :
+       this->peer_health.WitnessesFor(peer, this->gateways.Peers(), &this->random)) {
+    if (witness.daemon != this->self) {
+      this->Spawn(this->Probe(witness, false), executor);
+    }
+  }
 }
 
 void RelayRouter::SetConnections(const std::string& service, uint32_t connections) {
@@ -74,35 +155,41 @@
                                                    EndpointOrder order,
                                                    uint64_t term,
                                                    Duration limit) {
-  const std::vector<Peer> peers = this->UsableGateways(endpoint);
-  if (peers.empty() || this->network == nullptr) {
-    throw std::runtime_error("no gateway of the endpoint is known");
-  }
   RelayOrder request;
   request.endpoint = endpoint.id;
   request.order = kEndpointOrderNames.NameOf(order);
   request.term = term;
   request.limit_us = static_cast<uint64_t>(limit.count());
-  std::string body = EncodeRelayOrder(request);
-  PeerMessage message(kRelayOrderMessage, std::move(body));
-  PeerMessage answer;
-  try {
-    answer = co_await this->network->Call(peers.front().address, std::move(message),
-                                          std::chrono::milliseconds(ToMillis(limit + kOrderSlack)));
-  } catch (const PeerError&) {
-    this->NoteFailure(peers.front().address);
-    throw;
-  }
-  const RelayReport report = DecodeRelayReport(answer.body);
-  if (!report.failure.empty()) {
-    throw std::runtime_error("gateway " + peers.front().daemon + ": " + report.failure);
+  const std::string body = EncodeRelayOrder(request);
+  std::string cause = "no gateway of the endpoint is reachable";
+  int tries = 0;
+  for (const Peer& peer : this->UsableGateways(endpoint)) {
+    if (this->network == nullptr || tries++ == kMaxOrderTries) {
+      break;
+    }
+    PeerMessage message(kRelayOrderMessage, body);
+    try {
+      const PeerMessage answer = co_await this->network->Call(
+          peer.address, std::move(message),
+          std::chrono::milliseconds(ToMillis(limit + kOrderSlack)), PeerCallKind::kRepeatable);
+      const RelayReport report = DecodeRelayReport(answer.body);
+      if (report.failure.empty()) {
+        EndpointReport decoded;
+        decoded.is_primary = report.is_primary;
+        decoded.term = report.term;
+        decoded.received = report.received;
+        decoded.held_term = report.held_term;
+        co_return decoded;
+      }
+      cause = "gateway " + peer.daemon + ": " + report.failure;
+    } catch (const PeerError& error) {
+      cause = error.what();
+      if (!error.sent) {
+        this->peer_health.NoteFailure(peer, BootNow());
+      }
+    }
   }
-  EndpointReport decoded;
-  decoded.is_primary = report.is_primary;
-  decoded.term = report.term;
-  decoded.received = report.received;
-  decoded.held_term = report.held_term;
-  co_return decoded;
+  throw std::runtime_error(cause);
 }
 
 }  // namespace poplarmoor
--- a/session/relay_router.h
+++ b/session/relay_router.h
@@ -2,14 +2,17 @@
 
 #include <utility>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "kernel/endpoint_record.h"
 #include "kernel/gateway_plan.h"
+#include "kernel/peer_health.h"
 #include "kernel/random.h"
 #include "session/endpoint_channel.h"
 #include "session/session_codec.h"
@@ -23,17 +26,24 @@
 inline constexpr char kRelayEndMessage[] = "relay_end";
 inline constexpr char kRelayOrderMessage[] = "relay_order";
 inline constexpr char kSyncMessage[] = "sync";
+inline constexpr char kPingMessage[] = "ping";
 
 /// Reaches endpoints through gateways.
 class RelayRouter {
  public:
   /// @param self Name of this daemon.
-  explicit RelayRouter(std::string self);
+  /// @param failure_domain Of this daemon.
+  RelayRouter(std::string self, std::string failure_domain);
 
   /// Sets the network; without one, nothing is relayed. It must outlive this object.
   void SetNetwork(PeerNetwork* network) { this->network = network; }
 
-  GatewayPlan& plan() { return this->gateways; }
+  /// Sets the daemons that share the endpoints' connections, this one included.
+  void SetPeers(std::vector<Peer> live);
+
+  /// Probes peers that are silent while calls wait for them, and lost ones until they answer.
+  boost::asio::awaitable<void> WatchPeers();
+
   const GatewayPlan& plan() const { return this->gateways; }
 
   /// @param endpoint Endpoint to reach.
@@ -55,12 +65,11 @@
   bool HasPeers() const { return this->network != nullptr && this->gateways.size() > 1; }
 
   /// In a small fleet every other daemon may act as a gateway.
-  /// @returns The endpoint's gateways that have not failed lately, best first; none when several
-  ///     have, so that a cut failure domain costs no waiting time.
+  /// @returns The gateways that this daemon reaches and that are expected to reach the endpoint,
+  ///     best first.
   std::vector<Peer> UsableGateways(const EndpointRecord& endpoint);
 
-  /// Other gateways go first for a while.
-  void NoteFailure(const std::string& address);
+  PeerHealth& health() { return this->peer_health; }
 
   /// Sets how many connections endpoints of a service accept.
   void SetConnections(const std::string& service, uint32_t connections);
@@ -68,11 +77,17 @@
   PeerNetwork* peers() const { return this->network; }
 
  private:
+  boost::asio::awaitable<void> Check(Peer peer);
+  boost::asio::awaitable<bool> Ping(Peer peer, Duration limit);
+  boost::asio::awaitable<void> Probe(Peer peer, bool was_lost);
+  void Spawn(boost::asio::awaitable<void> work, const boost::asio::any_io_executor& executor);
+
+  std::string self;
   GatewayPlan gateways;
+  PeerHealth peer_health;
   PeerNetwork* network = nullptr;
-  std::map<std::string, TimePoint> next_trial;  // By endpoint, while its gateways fail.
-  std::map<std::string, TimePoint> failed;      // By address.
-  std::map<std::string, uint32_t> by_service;   // Connections.
+  std::set<std::string> checking;              // Addresses of silent peers that are probed.
+  std::map<std::string, uint32_t> by_service;  // Connections.
   RandomEngine random;
 };
 
--- a/session/relay_server.cc
+++ b/session/relay_server.cc
@@ -68,6 +68,9 @@
   network->SetHandler(kRelayEndMessage, [this](std::string, PeerMessage message) {
     return this->OnEnd(std::move(message));
   });
+  network->SetHandler(
+      kPingMessage,
+      [](std::string, PeerMessage message) -> asio::awaitable<PeerMessage> { co_return message; });
   network->SetHandler(kRelayOrderMessage, [this](std::string, PeerMessage message) {
     return this->OnOrder(std::move(message));
   });
@@ -171,12 +174,14 @@
   const auto pool = this->cluster->FindEndpoint(request.endpoint);
   const auto order = kEndpointOrderNames.Find(request.order);
   RelayReport report;
-  if (pool == nullptr || !order || pool->is_relayed() || pool->down) {
+  if (pool == nullptr || !order || pool->down) {
     report.failure = "this daemon does not reach the endpoint";
   } else {
     try {
+      // A daemon that stands in for the endpoint's gateways has no connection to it yet.
       const EndpointReport answer = co_await pool->Order(
-          *order, request.term, Duration(static_cast<int64_t>(request.limit_us)), false);
+          *order, request.term, Duration(static_cast<int64_t>(request.limit_us)),
+          pool->is_relayed());
       report.is_primary = answer.is_primary;
       report.term = answer.term;
       report.received = answer.received;
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -16,6 +16,9 @@
 constexpr Duration kExpectedDecision = 300ms;
 // First estimate of the platform's time from the order to the lead; measured ones replace it.
 constexpr Duration kInitialPromotionTime = 1000ms;
+// Endpoints may carry an order without an answer out up to 12 s later; the rest covers the way of
+// the claim through the store.
+constexpr Duration kLateOrderLimit = 15s;
 // Beyond this the promotion has failed, and nothing tells when a primary will lead.
 constexpr Duration kOverduePromotion = 2000ms;
 
@@ -85,6 +88,11 @@
   if (newer.revision <= this->claim.revision) {
     return;
   }
+  if (newer.phase == TakeoverPhase::kResuming) {
+    this->resume_pending_until = BootNow() + kLateOrderLimit;
+  } else if (newer.phase == TakeoverPhase::kAbandoned) {
+    this->resume_pending_until = {};
+  }
   // The first claim read after a start may be long past.
   const bool is_news = this->claim.revision != 0 || newer.phase == TakeoverPhase::kClaimed;
   this->claim = std::move(newer);
--- a/session/service_group.h
+++ b/session/service_group.h
@@ -60,6 +60,7 @@
   std::optional<TimePoint> promotion_ordered;  // When a promotion was ordered in this outage.
   TakeoverClaim claim;                         // Newest claim known.
   TimePoint claim_seen;                        // When its revision was first seen.
+  TimePoint resume_pending_until;  // Until then an earlier takeover's resume order may take effect.
   TimePoint primary_since;
   bool seeking = false;                           // A search for the primary is in progress.
   bool taking_over = false;                       // This daemon runs a takeover.
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -53,6 +53,7 @@
   spec.prepared = job->prepared;
   spec.opening = opening;
   spec.demanded = demanded;
+  spec.repeatable = !job->commits;
   const TimePoint sent = BootNow();
   pool->OnSent(channel);
   if (job->commits) {
@@ -77,7 +78,7 @@
   if (attempt.failure == AcquireFailure::kUnreachable) {
     pool->suspected = true;
     pool->avoid_until = BootNow() + kUnreachablePause;
-    if (pool->down) {
+    if (pool->UsesRelay()) {
       group->LosePrimary(pool->record().id, "no daemon that was asked reaches it");
     }
   }
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -89,6 +89,9 @@
     const bool has_peers = this->cluster->relays().peers() != nullptr && plan.size() > 1;
     if (has_peers && !plan.IsWatcher()) {
       for (const Peer& watcher : plan.Watchers()) {
+        if (this->cluster->relays().health().IsLost(watcher, BootNow())) {
+          continue;
+        }
         succeeded = co_await this->FollowPeer(kind, watcher, kPeerWait);
         if (succeeded) {
           break;
@@ -109,7 +112,8 @@
       const std::vector<Peer> peers = plan.Peers();
       const Peer peer = peers[RandomBelow(&this->random, peers.size())];
       bool told = false;
-      if (peer.daemon != this->self.daemon) {
+      if (peer.daemon != this->self.daemon &&
+          !this->cluster->relays().health().IsLost(peer, BootNow())) {
         told = co_await this->FollowPeer(kind, peer, Duration{});
       }
       if (told) {
@@ -183,7 +187,8 @@
   try {
     const PeerMessage message = co_await this->cluster->relays().peers()->Call(
         peer.address, std::move(question),
-        std::chrono::milliseconds(ToMillis(wait + kPeerAnswerLimit)));
+        std::chrono::milliseconds(ToMillis(wait + kPeerAnswerLimit)),
+        wait > Duration{} ? PeerCallKind::kLongPoll : PeerCallKind::kRepeatable);
     const SyncAnswer answer = DecodeSyncAnswer(message.body);
     StoreSnapshot snapshot;
     snapshot.revision = answer.revision;
--- a/session/takeover_claim.h
+++ b/session/takeover_claim.h
@@ -11,13 +11,15 @@
   kNone,       // No takeover was ever claimed.
   kClaimed,    // The holder compares the replicas.
   kOrdered,    // The holder has ordered the promotion of the endpoint.
+  kResuming,   // The holder lets paused replicas receive again, perhaps later than it knows.
   kAbandoned,  // The holder has given up.
 };
 
-inline constexpr NameTable<TakeoverPhase, 4> kTakeoverPhaseNames{{{
+inline constexpr NameTable<TakeoverPhase, 5> kTakeoverPhaseNames{{{
     {TakeoverPhase::kNone, "none"},
     {TakeoverPhase::kClaimed, "claimed"},
     {TakeoverPhase::kOrdered, "ordered"},
+    {TakeoverPhase::kResuming, "resuming"},
     {TakeoverPhase::kAbandoned, "abandoned"},
 }}};
 
--- a/tests/kernel/gateway_plan_test.cc
+++ b/tests/kernel/gateway_plan_test.cc
@@ -16,11 +16,15 @@
   return peers;
 }
 
+bool Reached(const Peer&) {
+  return true;
+}
+
 TEST_CASE("a small fleet connects directly, or each statement pays for a hop") {
   GatewayPlan plan("d3");
   plan.SetPeers(MakePeers(8, 3));
   CHECK(plan.IsGateway("e", "fd0", 21));
-  CHECK(plan.GatewaysOf("e", "fd0", 21).empty());
+  CHECK(plan.GatewaysOf("e", "fd0", 21, Reached).empty());
   CHECK(plan.ShareOf(21) == 2);
 }
 
@@ -52,7 +56,7 @@
   for (const Peer& peer : peers) {
     GatewayPlan plan(peer.daemon);
     plan.SetPeers(peers);
-    const auto gateways = plan.GatewaysOf("e", "fd1", 44);
+    const auto gateways = plan.GatewaysOf("e", "fd1", 44, Reached);
     REQUIRE(gateways.size() == 11);
     CHECK(gateways.front().failure_domain == "fd1");
     ++first_choice[gateways.front().daemon];
@@ -70,7 +74,30 @@
 TEST_CASE("an endpoint whose failure domain has no daemon has gateways elsewhere") {
   GatewayPlan plan("d1");
   plan.SetPeers(MakePeers(90, 3));
-  CHECK(plan.GatewaysOf("e", "fd9", 44).size() >= 2);
+  CHECK(plan.GatewaysOf("e", "fd9", 44, Reached).size() >= 2);
+}
+
+// Pattern: the fleet splits in two, and all gateways of an endpoint may be on the other side.
+TEST_CASE(
+    "other daemons stand in for gateways out of reach, or a split refuses what it can serve") {
+  const auto peers = MakePeers(90, 3);
+  GatewayPlan plan("d0");
+  plan.SetPeers(peers);
+  const auto planned = plan.GatewaysOf("e", "fd1", 44, Reached);
+  std::set<std::string> lost;
+  for (const Peer& gateway : planned) {
+    lost.insert(gateway.daemon);
+  }
+  const auto usable = [&lost](const Peer& peer) { return !lost.contains(peer.daemon); };
+  const auto substitutes = plan.GatewaysOf("e", "fd1", 44, usable);
+  REQUIRE(substitutes.size() == 2);
+  for (const Peer& substitute : substitutes) {
+    CHECK(substitute.failure_domain == "fd1");
+    CHECK_FALSE(lost.contains(substitute.daemon));
+  }
+  lost.erase(planned.front().daemon);
+  lost.erase(planned.back().daemon);
+  CHECK(plan.GatewaysOf("e", "fd1", 44, usable).size() == 2);
 }
 
 TEST_CASE("a daemon that lost an endpoint asks the others, those near the endpoint first") {
--- a/tests/kernel/takeover_plan_test.cc
+++ b/tests/kernel/takeover_plan_test.cc
@@ -163,5 +163,70 @@
   }
 }
 
+TEST_CASE("a pending resume order ends the old primary's lead first, or a commit may be lost") {
+  auto view = View(TakeoverReason::kPrimaryLeaving,
+                   {Primary(true, true), Replica("a", 100), Replica("b", 100)});
+  view.resume_pending = true;
+  CHECK(NextTakeoverStep(view).kind == Kind::kStepDown);
+  view.members[0].is_primary = false;
+  CHECK(NextTakeoverStep(view).kind == Kind::kPause);
+  // A lost primary may still acknowledge commits behind a cut.
+  view = View(TakeoverReason::kPrimaryLost, {Primary(false), Replica("a", 95), Replica("b", 95)});
+  view.resume_pending = true;
+  CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+}
+
+// A resume order of an earlier takeover is carried out at any step of this one.
+TEST_CASE("a late resume order loses no acknowledged commit, in random runs") {
+  for (uint64_t seed = 0; seed < 2000; ++seed) {
+    RandomEngine random(seed);
+    std::vector<MemberStatus> members{Primary(true, true), Replica("a", 100), Replica("b", 100)};
+    uint64_t acknowledged = 100;
+    std::string promoted;
+    const size_t resumed_at = RandomBelow(&random, 12);
+    TakeoverView view;
+    for (size_t step = 0; step < 200 && promoted.empty(); ++step) {
+      if (step == resumed_at) {
+        members[1].held_term = members[2].held_term = 0;
+      }
+      if (members[0].is_primary) {
+        members[0].received.index += RandomBelow(&random, 3);
+      }
+      for (size_t i = 1; i < members.size(); ++i) {
+        if (members[i].held_term == 0 && RandomBelow(&random, 2) == 0) {
+          members[i].received.index = members[0].received.index;
+          acknowledged = std::max(acknowledged, members[i].received.index);
+        }
+      }
+      // The comparison works with statuses of an earlier step.
+      if (step % 2 == 0) {
+        view = View(TakeoverReason::kPrimaryLeaving, members);
+        view.resume_pending = true;
+      }
+      const TakeoverStep next = NextTakeoverStep(view);
+      for (size_t i = 0; i < members.size(); ++i) {
+        if (members[i].id != next.endpoint) {
+          continue;
+        }
+        if (next.kind == Kind::kPause) {
+          members[i].held_term = 4;
+        } else if (next.kind == Kind::kStepDown) {
+          members[i].is_primary = false;
+        }
+        view.members[i] = members[i];
+      }
+      if (next.kind == Kind::kPromote) {
+        promoted = next.endpoint;
+        for (const MemberStatus& member : members) {
+          INFO("seed " << seed);
+          CHECK((member.id != promoted || member.received.index >= acknowledged));
+        }
+      }
+    }
+    INFO("seed " << seed);
+    CHECK_FALSE(promoted.empty());
+  }
+}
+
 }  // namespace
 }  // namespace poplarmoor
--- a/tests/net/peer_network_test.cc
+++ b/tests/net/peer_network_test.cc
@@ -230,5 +230,36 @@
   CHECK(this->Call(&this->client, {"echo", "still"}).get().body == "client:still");
 }
 
+TEST_CASE("a silent peer's repeatable calls can be ended, or they wait until their deadlines") {
+  PeerFixture fixture;
+  auto repeatable = asio::co_spawn(
+      asio::make_strand(fixture.context),
+      fixture.client.Call(fixture.server.address(), PeerMessage("hang", ""),
+                          std::chrono::milliseconds(60000), PeerCallKind::kRepeatable),
+      asio::use_future);
+  auto once = fixture.Call(&fixture.client, PeerMessage("hang", ""), 60000ms);
+  auto poll =
+      asio::co_spawn(asio::make_strand(fixture.context),
+                     fixture.client.Call(fixture.server.address(), PeerMessage("hang", ""),
+                                         std::chrono::milliseconds(60000), PeerCallKind::kLongPoll),
+                     asio::use_future);
+  while (fixture.client.SilentPeers(50ms).empty()) {
+    std::this_thread::sleep_for(5ms);
+  }
+  CHECK(fixture.client.SilentPeers(50ms) == std::vector<std::string>{fixture.server.address()});
+  fixture.client.EndSilentCalls(fixture.server.address());
+  try {
+    repeatable.get();
+    FAIL("the call was not ended");
+  } catch (const PeerError& error) {
+    CHECK(error.sent);
+  }
+  CHECK(once.wait_for(50ms) == std::future_status::timeout);
+  CHECK(poll.wait_for(1ms) == std::future_status::timeout);
+  // New calls use a new connection.
+  CHECK(fixture.Call(&fixture.client, PeerMessage("echo", "again")).get().body == "client:again");
+  CHECK(fixture.client.SilentPeers(60000ms).empty());
+}
+
 }  // namespace
 }  // namespace poplarmoor
--- a/tests/platform/fake_line_endpoint.cc
+++ b/tests/platform/fake_line_endpoint.cc
@@ -154,7 +154,7 @@
     this->held_term = word == "PAUSE" ? std::stoull(name) : word == "RESUME" ? 0 : this->held_term;
     return std::string("ROW ") + (leads ? "primary " : "replica ") +
            std::to_string(this->group->term) + " " + std::to_string(this->group->term) + "." +
-           std::to_string(this->group->index) + " " + std::to_string(this->held_term) +
+           std::to_string(this->group->index - this->lag) + " " + std::to_string(this->held_term) +
            " 0 0 1\r\nCOMPLETE -\r\n";
   }
   if (word == "BEGIN") {
--- a/tests/platform/fake_line_endpoint.h
+++ b/tests/platform/fake_line_endpoint.h
@@ -47,6 +47,7 @@
   std::set<std::string> cut_answers;  // Words of statements that run but are answered by half.
   bool lacks_positions = false;       // Refuses every demanded position.
   int rolled_back = 0;                // Transactions that ended without a commit.
+  uint64_t lag = 0;                   // Entries of the group's log that it has not received.
   size_t max_connections = 1000;      // Further ones are closed at once.
   int opened = 0;                     // Connections accepted.
 
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -8,10 +8,13 @@
 #include "platform/line_codec.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
+#include "session/group_keeper.h"
+#include "session/promotion_api.h"
 #include "session/relay_server.h"
 #include "session/statement_runner.h"
 #include "telemetry/metrics.h"
 #include "tests/platform/fake_line_endpoint.h"
+#include "tests/platform/memory_store.h"
 
 namespace poplarmoor::platform {
 namespace {
@@ -159,6 +162,45 @@
   CHECK(fixture.group.executed.size() == 1);
 }
 
+// Counts promotion orders.
+class CountingPromotions : public PromotionApi {
+ public:
+  asio::awaitable<PromotionOutcome> Promote(std::string, std::string, uint64_t) override {
+    ++this->orders;
+    co_return PromotionOutcome::kAccepted;
+  }
+
+  int orders = 0;
+};
+
+TEST_CASE("primaries that answer again after a cut are not replaced, or each heal costs a gap") {
+  RelayFixture fixture;
+  // Both daemons took the endpoints for lost, and the way to them is open again.
+  for (const char* id : {"p", "a"}) {
+    EndpointRecord record = fixture.gate.cluster.FindEndpoint(id)->record();
+    record.revision = 3;
+    fixture.entry.cluster.ApplyEndpoint(record);
+    for (RelayFixture::Daemon* daemon : {&fixture.gate, &fixture.entry}) {
+      daemon->cluster.FindEndpoint(id)->down = true;
+      daemon->cluster.FindEndpoint(id)->down_since = BootNow() + 60s;  // No probe in this test.
+    }
+  }
+  ServiceGroup* group = fixture.entry.cluster.FindGroup("ledger");
+  group->LosePrimary("p", "test");
+  MemoryStore store;
+  CountingPromotions promotions;
+  GroupKeeper keeper(fixture.context.get_executor(), &fixture.entry.cluster, &store, &promotions,
+                     &fixture.entry.metrics, "entry");
+  keeper.Start();
+  const TimePoint limit = BootNow() + 60s;
+  while (group->Primary() == nullptr && promotions.orders == 0 && BootNow() < limit) {
+    fixture.context.run_one_for(std::chrono::milliseconds(20));
+  }
+  CHECK(promotions.orders == 0);
+  REQUIRE(group->Primary() != nullptr);
+  CHECK(group->Primary()->record().id == "p");
+}
+
 TEST_CASE("an endpoint that no daemon reaches is refused as not run") {
   RelayFixture fixture;
   fixture.gate.cluster.FindEndpoint("p")->down = true;
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -31,18 +31,22 @@
                                             std::string endpoint,
                                             uint64_t token) override {
     this->tokens.push_back(token);
+    this->endpoints.push_back(endpoint);
     if (this->unanswered > 0) {
       --this->unanswered;
       co_await Pause(1ms);
       co_return PromotionOutcome::kUnknown;
     }
-    this->group->primary = endpoint;
-    ++this->group->term;
+    if (this->group->primary != endpoint) {
+      this->group->primary = endpoint;
+      ++this->group->term;
+    }
     co_return PromotionOutcome::kAccepted;
   }
 
   FakeGroup* group;
   std::vector<uint64_t> tokens;
+  std::vector<std::string> endpoints;
   int unanswered = 0;  // Orders that fail at once, as those to a platform that is down.
 };
 
