session: probe all connected peers once one is lost; a cut domain ends with any answer

Cause: in a split each daemon found the unreachable gateways one statement at a time (220 ms each, three tries a statement), domains that still answered counted as cut off, and since nothing was sent to them any more, nothing ended that.

--- a/kernel/peer_health.cc
+++ b/kernel/peer_health.cc
@@ -1,6 +1,7 @@
 #include "kernel/peer_health.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace poplarmoor {
 
@@ -28,13 +29,21 @@
   entry.peer = peer;
   entry.interval = added ? kProbeInterval : std::min(entry.interval * 2, kMaxProbeInterval);
   entry.next_probe = now + entry.interval;
+  const std::string& domain = peer.failure_domain;
+  const auto answer = this->last_answers.find(domain);
+  const bool answered = answer != this->last_answers.end() && now - answer->second < kRecentAnswer;
+  if (domain != this->own_domain && !answered && this->LostIn(domain) >= kLostOfCut) {
+    this->cut.try_emplace(domain, now + kProbeInterval);
+  }
 }
 
 void PeerHealth::NoteAnswer(const Peer& peer, TimePoint now) {
-  const bool healed = this->IsCut(peer.failure_domain, now);
   this->last_answers[peer.failure_domain] = now;
+  if (this->lost.empty()) {
+    return;
+  }
   this->lost.erase(peer.address);
-  if (!healed) {
+  if (this->cut.erase(peer.failure_domain) == 0) {
     return;
   }
   // The others are probed at once, so that they are back soon.
@@ -51,19 +60,8 @@
   this->unreached[{endpoint, peer.address}] = now + kUnreachedPause;
 }
 
-bool PeerHealth::IsLost(const Peer& peer, TimePoint now) const {
-  if (this->lost.empty()) {
-    return false;
-  }
-  return this->lost.contains(peer.address) || this->IsCut(peer.failure_domain, now);
-}
-
-bool PeerHealth::IsCut(const std::string& failure_domain, TimePoint now) const {
-  if (failure_domain == this->own_domain || this->LostIn(failure_domain) < kLostOfCut) {
-    return false;
-  }
-  const auto answer = this->last_answers.find(failure_domain);
-  return answer == this->last_answers.end() || now - answer->second > kRecentAnswer;
+bool PeerHealth::IsLost(const Peer& peer) const {
+  return this->lost.contains(peer.address) || this->cut.contains(peer.failure_domain);
 }
 
 bool PeerHealth::IsUnreached(const std::string& endpoint, const Peer& peer, TimePoint now) const {
@@ -78,42 +76,34 @@
       }));
 }
 
-std::vector<Peer> PeerHealth::WitnessesFor(const Peer& failed,
-                                           const std::vector<Peer>& live,
-                                           RandomEngine* random) const {
-  const size_t known = this->LostIn(failed.failure_domain);
-  std::vector<Peer> others;
-  for (const Peer& peer : live) {
-    if (peer.failure_domain == failed.failure_domain && !peer.address.empty() &&
-        !this->lost.contains(peer.address)) {
-      others.push_back(peer);
-    }
-  }
-  std::shuffle(others.begin(), others.end(), *random);
-  others.resize(std::min(others.size(), known < kLostOfCut ? kLostOfCut - known : 0));
-  return others;
-}
-
-std::vector<Peer> PeerHealth::TakeDueProbes(TimePoint now) {
-  std::map<std::string, size_t> chosen;  // By failure domain that is cut off.
+std::vector<Peer> PeerHealth::TakeDueProbes(TimePoint now, RandomEngine* random) {
   std::vector<Peer> due;
   for (auto& [address, entry] : this->lost) {
-    if (now < entry.next_probe) {
-      continue;
+    if (now >= entry.next_probe && !this->cut.contains(entry.peer.failure_domain)) {
+      entry.next_probe = now + entry.interval;
+      due.push_back(entry.peer);
     }
-    const std::string& domain = entry.peer.failure_domain;
-    if (this->IsCut(domain, now) && ++chosen[domain] > kProbesPerDomain) {
+  }
+  for (auto& [domain, next_probe] : this->cut) {
+    if (now < next_probe) {
       continue;
     }
-    entry.next_probe = now + entry.interval;
-    due.push_back(entry.peer);
+    next_probe = now + kProbeInterval;
+    std::vector<Peer> members;
+    for (const Peer& peer : this->live_peers) {
+      if (peer.failure_domain == domain) {
+        members.push_back(peer);
+      }
+    }
+    std::sample(members.begin(), members.end(), std::back_inserter(due), kProbesPerDomain, *random);
   }
   return due;
 }
 
-void PeerHealth::Retain(const std::vector<Peer>& live) {
-  std::erase_if(this->lost, [&live](const auto& entry) {
-    return std::none_of(live.begin(), live.end(),
+void PeerHealth::SetPeers(std::vector<Peer> live) {
+  this->live_peers = std::move(live);
+  std::erase_if(this->lost, [this](const auto& entry) {
+    return std::none_of(this->live_peers.begin(), this->live_peers.end(),
                         [&entry](const Peer& peer) { return peer.address == entry.first; });
   });
 }
--- a/kernel/peer_health.h
+++ b/kernel/peer_health.h
@@ -29,7 +29,7 @@
   void NoteUnreached(const std::string& endpoint, const Peer& peer, TimePoint now);
 
   /// @returns Whether a statement should not be sent to the peer.
-  bool IsLost(const Peer& peer, TimePoint now) const;
+  bool IsLost(const Peer& peer) const;
 
   /// @returns Whether the peer lately did not reach the endpoint.
   bool IsUnreached(const std::string& endpoint, const Peer& peer, TimePoint now) const;
@@ -37,22 +37,13 @@
   /// @returns Whether any peer is lost.
   bool HasLost() const { return !this->lost.empty(); }
 
-  /// Chooses peers whose probes tell a cut failure domain from a single lost peer.
-  /// @param failed Peer that was lost just now.
-  /// @param live All live daemons.
   /// @param random Generator.
-  /// @returns Other peers of its failure domain that are not lost; none when enough are lost.
-  std::vector<Peer> WitnessesFor(const Peer& failed,
-                                 const std::vector<Peer>& live,
-                                 RandomEngine* random) const;
+  /// @returns Lost peers to probe now, and some daemons of each domain that is cut off, lost or
+  ///     not; their next probes are postponed.
+  std::vector<Peer> TakeDueProbes(TimePoint now, RandomEngine* random);
 
-  /// @returns Lost peers to probe now, a few of each domain that is cut off; their next probes are
-  ///     postponed.
-  std::vector<Peer> TakeDueProbes(TimePoint now);
-
-  /// Forgets daemons that are gone.
-  /// @param live All live daemons.
-  void Retain(const std::vector<Peer>& live);
+  /// Sets the daemons of the fleet and forgets those that are gone.
+  void SetPeers(std::vector<Peer> live);
 
  private:
   struct LostPeer {
@@ -62,9 +53,10 @@
   };
 
   size_t LostIn(const std::string& failure_domain) const;
-  bool IsCut(const std::string& failure_domain, TimePoint now) const;
 
   std::string own_domain;
+  std::vector<Peer> live_peers;
+  std::map<std::string, TimePoint> cut;           // By failure domain: next probe.
   std::map<std::string, TimePoint> last_answers;  // By failure domain.
   std::map<std::string, LostPeer> lost;           // By address.
   std::map<std::pair<std::string, std::string>, TimePoint>
--- a/net/peer_network.cc
+++ b/net/peer_network.cc
@@ -430,6 +430,17 @@
   return silent;
 }
 
+std::vector<std::string> PeerNetwork::ConnectedPeers() const {
+  std::vector<std::string> connected;
+  for (const auto& peer : this->impl->Outgoing()) {
+    std::lock_guard lock(peer->mutex);
+    if (peer->open) {
+      connected.push_back(peer->address);
+    }
+  }
+  return connected;
+}
+
 void PeerNetwork::EndSilentCalls(const std::string& address) {
   std::shared_ptr<OutgoingPeer> peer;
   {
--- a/net/peer_network.h
+++ b/net/peer_network.h
@@ -82,6 +82,9 @@
   /// @returns Addresses of peers that have been silent for longer while a call waits for them.
   std::vector<std::string> SilentPeers(std::chrono::milliseconds silence) const;
 
+  /// @returns Addresses of peers with an open connection of this daemon.
+  std::vector<std::string> ConnectedPeers() const;
+
   /// Ends the calls to a peer that are repeatable or were not sent. New calls use a new connection.
   void EndSilentCalls(const std::string& address);
 
--- a/session/group_keeper.cc
+++ b/session/group_keeper.cc
@@ -298,8 +298,10 @@
       group->SetPrimary(leader->id, leader->term, "status");
       break;
     }
-    const bool idle = !group->taking_over && !this->stopping && !this->IsClaimed(*group) &&
-                      IsGatewayOfAny(*group);
+    // Who has not lost the former primary itself may only lack the way to its gateways.
+    const auto former = this->cluster->FindEndpoint(group->old_primary);
+    const bool may_act = former != nullptr ? former->down : IsGatewayOfAny(*group);
+    const bool idle = may_act && !group->taking_over && !this->stopping && !this->IsClaimed(*group);
     if (idle && BootNow() - started > kNoPrimaryLimit) {
       group->taking_over = true;
       co_await this->TakeOver(group, group->old_primary.empty() ? TakeoverReason::kNoPrimary
--- a/session/relay_channel.cc
+++ b/session/relay_channel.cc
@@ -141,7 +141,7 @@
       attempt.cause = error.what();
       sent = error.sent;
       if (!error.sent) {
-        this->router->health().NoteFailure(peer, BootNow());
+        this->router->NoteLost(peer);
       }
     } catch (const CodecError& error) {
       attempt.cause = error.what();
--- a/session/relay_router.cc
+++ b/session/relay_router.cc
@@ -27,6 +27,7 @@
 // Two round trips and the handshake take some milliseconds; the rest covers a busy processor.
 constexpr Duration kPingLimit = 100ms;
 constexpr Duration kFreshPingLimit = 200ms;  // Over a new connection; covers one lost packet.
+constexpr Duration kSurveyInterval = 500ms;  // Between two rounds of probes of all peers.
 constexpr Duration kOrderSlack = 50ms;       // Round trip to the gateway.
 constexpr int kMaxOrderTries = 3;            // Gateways that one order tries.
 
@@ -51,7 +52,7 @@
   }
   const TimePoint now = BootNow();
   const auto usable = [this, &endpoint, now](const Peer& peer) {
-    return peer.daemon != this->self && !this->peer_health.IsLost(peer, now) &&
+    return peer.daemon != this->self && !this->peer_health.IsLost(peer) &&
            !this->peer_health.IsUnreached(endpoint.id, peer, now);
   };
   if (this->gateways.EveryoneConnects(connections->second)) {
@@ -68,7 +69,7 @@
 
 void RelayRouter::SetPeers(std::vector<Peer> live) {
   this->gateways.SetPeers(std::move(live));
-  this->peer_health.Retain(this->gateways.Peers());
+  this->peer_health.SetPeers(this->gateways.Peers());
 }
 
 void RelayRouter::Spawn(asio::awaitable<void> work, const asio::any_io_executor& executor) {
@@ -92,8 +93,22 @@
         this->Spawn(this->Check(*peer), executor);
       }
     }
-    for (const Peer& peer : this->peer_health.TakeDueProbes(BootNow())) {
-      this->Spawn(this->Probe(peer, true), executor);
+    if (this->survey_due) {
+      // Where one peer is lost, others often are: a cut failure domain or a split fleet. Asking all
+      // of them at once saves the statements from finding out one by one.
+      this->survey_due = false;
+      const std::vector<std::string> connected = this->network->ConnectedPeers();
+      for (const Peer& peer : this->gateways.Peers()) {
+        const bool is_connected =
+            std::find(connected.begin(), connected.end(), peer.address) != connected.end();
+        if (is_connected && !this->peer_health.IsLost(peer) &&
+            this->checking.insert(peer.address).second) {
+          this->Spawn(this->Check(peer), executor);
+        }
+      }
+    }
+    for (const Peer& peer : this->peer_health.TakeDueProbes(BootNow(), &this->random)) {
+      this->Spawn(this->Probe(peer), executor);
     }
   }
 }
@@ -114,36 +129,37 @@
 asio::awaitable<void> RelayRouter::Check(Peer peer) {
   const bool answers = co_await this->Ping(peer, kPingLimit);
   if (!answers) {
-    // The connection may have gone silent while new ones work.
+    // The connection may have gone silent while new ones work: the probe tells.
     this->network->EndSilentCalls(peer.address);
-    co_await this->Probe(peer, false);
+    this->NoteLost(peer);
+    co_await this->Probe(peer);
   }
   this->checking.erase(peer.address);
 }
 
-asio::awaitable<void> RelayRouter::Probe(Peer peer, bool was_lost) {
+asio::awaitable<void> RelayRouter::Probe(Peer peer) {
   const bool answers = co_await this->Ping(peer, kFreshPingLimit);
-  if (answers) {
-    if (was_lost) {
-      Log(LogLevel::kInfo, "peer regained",
-          {{"peer", peer.daemon}, {"failure_domain", peer.failure_domain}});
-    }
-    this->peer_health.NoteAnswer(peer, BootNow());
+  if (!answers) {
+    this->peer_health.NoteFailure(peer, BootNow());
     co_return;
   }
-  const bool known = this->peer_health.IsLost(peer, BootNow());
-  this->peer_health.NoteFailure(peer, BootNow());
+  Log(LogLevel::kInfo, "peer regained",
+      {{"peer", peer.daemon}, {"failure_domain", peer.failure_domain}});
+  this->peer_health.NoteAnswer(peer, BootNow());
+}
+
+void RelayRouter::NoteLost(const Peer& peer) {
+  const TimePoint now = BootNow();
+  const bool known = this->peer_health.IsLost(peer);
+  this->peer_health.NoteFailure(peer, now);
   if (known) {
-    co_return;
+    return;
   }
   Log(LogLevel::kWarn, "peer lost",
       {{"peer", peer.daemon}, {"failure_domain", peer.failure_domain}});
-  const auto executor = co_await asio::this_coro::executor;
-  for (const Peer& witness :
-       this->peer_health.WitnessesFor(peer, this->gateways.Peers(), &this->random)) {
-    if (witness.daemon != this->self) {
-      this->Spawn(this->Probe(witness, false), executor);
-    }
+  if (now >= this->next_survey) {
+    this->next_survey = now + kSurveyInterval;
+    this->survey_due = true;
   }
 }
 
@@ -185,7 +201,7 @@
     } catch (const PeerError& error) {
       cause = error.what();
       if (!error.sent) {
-        this->peer_health.NoteFailure(peer, BootNow());
+        this->NoteLost(peer);
       }
     }
   }
--- a/session/relay_router.h
+++ b/session/relay_router.h
@@ -71,6 +71,9 @@
 
   PeerHealth& health() { return this->peer_health; }
 
+  /// A peer cannot be reached. The other connected ones are probed soon.
+  void NoteLost(const Peer& peer);
+
   /// Sets how many connections endpoints of a service accept.
   void SetConnections(const std::string& service, uint32_t connections);
 
@@ -79,14 +82,16 @@
  private:
   boost::asio::awaitable<void> Check(Peer peer);
   boost::asio::awaitable<bool> Ping(Peer peer, Duration limit);
-  boost::asio::awaitable<void> Probe(Peer peer, bool was_lost);
+  boost::asio::awaitable<void> Probe(Peer peer);
   void Spawn(boost::asio::awaitable<void> work, const boost::asio::any_io_executor& executor);
 
   std::string self;
   GatewayPlan gateways;
   PeerHealth peer_health;
   PeerNetwork* network = nullptr;
-  std::set<std::string> checking;              // Addresses of silent peers that are probed.
+  std::set<std::string> checking;  // Addresses of peers that are probed.
+  TimePoint next_survey;           // No round of probes of all peers before.
+  bool survey_due = false;
   std::map<std::string, uint32_t> by_service;  // Connections.
   RandomEngine random;
 };
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -89,7 +89,7 @@
     const bool has_peers = this->cluster->relays().peers() != nullptr && plan.size() > 1;
     if (has_peers && !plan.IsWatcher()) {
       for (const Peer& watcher : plan.Watchers()) {
-        if (this->cluster->relays().health().IsLost(watcher, BootNow())) {
+        if (this->cluster->relays().health().IsLost(watcher)) {
           continue;
         }
         succeeded = co_await this->FollowPeer(kind, watcher, kPeerWait);
@@ -112,8 +112,7 @@
       const std::vector<Peer> peers = plan.Peers();
       const Peer peer = peers[RandomBelow(&this->random, peers.size())];
       bool told = false;
-      if (peer.daemon != this->self.daemon &&
-          !this->cluster->relays().health().IsLost(peer, BootNow())) {
+      if (peer.daemon != this->self.daemon && !this->cluster->relays().health().IsLost(peer)) {
         told = co_await this->FollowPeer(kind, peer, Duration{});
       }
       if (told) {
