--- a/net/peer_connection.cc
+++ b/net/peer_connection.cc
@@ -3,6 +3,7 @@
 #include "net/traffic_counter.h"
 
 #include <openssl/rand.h>
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <cstring>
 
@@ -20,7 +21,8 @@
 constexpr std::chrono::milliseconds kHandshakeTimeout{2000};
 constexpr size_t kMaxHandshake = 4 << 10;  // Bytes of a handshake message.
 constexpr size_t kMaxOutput = 64 << 20;    // Bytes queued for a peer that does not read.
-constexpr size_t kReadSize = 64 << 10;     // Bytes of free space before a read.
+constexpr size_t kReadSize = 4 << 10;      // Bytes of free space before a read, at least.
+constexpr size_t kKeptBuffer = 64 << 10;   // A read buffer that has grown further is given back.
 constexpr size_t kNonceSize = 16;          // Bytes.
 
 std::string MakeNonce() {
@@ -186,8 +188,13 @@
       this->consumed = 0;
       this->filled = available;
     }
+    if (this->filled == 0 && this->input.size() > kKeptBuffer) {
+      this->input.clear();
+      this->input.shrink_to_fit();
+    }
     if (this->input.size() - this->filled < kReadSize / 2) {
-      this->input.resize(this->filled + kReadSize);
+      // Doubling keeps the copies of a large frame few.
+      this->input.resize(this->filled + std::max(kReadSize, this->filled));
     }
     boost::system::error_code error;
     const size_t count = co_await this->socket.async_read_some(
--- a/session/group_keeper.cc
+++ b/session/group_keeper.cc
@@ -358,7 +358,7 @@
   if (conflict) {
     // The claim of another daemon came first, or the answer to this one was lost.
     try {
-      const auto stored = co_await this->store->Get(kTakeoverKind, group->name);
+      const auto stored = co_await this->store->Get(kTakeoverKind, group->name, false);
       if (stored) {
         const TakeoverClaim current = DecodeTakeoverClaim(stored->value, stored->revision);
         if (current.holder == this->daemon && current.nonce == claim.nonce) {
--- a/session/object_store.h
+++ b/session/object_store.h
@@ -75,10 +75,12 @@
                                                       uint64_t since,
                                                       std::chrono::milliseconds wait) = 0;
 
+  /// @param stale_ok Whether seconds-old data will do, which costs less.
   /// @returns The object, or nothing when it does not exist.
   /// @throws StoreError.
   virtual boost::asio::awaitable<std::optional<StoredObject>> Get(std::string kind,
-                                                                  std::string name) = 0;
+                                                                  std::string name,
+                                                                  bool stale_ok) = 0;
 
   /// Stores an object if it has the expected revision.
   /// @param expected Revision of its last change; 0: it must not exist.
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <nlohmann/json.hpp>
 
+#include "kernel/random.h"
 #include "net/http_message.h"
 #include "net/http_server.h"
 #include "net/key_ring.h"
@@ -56,7 +57,8 @@
         const PlatformAdapter& adapter)
       : cluster(executor, adapter.sessions, settings.daemon, settings.failure_domain),
         runner(&this->cluster, adapter.sessions, adapter.metrics),
-        sync(adapter.store,
+        sync(executor,
+             adapter.store,
              adapter.registry,
              &this->cluster,
              Peer{settings.daemon, settings.peer_address, settings.failure_domain},
@@ -116,7 +118,7 @@
   this->parts->server.Listen(this->settings.caller_address, descriptors > 2 * kReservedDescriptors
                                                                 ? descriptors - kReservedDescriptors
                                                                 : descriptors / 2);
-  this->parts->sync.Start(this->context->get_executor());
+  this->parts->sync.Start();
   this->parts->keeper.Start();
   asio::co_spawn(*this->context, this->StartPeers(), Rethrow);
   asio::co_spawn(*this->context, this->AwaitStop(), Rethrow);
@@ -156,19 +158,24 @@
 }
 
 asio::awaitable<std::string> SessionDaemon::FetchPeerKey() {
-  for (;;) {
+  // The key never changes, so that a seconds-old answer will do. In a fleet that starts for the
+  // first time the pauses let one daemon create the key.
+  RandomEngine random(RandomBits());
+  for (bool stale_ok = true;; stale_ok = false) {
     try {
-      const auto stored = co_await this->adapter.store->Get(kPeerKeyKind, kPeerKeyName);
+      const auto stored = co_await this->adapter.store->Get(kPeerKeyKind, kPeerKeyName, stale_ok);
       if (stored) {
         co_return nlohmann::json::parse(stored->value).at("key").get<std::string>();
       }
-      std::string value = nlohmann::json{{"key", MakeRandomId()}}.dump();
-      co_await this->adapter.store->Put(kPeerKeyKind, kPeerKeyName, std::move(value), 0);
+      if (!stale_ok) {
+        std::string value = nlohmann::json{{"key", MakeRandomId()}}.dump();
+        co_await this->adapter.store->Put(kPeerKeyKind, kPeerKeyName, std::move(value), 0);
+      }
     } catch (const std::exception& error) {
       // Another daemon may have created the key first; the next read shows it.
       Log(LogLevel::kInfo, "peer key not read", {{"cause", error.what()}});
     }
-    co_await Pause(kPeerKeyRetry);
+    co_await Pause(stale_ok ? RandomDuration(&random, kPeerKeyRetry) : kPeerKeyRetry);
   }
 }
 
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -24,8 +25,9 @@
 
 namespace {
 
-// Longest wait of a watch whose delay no bound limits. Calls are paid for.
-constexpr std::chrono::milliseconds kUnboundedWait{25000};
+// Longest wait of a watch whose delay no bound limits; below the usual history (20 s), so that the
+// next watch mostly needs no new listing.
+constexpr std::chrono::milliseconds kUnboundedWait{15000};
 // A store that drops its history may leave a waiting watch without news, which only the next watch
 // notices. The wait and the retries after it must fit into the bound.
 constexpr double kWaitPerBound = 0.65;
@@ -33,12 +35,20 @@
 constexpr Duration kFirstRetry = 100ms;
 constexpr Duration kMaxRetry = 1s;
 constexpr std::chrono::milliseconds kRetryWait{200};
+// Daemons that do not watch the store mostly learn from others that it is back.
+constexpr Duration kMaxFollowerRetry = 3s;
 // The daemon count changes rarely and only shifts the connection shares.
 constexpr Duration kCountInterval = 15s;
+// Statements go around daemons that are gone long before their entries lapse.
+constexpr Duration kRenewInterval = 45s;
 // An entry that has not been renewed for this time belongs to a daemon that is gone.
 constexpr int kLapseIntervals = 3;
 // The first listings after a start miss daemons that start at the same time.
 constexpr std::array<Duration, 3> kFirstCounts{1s, 2s, 4s};
+// After its start a daemon waits for this time to learn of the others before it watches the store:
+// in a large fleet only a few do.
+constexpr Duration kJoinLimit = 3s;
+constexpr Duration kJoinPoll = 100ms;
 // A daemon that does not watch the store asks a watcher again after this time, so that it soon
 // notices a watcher that is gone.
 constexpr Duration kPeerWait = 1s;
@@ -53,19 +63,26 @@
 
 }  // namespace
 
-StoreSync::StoreSync(ObjectStore* store,
+StoreSync::StoreSync(asio::any_io_executor executor,
+                     ObjectStore* store,
                      const RegistryCodec* registry,
                      Cluster* cluster,
                      Peer self,
                      ApplyBounds bounds)
-    : store(store), registry(registry), cluster(cluster), self(std::move(self)), bounds(bounds) {}
+    : executor(executor),
+      store(store),
+      registry(registry),
+      cluster(cluster),
+      self(std::move(self)),
+      bounds(bounds),
+      store_back(std::move(executor)),
+      random(std::random_device{}()) {}
 
-void StoreSync::Start(asio::any_io_executor executor) {
-  const auto follow = [this, executor](std::string name, std::chrono::milliseconds wait,
-                                       Apply apply) {
-    auto kind = std::make_shared<Kind>(name, wait, std::move(apply), WaitList(executor));
+void StoreSync::Start() {
+  const auto follow = [this](std::string name, std::chrono::milliseconds wait, Apply apply) {
+    auto kind = std::make_shared<Kind>(name, wait, std::move(apply), WaitList(this->executor));
     this->kinds[name] = kind;
-    asio::co_spawn(executor, this->Follow(std::move(kind)), asio::detached);
+    asio::co_spawn(this->executor, this->Follow(std::move(kind)), asio::detached);
   };
   follow(this->registry->routes_kind(), WaitFor(this->bounds.routes),
          [this](const StoreSnapshot& snapshot, bool) { this->ApplyRoutes(snapshot); });
@@ -75,7 +92,7 @@
          });
   follow(kTakeoverKind, kUnboundedWait,
          [this](const StoreSnapshot& snapshot, bool) { this->ApplyClaims(snapshot); });
-  asio::co_spawn(executor, this->CountDaemons(), asio::detached);
+  asio::co_spawn(this->executor, this->CountDaemons(), asio::detached);
 }
 
 // -----------------------------------------------------------------------------
@@ -83,44 +100,70 @@
 
 asio::awaitable<void> StoreSync::Follow(std::shared_ptr<Kind> kind) {
   Duration retry = kFirstRetry;
+  const TimePoint started = BootNow();
   for (;;) {
-    bool succeeded = false;
     const GatewayPlan& plan = this->cluster->relays().plan();
     const bool has_peers = this->cluster->relays().peers() != nullptr && plan.size() > 1;
-    if (has_peers && !plan.IsWatcher()) {
-      for (const Peer& watcher : plan.Watchers()) {
-        if (this->cluster->relays().health().IsLost(watcher)) {
-          continue;
-        }
-        succeeded = co_await this->FollowPeer(kind, watcher, kPeerWait);
-        if (succeeded) {
-          break;
-        }
-      }
+    const bool joining = plan.size() == 1 && BootNow() - started < kJoinLimit;
+    if (joining && kind->revision != 0) {
+      co_await Pause(kJoinPoll);
+      continue;
     }
-    if (!succeeded) {
+    const bool follows = has_peers && !plan.IsWatcher();
+    bool succeeded = follows && co_await this->FollowWatchers(kind);
+    if (!succeeded && (this->store_tester == nullptr || this->store_tester == kind.get())) {
       succeeded = co_await this->FollowStore(kind);
+      this->store_tester = succeeded ? nullptr : kind.get();
     }
     if (succeeded) {
+      if (!kind->reachable) {
+        this->store_back.NotifyAll();
+      }
       kind->reachable = true;
       retry = kFirstRetry;
       continue;
     }
     kind->reachable = false;
-    for (int number = 0; has_peers && number < kPeersAsked; ++number) {
-      // Another daemon may still reach the store.
-      const std::vector<Peer> peers = plan.Peers();
-      const Peer peer = peers[RandomBelow(&this->random, peers.size())];
-      bool told = false;
-      if (peer.daemon != this->self.daemon && !this->cluster->relays().health().IsLost(peer)) {
-        told = co_await this->FollowPeer(kind, peer, Duration{});
-      }
-      if (told) {
-        break;
-      }
+    if (has_peers) {
+      co_await this->AskPeers(kind);
+    }
+    // One kind at a time tries the lost store; the others wait for its success.
+    const Duration pause = retry + RandomDuration(&this->random, retry);
+    if (this->store_tester == kind.get()) {
+      co_await Pause(pause);
+    } else if (co_await this->store_back.Wait(pause)) {
+      retry = kFirstRetry;
+      continue;
+    }
+    retry = std::min(retry * 2, follows ? kMaxFollowerRetry : kMaxRetry);
+  }
+}
+
+asio::awaitable<bool> StoreSync::FollowWatchers(std::shared_ptr<Kind> kind) {
+  for (const Peer& watcher : this->cluster->relays().plan().Watchers()) {
+    if (this->cluster->relays().health().IsLost(watcher)) {
+      continue;
+    }
+    const bool succeeded = co_await this->FollowPeer(kind, watcher, kPeerWait);
+    if (succeeded) {
+      co_return true;
+    }
+  }
+  co_return false;
+}
+
+asio::awaitable<void> StoreSync::AskPeers(std::shared_ptr<Kind> kind) {
+  for (int number = 0; number < kPeersAsked; ++number) {
+    // Another daemon may still reach the store.
+    const std::vector<Peer>& peers = this->cluster->relays().plan().Peers();
+    const Peer peer = peers[RandomBelow(&this->random, peers.size())];
+    if (peer.daemon == this->self.daemon || this->cluster->relays().health().IsLost(peer)) {
+      continue;
+    }
+    const bool told = co_await this->FollowPeer(kind, peer, Duration{});
+    if (told) {
+      co_return;
     }
-    co_await Pause(retry + RandomDuration(&this->random, retry));
-    retry = std::min(retry * 2, kMaxRetry);
   }
 }
 
@@ -130,7 +173,8 @@
     const bool complete = kind->revision == 0;
     StoreSnapshot snapshot;
     if (complete) {
-      snapshot = co_await this->store->List(kind->name, false);
+      // Seconds-old objects will do after a start: the next call brings what is missing.
+      snapshot = co_await this->store->List(kind->name, kind->listed_at == 0);
     } else {
       // Without the store, short tries leave time to ask the peers.
       const auto wait = kind->reachable ? kind->wait : std::min(kind->wait, kRetryWait);
@@ -304,35 +348,53 @@
     TimePoint since;
   };
   std::map<std::string, Seen> seen;
-  TimePoint renewed;
-  Duration interval = kCountInterval;
+  std::optional<TimePoint> renewed;
   for (uint64_t round = 0; !this->leaving; ++round) {
+    const size_t fleet = this->cluster->relays().plan().size();
+    const Duration stretch = fleet * kCountIntervalPerDaemon;
+    const Duration renewal = std::max(kRenewInterval, stretch);
     try {
-      const size_t fleet = this->cluster->relays().plan().size();
-      interval = std::max<Duration>(kCountInterval, fleet * kCountIntervalPerDaemon);
-      if (round == 0 || BootNow() - renewed >= interval) {
-        std::string entry = EncodeDaemonEntry(this->self, round);
-        co_await this->store->Set(kDaemonKind, this->self.daemon, std::move(entry));
-        renewed = BootNow();
-      }
       const StoreSnapshot snapshot = co_await this->store->List(kDaemonKind, true);
       const TimePoint now = BootNow();
       std::vector<Peer> live;
+      bool listed = false;
       for (const StoredObject& object : snapshot.objects) {
+        listed = listed || object.name == this->self.daemon;
         Seen& entry = seen[object.name];
         if (entry.revision != object.revision) {
           entry = {object.revision, now};
         }
-        if (now - entry.since < kLapseIntervals * interval) {
+        if (now - entry.since < kLapseIntervals * renewal) {
           live.push_back(DecodeDaemonEntry(object.name, object.value));
         }
       }
       this->cluster->SetPeers(std::move(live));
+      if (!renewed || now - *renewed >= renewal) {
+        co_await this->StoreEntry(round, listed);
+        renewed = BootNow();
+      }
     } catch (const std::runtime_error& error) {
       Log(LogLevel::kInfo, "daemons not counted", {{"cause", error.what()}});
     }
-    co_await Pause(round < kFirstCounts.size() ? kFirstCounts[round] : interval);
+    const bool first = round < kFirstCounts.size();
+    co_await Pause(first ? kFirstCounts[round] : std::max(kCountInterval, stretch));
+  }
+}
+
+asio::awaitable<void> StoreSync::StoreEntry(uint64_t beat, bool listed) {
+  std::string entry = EncodeDaemonEntry(this->self, beat);
+  if (!listed) {
+    try {
+      co_await this->store->Put(kDaemonKind, this->self.daemon, entry, 0);
+      co_return;
+    } catch (const StoreError& error) {
+      if (error.failure != StoreFailure::kConflict) {
+        throw;
+      }
+    }
+    // The listing was older than this daemon's previous entry.
   }
+  co_await this->store->Set(kDaemonKind, this->self.daemon, std::move(entry));
 }
 
 asio::awaitable<void> StoreSync::Leave() {
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <functional>
@@ -28,14 +29,15 @@
   /// @param store,registry,cluster Must outlive this object.
   /// @param self This daemon, as the others reach it.
   /// @param bounds Times within which changes must be applied.
-  StoreSync(ObjectStore* store,
+  StoreSync(boost::asio::any_io_executor executor,
+            ObjectStore* store,
             const RegistryCodec* registry,
             Cluster* cluster,
             Peer self,
             ApplyBounds bounds);
 
   /// Starts the watches.
-  void Start(boost::asio::any_io_executor executor);
+  void Start();
 
   /// Registers the handler that tells other daemons what this one has seen.
   void Attach(PeerNetwork* network);
@@ -63,21 +65,30 @@
   };
 
   boost::asio::awaitable<void> Follow(std::shared_ptr<Kind> kind);
+  // Learns changes from a daemon that watches the store.
+  boost::asio::awaitable<bool> FollowWatchers(std::shared_ptr<Kind> kind);
+  // Learns from random peers what they know, while the store is lost.
+  boost::asio::awaitable<void> AskPeers(std::shared_ptr<Kind> kind);
   boost::asio::awaitable<bool> FollowStore(std::shared_ptr<Kind> kind);
   boost::asio::awaitable<bool> FollowPeer(std::shared_ptr<Kind> kind, Peer peer, Duration wait);
   boost::asio::awaitable<PeerMessage> OnSync(PeerMessage message);
   void Merge(Kind* kind, const StoreSnapshot& snapshot, bool complete);
   boost::asio::awaitable<void> CountDaemons();
+  // @param listed Whether the store is known to have an entry of this daemon.
+  boost::asio::awaitable<void> StoreEntry(uint64_t beat, bool listed);
   void ApplyRoutes(const StoreSnapshot& snapshot);
   void ApplyEndpoints(const StoreSnapshot& snapshot, bool complete);
   void ApplyClaims(const StoreSnapshot& snapshot);
 
+  boost::asio::any_io_executor executor;
   ObjectStore* store;
   const RegistryCodec* registry;
   Cluster* cluster;
   Peer self;
   ApplyBounds bounds;
   std::map<std::string, std::shared_ptr<Kind>> kinds;  // By name.
+  const Kind* store_tester = nullptr;                  // The kind that tries the lost store.
+  WaitList store_back;
   RandomEngine random;
   bool leaving = false;
 };
--- a/tests/platform/memory_store.h
+++ b/tests/platform/memory_store.h
@@ -27,7 +27,8 @@
   }
 
   boost::asio::awaitable<std::optional<StoredObject>> Get(std::string kind,
-                                                          std::string name) override {
+                                                          std::string name,
+                                                          bool) override {
     const auto found = this->kinds[kind].find(name);
     if (found == this->kinds[kind].end()) {
       co_return std::nullopt;
