session: probes of lost endpoints back off; a healed primary is not replaced

At the heal of the cut domain (39.9 s) its daemons replaced five healthy primaries, which had 80 ms to answer. Ruled out: a missing claim (nine holders in turn).

--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -220,10 +220,20 @@
   }
   std::unique_ptr<EndpointChannel> channel = fresh ? nullptr : this->TakeIdle(0);
   if (channel == nullptr) {
+    if (!fresh && BootNow() < this->next_open) {
+      throw std::runtime_error("the endpoint's connection limit was reached a moment ago");
+    }
     auto opening =
         std::make_unique<EndpointSession>(this->executor, this->codec, this->current.address);
-    const StatementAnswer opened =
-        co_await opening->Open(this->current.service, this->current.id, limit);
+    StatementAnswer opened;
+    try {
+      opened = co_await opening->Open(this->current.service, this->current.id, limit);
+    } catch (const EndpointSessionError& error) {
+      if (error.kind == EndpointSessionError::Kind::kClosed) {
+        this->NoteLimitReached();
+      }
+      throw;
+    }
     ++this->opened;
     if (opened.error) {
       throw std::runtime_error("the endpoint refused the connection: " +
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -121,7 +121,8 @@
   const StatementQueue& queue() const { return this->admission; }
 
   bool down = false;  // No fresh connection can be opened.
-  TimePoint down_since;
+  TimePoint next_down_probe;
+  Duration down_interval{};   // Between probes while it is down.
   bool suspected = false;     // A connection failed; a probe has to tell why.
   bool probing = false;       // A check over fresh connections is in progress.
   TimePoint avoid_until;      // It was overloaded; other endpoints go first until then.
--- a/session/group_keeper.cc
+++ b/session/group_keeper.cc
@@ -28,15 +28,23 @@
 // Two fresh connections must fail; the second one covers a lost packet.
 constexpr Duration kProbeLimit = 250ms;
 constexpr int kProbeAttempts = 2;
-constexpr Duration kProbeGap = 80ms;            // Between the starts of two attempts.
-constexpr Duration kDownProbeInterval = 400ms;  // An endpoint that is down is asked this often.
-constexpr Duration kSeekInterval = 100ms;
-// Each status call takes a place at the endpoint; in a large fleet many daemons seek at once, and
-// most learn of a new primary from the store.
-constexpr Duration kRelayedSeekInterval = 400ms;
+constexpr Duration kProbeGap = 80ms;  // Between the starts of two attempts.
+// An endpoint that is down is asked this often by the daemons that watch the store. The interval of
+// the others doubles up to the maximum: each connection takes a place at the endpoint, and in a
+// large fleet the probes alone would keep one that returns from serving.
+constexpr Duration kDownProbeInterval = 400ms;
+constexpr Duration kMaxDownProbeInterval = 3200ms;
+constexpr Duration kSeekInterval = 100ms;  // Of the daemons that watch the store.
+// The others mostly learn of a new primary from the store.
+constexpr Duration kFollowerSeekInterval = 600ms;
+constexpr Duration kFollowerSeekJitter = 400ms;
 constexpr Duration kSeekLimit = 250ms;  // Of one status call.
 // Once the other members have answered, those that are down are awaited for some round trips.
 constexpr Duration kDownPatience = 80ms;
+// An older loss may have healed: the former primary gets the time of a connection to a busy
+// endpoint, because a takeover of a healthy one costs a gap.
+constexpr Duration kRecentLoss = 1500ms;
+constexpr Duration kHealedPatience = 300ms;
 // A claim is respected for this time; its holder has died or lost the store after it. Above the
 // platform's time for a promotion (1 s).
 constexpr Duration kClaimValidity = 2500ms;
@@ -109,11 +117,12 @@
 
 void GroupKeeper::Check(ServiceGroup* group) {
   const TimePoint now = BootNow();
+  const bool watches = this->cluster->relays().plan().IsWatcher();
   for (auto& [id, pool] : group->members) {
-    const bool due = pool->down ? now - pool->down_since > kDownProbeInterval
+    const bool due = pool->down ? now >= pool->next_down_probe
                                 : pool->suspected || pool->Silence() > kSuspiciousSilence;
     // A few daemons of each failure domain probe endpoints whose gateways may be cut off with them.
-    const bool probes = !pool->is_relayed() || this->cluster->relays().plan().IsWatcher();
+    const bool probes = !pool->is_relayed() || watches;
     if (due && !pool->probing && probes) {
       pool->probing = true;
       pool->suspected = false;
@@ -175,7 +184,9 @@
     --result->pending;
     result->changed.NotifyAll();
   };
-  for (int number = 0; number < kProbeAttempts; ++number) {
+  const bool was_down = pool->down;
+  result->pending = was_down ? 1 : kProbeAttempts;
+  for (int number = 0; number < result->pending; ++number) {
     this->Spawn(attempt(result, pool, number * kProbeGap));
   }
   while (result->pending > 0 && !result->answers) {
@@ -183,9 +194,10 @@
   }
   const std::string cause = result->cause;
   const bool answers = result->answers;
-  const bool was_down = pool->down;
   pool->probing = false;
   if (answers) {
+    pool->down = false;
+    pool->down_interval = {};
     if (was_down) {
       Log(LogLevel::kInfo, "endpoint regained",
           {{"service", group->name}, {"endpoint", pool->record().id}});
@@ -193,7 +205,12 @@
     co_return;
   }
   pool->down = true;
-  pool->down_since = BootNow();
+  pool->down_interval =
+      pool->down_interval == Duration{} || this->cluster->relays().plan().IsWatcher()
+          ? kDownProbeInterval
+          : std::min(pool->down_interval * 2, kMaxDownProbeInterval);
+  pool->next_down_probe =
+      BootNow() + pool->down_interval + RandomDuration(&this->random, pool->down_interval / 4);
   if (was_down) {
     co_return;
   }
@@ -272,7 +289,9 @@
     co_await round->changed.Wait(limit);
   }
   // Endpoints that are down mostly use the whole limit up; the others do not wait for them.
-  const TimePoint patience = std::min(deadline, BootNow() + kDownPatience);
+  const bool recent = group->outage_since && BootNow() - *group->outage_since < kRecentLoss;
+  const TimePoint patience =
+      std::min(deadline, BootNow() + (recent ? kDownPatience : kHealedPatience));
   while (round->Open() > 0 && BootNow() < patience) {
     co_await round->changed.Wait(patience - BootNow());
   }
@@ -307,7 +326,10 @@
       co_await this->TakeOver(group, group->old_primary.empty() ? TakeoverReason::kNoPrimary
                                                                 : TakeoverReason::kPrimaryLost);
     }
-    co_await Pause(IsGatewayOfAny(*group) ? kSeekInterval : kRelayedSeekInterval);
+    const bool watches = this->cluster->relays().plan().IsWatcher();
+    co_await Pause(watches ? kSeekInterval
+                           : kFollowerSeekInterval +
+                                 RandomDuration(&this->random, kFollowerSeekJitter));
   }
   group->seeking = false;
 }
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -182,7 +182,7 @@
     fixture.entry.cluster.ApplyEndpoint(record);
     for (RelayFixture::Daemon* daemon : {&fixture.gate, &fixture.entry}) {
       daemon->cluster.FindEndpoint(id)->down = true;
-      daemon->cluster.FindEndpoint(id)->down_since = BootNow() + 60s;  // No probe in this test.
+      daemon->cluster.FindEndpoint(id)->next_down_probe = BootNow() + 60s;  // None in this test.
     }
   }
   ServiceGroup* group = fixture.entry.cluster.FindGroup("ledger");
