--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -35,6 +35,9 @@
 // short against the 3 s after which it drops dead ones.
 constexpr Duration kFirstOpenPause = 25ms;
 constexpr Duration kMaxOpenPause = 200ms;
+// After a refusal for a full queue, about twice the time that such a queue (32 statements at 4
+// slots) takes to drain.
+constexpr Duration kOverloadMemory = 300ms;
 // A replica that lacked a position is asked again after this time, doubled up to the maximum.
 constexpr Duration kFirstBehindPause = 50ms;
 constexpr Duration kMaxBehindPause = 400ms;
@@ -294,12 +297,29 @@
   } else if (BootNow() < this->limited_until) {
     total = std::clamp<uint32_t>(this->reached_limit, 1, this->share);
   }
-  this->admission.SetLimits(std::min(this->single_limit, total), total);
+  uint32_t singles = std::min(this->single_limit, total);
+  singles = this->bearable == 0 ? singles : std::min(singles, this->bearable);
+  this->admission.SetLimits(singles, total);
   this->WakeNext();
 }
 
+void EndpointPool::NoteOverload() {
+  const TimePoint now = BootNow();
+  const bool cut_lately = this->bearable != 0 && now < this->bearable_until;
+  if (!cut_lately) {
+    this->bearable = std::max<uint32_t>(this->admission.SingleLimit() / 2, 1);
+    this->ApplyLimits();
+  }
+  this->bearable_until = now + kOverloadMemory;
+}
+
 void EndpointPool::CloseIdle(Duration age) {
   const TimePoint now = BootNow();
+  if (this->bearable != 0 && now >= this->bearable_until) {
+    this->bearable = this->bearable < this->single_limit ? this->bearable + 1 : 0;
+    this->bearable_until = now + kOverloadMemory;
+    this->ApplyLimits();
+  }
   if (this->limited_until != TimePoint{} && now >= this->limited_until) {
     this->limited_until = {};
     this->ApplyLimits();
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -98,6 +98,9 @@
   void OnSent(EndpointChannel* connection);
   void OnAnswered(EndpointChannel* connection);
 
+  /// Records that it refused a statement because its queue is full: fewer run at once for a while.
+  void NoteOverload();
+
   /// Records that it lacked a position.
   /// @param age Age of the demanded evidence.
   void NoteBehind(Duration age);
@@ -165,6 +168,8 @@
   uint32_t single_limit = 1;
   uint32_t share = 1;
   uint32_t borrowed = 0;
+  uint32_t bearable = 0;       // Statements at once that it bears; 0: as many as allowed.
+  TimePoint bearable_until;    // One more is tried then.
   uint32_t reached_limit = 0;  // Connections that it accepted when it refused one more; 0: unknown.
   TimePoint next_open;         // No connection is opened before, after a refusal at the limit.
   Duration open_backoff{};
--- a/session/relay_server.cc
+++ b/session/relay_server.cc
@@ -116,6 +116,9 @@
   attempt = co_await channel->Run(spec, state, std::max<Duration>(deadline - BootNow(), 1ms));
   held.pool->OnAnswered(channel);
   held.pool->suspected = held.pool->suspected || attempt.connection_failed;
+  if (attempt.answer.error == StatementError::kOverloaded) {
+    held.pool->NoteOverload();
+  }
   ServiceGroup* group = this->cluster->FindGroup(held.pool->record().service);
   RelayAnswer answer = ToAnswer(attempt);
   if (group != nullptr) {
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -24,6 +24,8 @@
 // A read whose answer is lost is repeated elsewhere after this time and several usual ones.
 constexpr Duration kMinReadPatience = 300ms;
 constexpr int kReadPatienceFactor = 5;
+// Rounds over the endpoints before a read goes to the primary.
+constexpr int kReadRounds = 4;
 constexpr size_t kMaxTrail = 1000;  // Bytes of a statement's trail; a log line has at most 4096.
 // An endpoint without a gateway that answers is left alone for about the time of a reconnect.
 constexpr Duration kUnreachablePause = 100ms;
@@ -88,6 +90,7 @@
 void StatementRunner::NoteRefusal(EndpointPool* pool, StatementError error) {
   if (error == StatementError::kOverloaded) {
     pool->avoid_until = BootNow() + kOverloadPause;
+    pool->NoteOverload();
   }
 }
 
@@ -248,7 +251,11 @@
   if (error) {
     this->NoteRefusal(pool.get(), *error);
   }
-  co_await Pause(kOverloadPause);
+  co_await Pause(std::min<Duration>(RetryPause(job->retries++), job->TimeLeft()));
+}
+
+Duration StatementRunner::RetryPause(int retries) {
+  return std::min(kOverloadPause * (1 << std::min(retries, kMaxDoublings)), kMaxOverloadPause);
 }
 
 Duration StatementRunner::ReadPatience(const StatementJob& job, const EndpointPool& pool) {
@@ -286,14 +293,13 @@
   }
   std::string cause = "no endpoint is fresh enough";
   const EndpointPool* last = nullptr;
-  for (int round = 0; round < 4; ++round) {
+  for (int round = 0; round < kReadRounds; ++round) {
     const auto demand = this->DemandFor(job, *state, group);
     if (!demand) {
       break;
     }
-    bool tried = false;
-    for (const auto& pool :
-         group->ReadOrder(this->cluster->failure_domain(), BootNow() - demand->sent)) {
+    const auto order = group->ReadOrder(this->cluster->failure_domain(), BootNow() - demand->sent);
+    for (const auto& pool : order) {
       const Duration left = job.deadline - BootNow();
       if (left <= 1ms) {
         co_return this->Fail(job, StatementError::kOverloaded, "deadline: " + cause, last);
@@ -304,11 +310,12 @@
         cause = kAcquireFailureNames.NameOf(lease.failure);
         continue;
       }
-      const Duration patience = ReadPatience(job, *pool);
+      // Without another endpoint to go to, a slow answer is better than a second place in the
+      // queue.
+      const Duration patience = pool == order.back() ? job.TimeLeft() : ReadPatience(job, *pool);
       StatementAttempt attempt = co_await this->Send(&job, Opening::kNone, demand->position, *state,
                                                      group, pool, &lease, patience);
       pool->Release(std::move(lease));
-      tried = true;
       if (attempt.outcome != Outcome::kAnswered) {
         cause = attempt.cause;
         this->NoteAttempt(&job, *pool, BootNow() - demand->sent, cause);
@@ -329,9 +336,7 @@
       cause = kStatementErrorNames.NameOf(*attempt.answer.error);
       this->NoteAttempt(&job, *pool, BootNow() - demand->sent, cause);
     }
-    if (!tried) {
-      co_await Pause(kOverloadPause);
-    }
+    co_await Pause(std::min<Duration>(RetryPause(round), job.TimeLeft()));
   }
   // Without evidence, or when all replicas are behind, the primary serves the read.
   co_return co_await this->RunAtPrimary(std::move(job), state);
--- a/session/statement_runner.h
+++ b/session/statement_runner.h
@@ -38,6 +38,7 @@
   Duration setup{};    // Preparing connections for the session.
   Duration running{};  // From sending it to its answers.
   int attempts = 0;    // Times that it was sent or was about to be sent.
+  int retries = 0;     // Attempts at the primary that failed.
   std::string trail;   // Attempts that failed: endpoint, age of the demanded position, cause.
 };
 
@@ -152,6 +153,12 @@
 
   // An endpoint with a full queue is left alone for about the time of one statement.
   static constexpr Duration kOverloadPause = 20ms;
+  // The pause doubles up to this one, so that refused statements do not keep the endpoint busy.
+  static constexpr Duration kMaxOverloadPause = 160ms;
+  static constexpr int kMaxDoublings = 3;
+
+  // Pause before a refused statement is sent again.
+  static Duration RetryPause(int retries);
 
   Cluster* cluster;
   const SessionCodec* codec;
