--- /dev/null
+++ b/net/outgoing_peer.cc
@@ -0,0 +1,43 @@
+#include "net/outgoing_peer.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace poplarmoor {
+
+bool OutgoingPeer::IsSilentSince(TimePoint limit) {
+  std::lock_guard lock(this->mutex);
+  const bool waits =
+      std::any_of(this->calls.begin(), this->calls.end(), [limit](const auto& entry) {
+        return entry.second.kind != PeerCallKind::kLongPoll && entry.second.started < limit;
+      });
+  return waits && this->connection->last_received() < limit;
+}
+
+void OutgoingPeer::EndSilentCalls() {
+  std::vector<Call> ended;
+  bool done = false;
+  {
+    std::lock_guard lock(this->mutex);
+    for (auto call = this->calls.begin(); call != this->calls.end();) {
+      const bool unsent = call->second.kind == PeerCallKind::kOnce && !call->second.sent;
+      if (call->second.kind == PeerCallKind::kRepeatable || unsent) {
+        ended.push_back(std::move(call->second));
+        call = this->calls.erase(call);
+      } else {
+        ++call;
+      }
+    }
+    this->retired = true;
+    done = this->calls.empty();
+  }
+  for (const Call& call : ended) {
+    call.slot->Set({{}, "peer " + this->address + " does not answer", call.sent});
+  }
+  if (done) {
+    this->connection->Close();
+  }
+}
+
+}  // namespace poplarmoor
--- a/net/peer_network.cc
+++ b/net/peer_network.cc
@@ -1,6 +1,5 @@
 #include "net/peer_network.h"
 
-#include <algorithm>
 #include <atomic>
 #include <boost/asio.hpp>
 #include <map>
@@ -10,7 +9,7 @@
 #include "net/address.h"
 #include "net/key_ring.h"
 #include "net/now.h"
-#include "net/one_shot.h"
+#include "net/outgoing_peer.h"
 #include "net/peer_connection.h"
 #include "net/peer_frame.h"
 #include "net/strand.h"
@@ -33,38 +32,8 @@
 constexpr std::string_view kRefused = "refused";  // Type of an answer: the call did not run.
 constexpr std::string_view kFailed = "failed";    // Type of an answer: the handler failed.
 
-/// Outcome of one call.
-struct CallOutcome {
-  PeerMessage answer;
-  std::string error;  // Empty when there is an answer.
-  bool sent = false;  // With an error: whether the call may have reached the peer.
-};
-
-using CallSlot = OneShot<CallOutcome>;
-
 }  // namespace
 
-/// Connection that this daemon opened, with the calls that wait for answers.
-struct OutgoingPeer {
-  struct Call {
-    std::shared_ptr<CallSlot> slot;
-    std::string frame;  // Until the connection is open.
-    bool sent = false;
-    TimePoint started;
-    PeerCallKind kind = PeerCallKind::kOnce;
-  };
-
-  std::string address;
-  std::shared_ptr<PeerConnection> connection;
-  std::mutex mutex;
-  std::map<uint64_t, Call> calls;
-  uint64_t next_id = 1;
-  bool open = false;
-  bool closed = false;
-  bool retired = false;  // Out of the cache; closed after its last call.
-  TimePoint last_used;
-};
-
 struct PeerNetwork::Impl : std::enable_shared_from_this<PeerNetwork::Impl> {
   Impl(asio::any_io_executor executor, std::string daemon, const KeyRing* keys)
       : executor(executor),
@@ -418,12 +387,7 @@
   const TimePoint limit = Now() - silence;
   std::vector<std::string> silent;
   for (const auto& peer : this->impl->Outgoing()) {
-    std::lock_guard lock(peer->mutex);
-    const bool waits =
-        std::any_of(peer->calls.begin(), peer->calls.end(), [limit](const auto& entry) {
-          return entry.second.kind != PeerCallKind::kLongPoll && entry.second.started < limit;
-        });
-    if (waits && peer->connection->last_received() < limit) {
+    if (peer->IsSilentSince(limit)) {
       silent.push_back(peer->address);
     }
   }
@@ -452,28 +416,7 @@
     peer = found->second;
     this->impl->outgoing.erase(found);
   }
-  std::vector<OutgoingPeer::Call> ended;
-  bool done = false;
-  {
-    std::lock_guard lock(peer->mutex);
-    for (auto call = peer->calls.begin(); call != peer->calls.end();) {
-      const bool unsent = call->second.kind == PeerCallKind::kOnce && !call->second.sent;
-      if (call->second.kind == PeerCallKind::kRepeatable || unsent) {
-        ended.push_back(std::move(call->second));
-        call = peer->calls.erase(call);
-      } else {
-        ++call;
-      }
-    }
-    peer->retired = true;
-    done = peer->calls.empty();
-  }
-  for (const OutgoingPeer::Call& call : ended) {
-    call.slot->Set({{}, "peer " + address + " does not answer", call.sent});
-  }
-  if (done) {
-    peer->connection->Close();
-  }
+  peer->EndSilentCalls();
 }
 
 asio::awaitable<PeerMessage> PeerNetwork::Call(std::string address,
--- a/session/group_keeper.h
+++ b/session/group_keeper.h
@@ -37,6 +37,9 @@
   void Stop() { this->stopping = true; }
 
  private:
+  // Enters what an endpoint reports into a member's status.
+  static void EnterReport(const EndpointReport& report, MemberStatus* status);
+
   boost::asio::awaitable<void> Run();
   void Check(ServiceGroup* group);
   boost::asio::awaitable<void> Probe(ServiceGroup* group, std::shared_ptr<EndpointPool> pool);
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -110,7 +110,10 @@
       continue;
     }
     const bool follows = has_peers && !plan.IsWatcher();
-    bool succeeded = follows && co_await this->FollowWatchers(kind);
+    bool succeeded = false;
+    if (follows) {
+      succeeded = co_await this->FollowWatchers(kind);
+    }
     if (!succeeded && (this->store_tester == nullptr || this->store_tester == kind.get())) {
       succeeded = co_await this->FollowStore(kind);
       this->store_tester = succeeded ? nullptr : kind.get();
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -162,6 +162,38 @@
   CHECK(fixture.group.executed.size() == 1);
 }
 
+// Pattern: a gateway has lost power or is cut off; connections to it open but nothing answers.
+TEST_CASE("a read goes around a silent gateway, or it waits there for its whole time limit") {
+  RelayFixture fixture;
+  // Accepts connections and never answers.
+  asio::ip::tcp::acceptor silent(fixture.context,
+                                 asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  const std::string address = "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+  RelayRouter& relays = fixture.entry.cluster.relays();
+  Peer lost;
+  const EndpointRecord primary = fixture.entry.cluster.FindEndpoint("p")->record();
+  // The names decide which peer is asked first.
+  for (int number = 0;
+       lost.daemon.empty() || relays.UsableGateways(primary)[0].daemon != lost.daemon; ++number) {
+    lost = {"silent" + std::to_string(number), address, "fd1"};
+    fixture.entry.cluster.SetPeers({{"gate", fixture.gate.peers.address(), "fd1"},
+                                    {"entry", fixture.entry.peers.address(), "fd1"},
+                                    lost});
+  }
+  asio::co_spawn(fixture.context, relays.WatchPeers(), asio::detached);
+  SessionState state;
+  const auto read =
+      fixture.Await(fixture.entry.runner.Run(fixture.Job("r1", "READ 1", false), &state));
+  CHECK_FALSE(read.error);
+  CHECK(relays.health().IsLost(lost));
+  // A write that was not sent may go around it as well.
+  relays.health().NoteAnswer(lost, BootNow());
+  const auto write =
+      fixture.Await(fixture.entry.runner.Run(fixture.Job("w1", "WRITE 1 x", true), &state));
+  CHECK_FALSE(write.error);
+  CHECK(fixture.group.executed.size() == 2);
+}
+
 // Counts promotion orders.
 class CountingPromotions : public PromotionApi {
  public:
--- /dev/null
+++ b/tests/platform/store_sync_test.cc
@@ -0,0 +1,122 @@
+#include "session/store_sync.h"
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+
+#include "platform/line_codec.h"
+#include "platform/registry_objects.h"
+#include "session/boot_clock.h"
+#include "session/cluster.h"
+#include "session/daemon_entry.h"
+#include "tests/platform/memory_store.h"
+
+namespace poplarmoor::platform {
+namespace {
+
+namespace asio = boost::asio;
+
+// Counts the calls that cost their full price; watches wait.
+class PricedStore : public MemoryStore {
+ public:
+  asio::awaitable<StoreSnapshot> List(std::string kind, bool stale_ok) override {
+    ++(stale_ok ? this->stale_lists : this->full_calls);
+    return MemoryStore::List(std::move(kind), stale_ok);
+  }
+
+  asio::awaitable<StoreSnapshot> Watch(std::string,
+                                       uint64_t since,
+                                       std::chrono::milliseconds) override {
+    ++this->watches;
+    if (this->down) {
+      throw StoreError(StoreFailure::kRefused, "the store is down");
+    }
+    co_await Pause(60s);
+    StoreSnapshot snapshot;
+    snapshot.revision = since;
+    co_return snapshot;
+  }
+
+  asio::awaitable<uint64_t> Put(std::string kind,
+                                std::string name,
+                                std::string value,
+                                uint64_t expected) override {
+    ++this->full_calls;
+    return MemoryStore::Put(std::move(kind), std::move(name), std::move(value), expected);
+  }
+
+  asio::awaitable<void> Set(std::string kind, std::string name, std::string value) override {
+    ++this->full_calls;
+    return MemoryStore::Set(std::move(kind), std::move(name), std::move(value));
+  }
+
+  int full_calls = 0;
+  int stale_lists = 0;
+  int watches = 0;
+  bool down = false;
+};
+
+struct SyncFixture {
+  SyncFixture()
+      : cluster(this->context.get_executor(), &this->codec, "d0", "fd0"),
+        sync(this->context.get_executor(),
+             &this->store,
+             &this->registry,
+             &this->cluster,
+             Peer{"d0", "127.0.0.1:1", "fd0"},
+             ApplyBounds()) {}
+
+  // Other daemons of a large fleet, as their entries in the store.
+  void AddFleet(int count) {
+    for (int number = 1; number <= count; ++number) {
+      const std::string name = "d" + std::to_string(number);
+      const Peer peer{name, "127.0.0.1:1", "fd" + std::to_string(number % 3)};
+      this->store.kinds[kDaemonKind][name] = {name, 1, EncodeDaemonEntry(peer, 0), false};
+    }
+  }
+
+  template <typename Condition>
+  void RunUntil(Condition condition) {
+    const TimePoint limit = BootNow() + 60s;
+    while (!condition() && BootNow() < limit) {
+      this->context.run_one_for(std::chrono::milliseconds(20));
+    }
+    REQUIRE(condition());
+  }
+
+  asio::io_context context{1};
+  LineCodec codec;
+  RegistryObjects registry;
+  PricedStore store;
+  Cluster cluster;
+  StoreSync sync;
+};
+
+// Pattern: all daemons of a large fleet start together; each call is paid for and limited.
+TEST_CASE("a daemon of a large fleet starts with one full call to the store, its own entry") {
+  SyncFixture fixture;
+  fixture.AddFleet(90);
+  fixture.sync.Start();
+  fixture.RunUntil([&fixture] {
+    return fixture.store.kinds[kDaemonKind].contains("d0") && fixture.store.stale_lists >= 4;
+  });
+  CHECK(fixture.cluster.relays().plan().size() == 91);
+  CHECK(fixture.store.full_calls == 1);
+}
+
+// Pattern: the store is down for a while; its daemons retry.
+TEST_CASE("one kind at a time tries a lost store, or each outage costs a call for each kind") {
+  SyncFixture fixture;
+  fixture.store.down = true;
+  fixture.AddFleet(3);
+  fixture.sync.Start();
+  fixture.RunUntil([&fixture] { return fixture.store.watches >= 6; });
+  // Each of the three kinds finds the store lost once; after that one of them tries it.
+  const TimePoint begun = BootNow();
+  const int before = fixture.store.watches;
+  fixture.RunUntil([begun] { return BootNow() - begun > 3s; });
+  // At most one try in each pause, whose shortest length is 100 ms and which doubles up to 1 s.
+  CHECK(fixture.store.watches - before <= 8);
+}
+
+}  // namespace
+}  // namespace poplarmoor::platform
