--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -347,9 +347,12 @@
 }
 
 uint32_t EndpointPool::KeptIdle() const {
-  // Half of the share leaves room at the endpoint for daemons that restart after a loss of power,
-  // while it still holds the connections of their predecessors.
-  return (this->share + 1) / 2;
+  // Connections in use and idle ones together leave half of the share free, for daemons that
+  // restart after a loss of power while the endpoint still holds the connections of their
+  // predecessors.
+  const uint32_t half = (this->share + 1) / 2;
+  const uint32_t in_use = this->admission.InUse();
+  return half > in_use ? half - in_use : 1;
 }
 
 void EndpointPool::WarmUp() {
--- a/session/relay_channel.cc
+++ b/session/relay_channel.cc
@@ -125,10 +125,14 @@
           peer.address, std::move(message), ToCallLimit(deadline - BootNow()), kind);
       attempt = ToAttempt(DecodeRelayAnswer(answer.body));
       this->router->health().NoteAnswer(peer, BootNow());
-      const bool unreached = attempt.outcome == StatementAttempt::Outcome::kNotSent &&
-                             attempt.failure == AcquireFailure::kUnreachable;
-      if (unreached && this->gateway.empty()) {
+      const bool not_sent = attempt.outcome == StatementAttempt::Outcome::kNotSent;
+      const bool unreached = not_sent && attempt.failure == AcquireFailure::kUnreachable;
+      if (unreached) {
         this->router->health().NoteUnreached(this->endpoint.id, peer, BootNow());
+      }
+      // While the endpoint is full, another gateway may have an idle connection to it.
+      const bool full = not_sent && attempt.failure == AcquireFailure::kTooMany;
+      if ((unreached || full) && this->gateway.empty()) {
         continue;
       }
       if (this->transaction) {
