--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -47,11 +47,7 @@
        {"routes", table.routes.size()}});
   this->table = std::move(table);
   this->table.SetShortestObjectives();
-  for (auto& [service, group] : this->by_service) {
-    for (auto& [id, pool] : group->members) {
-      this->SetLimits(pool.get());
-    }
-  }
+  this->SetAllLimits();
   this->changed.NotifyAll();
 }
 
@@ -112,6 +108,15 @@
 
 void Cluster::SetPeers(std::vector<Peer> live) {
   this->router.SetPeers(std::move(live));
+  this->SetAllLimits();
+}
+
+void Cluster::SetNetwork(PeerNetwork* network) {
+  this->router.SetNetwork(network);
+  this->SetAllLimits();
+}
+
+void Cluster::SetAllLimits() {
   for (auto& [service, group] : this->by_service) {
     for (auto& [id, pool] : group->members) {
       this->SetLimits(pool.get());
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -14,6 +14,7 @@
 
 namespace poplarmoor {
 
+class PeerNetwork;
 class SessionCodec;
 
 /// Routes, services and endpoints as this daemon knows them. For one thread.
@@ -44,6 +45,10 @@
   /// Sets the daemons that share the endpoints' connections, this one included.
   void SetPeers(std::vector<Peer> live);
 
+  /// Sets the network of the daemons. Until then this daemon connects to all endpoints itself. The
+  /// network must outlive this object.
+  void SetNetwork(PeerNetwork* network);
+
   RelayRouter& relays() { return this->router; }
 
   /// @param service Name.
@@ -70,6 +75,7 @@
 
  private:
   void SetLimits(EndpointPool* pool);
+  void SetAllLimits();
 
   boost::asio::any_io_executor executor;
   const SessionCodec* codec;
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -189,7 +189,7 @@
   this->parts->relay_server.Attach(this->parts->peers.get());
   this->parts->sync.Attach(this->parts->peers.get());
   this->parts->peers->Listen(this->settings.peer_address);
-  this->parts->cluster.relays().SetNetwork(this->parts->peers.get());
+  this->parts->cluster.SetNetwork(this->parts->peers.get());
   asio::co_spawn(*this->context, this->parts->cluster.relays().WatchPeers(), Rethrow);
   for (;;) {
     co_await Pause(kRelaySweep);
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -194,6 +194,36 @@
   CHECK(fixture.group.executed.size() == 2);
 }
 
+// Pattern: all daemons of a large fleet restart at once and learn of each other before they can
+// talk to each other.
+TEST_CASE(
+    "a daemon that is no gateway relays as soon as it has a network, or a fleet floods endpoints") {
+  asio::io_context context{1};
+  LineCodec codec;
+  KeyRing keys("k", {{"k", "0123456789abcdef0123456789abcdef"}});
+  PeerNetwork network(context.get_executor(), "d0", &keys);
+  Cluster cluster(context.get_executor(), &codec, "d0", "fd0");
+  RouteTable table;
+  table.version = 1;
+  table.services["ledger"] = {"ledger", 46, 1};
+  cluster.ApplyRoutes(table);
+  EndpointRecord record;
+  record.id = "p";
+  record.service = "ledger";
+  record.failure_domain = "fd1";
+  record.address = "127.0.0.1:1";
+  record.revision = 1;
+  cluster.ApplyEndpoint(record);
+  std::vector<Peer> fleet;
+  for (int number = 0; number < 90; ++number) {
+    fleet.push_back(
+        {"d" + std::to_string(number), "127.0.0.1:1", "fd" + std::to_string(number % 3)});
+  }
+  cluster.SetPeers(fleet);
+  cluster.SetNetwork(&network);
+  CHECK(cluster.FindEndpoint("p")->is_relayed());
+}
+
 // Counts promotion orders.
 class CountingPromotions : public PromotionApi {
  public:
