session: a cut domain ends also when its lost daemons are gone; a resume order is not repeated after a lost answer

Found while reading the change: a domain stayed cut off for good when its lost daemons left the fleet (test fails first); a resume order that another gateway confirmed hid that the first one may be carried out later.

--- a/kernel/peer_health.cc
+++ b/kernel/peer_health.cc
@@ -39,7 +39,7 @@
 
 void PeerHealth::NoteAnswer(const Peer& peer, TimePoint now) {
   this->last_answers[peer.failure_domain] = now;
-  if (this->lost.empty()) {
+  if (this->lost.empty() && this->cut.empty()) {
     return;
   }
   this->lost.erase(peer.address);
--- a/session/relay_channel.cc
+++ b/session/relay_channel.cc
@@ -105,6 +105,7 @@
   StatementAttempt attempt;
   attempt.failure = AcquireFailure::kUnreachable;
   attempt.cause = "no gateway of the endpoint is reachable";
+  const auto executor = co_await asio::this_coro::executor;
   const TimePoint deadline = BootNow() + limit;
   const PeerCallKind kind = spec.repeatable ? PeerCallKind::kRepeatable : PeerCallKind::kOnce;
   int tries = 0;
@@ -154,8 +155,7 @@
     if (sent && this->transaction) {
       // The gateway may have opened the transaction, which would keep its connection.
       this->holds_connection = false;
-      asio::co_spawn(co_await asio::this_coro::executor,
-                     TellOfEnd(this->router, peer.address, this->lease), asio::detached);
+      asio::co_spawn(executor, TellOfEnd(this->router, peer.address, this->lease), asio::detached);
     }
     const bool may_go_elsewhere = spec.repeatable && this->gateway.empty() && BootNow() < deadline;
     if (sent && !may_go_elsewhere) {
--- a/session/relay_router.cc
+++ b/session/relay_router.cc
@@ -202,6 +202,9 @@
       cause = error.what();
       if (!error.sent) {
         this->NoteLost(peer);
+      } else if (order == EndpointOrder::kResume) {
+        // It may be carried out later, which a second one's success would hide.
+        break;
       }
     }
   }
--- a/tests/kernel/peer_health_test.cc
+++ b/tests/kernel/peer_health_test.cc
@@ -65,6 +65,22 @@
   CHECK_FALSE(health.IsLost(fleet[13]));
 }
 
+// Pattern: VMs of a cut failure domain are replaced meanwhile, so that the lost ones leave the
+// fleet.
+TEST_CASE(
+    "a cut ends with an answer also when its lost daemons are gone, or the domain stays out") {
+  const auto fleet = MakeFleet();
+  PeerHealth health("fd0");
+  health.SetPeers(fleet);
+  for (const int number : {1, 4, 7}) {
+    health.NoteFailure(fleet[number], kStart);
+  }
+  CHECK(health.IsLost(fleet[10]));
+  health.SetPeers({fleet[0], fleet[10], fleet[13]});
+  health.NoteAnswer(fleet[10], kStart + 1s);
+  CHECK_FALSE(health.IsLost(fleet[13]));
+}
+
 // Pattern: the fleet splits in two; about half of each failure domain is lost.
 TEST_CASE("a split condemns no failure domain that still answers, or each side refuses all work") {
   const auto fleet = MakeFleet();
