takeover: log the compared members of each step, and the state of the service when an endpoint goes

The present lines say that a takeover went on, but not which endpoints it compared, with which log positions, nor whether the service had a primary when an endpoint left the group. Without that, three hypotheses look the same: a member with commits left the group before the comparison, a promotion order was carried out late, or a pause was undone.

--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -101,7 +101,12 @@
     }
     for (auto& [service, group] : this->by_service) {
       if (group->members.contains(missing->first)) {
-        Log(LogLevel::kInfo, "endpoint gone", {{"service", service}, {"endpoint", missing->first}});
+        Log(LogLevel::kInfo, "endpoint gone",
+            {{"service", service},
+             {"endpoint", missing->first},
+             {"missing_ms", ToMillis(now - missing->second)},
+             {"serving", group->Primary() != nullptr},
+             {"members", group->members.size() - 1}});
         group->ClearPrimary(missing->first, "its registry entry is gone");
         group->members.at(missing->first)->CloseAll();
         group->members.erase(missing->first);
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -35,6 +35,26 @@
 constexpr Duration kUnplannedJitter = 40ms;
 constexpr Duration kPlannedJitter = 400ms;
 
+// Returns the compared members with their log positions, as text for log lines.
+std::string DescribeMembers(const std::vector<MemberStatus>& members) {
+  std::string text;
+  for (const MemberStatus& member : members) {
+    text += (text.empty() ? "" : ", ") + member.id;
+    if (!member.reachable) {
+      text += " no answer";
+      continue;
+    }
+    text += member.is_primary ? " primary " : " replica ";
+    text += std::to_string(member.received.term) + "." + std::to_string(member.received.index);
+    text += " term " + std::to_string(member.term);
+    text += member.active_pause_term == 0
+                ? ""
+                : " paused in " + std::to_string(member.active_pause_term);
+    text += member.leaving ? " leaving" : "";
+  }
+  return text;
+}
+
 }  // namespace
 
 bool TakeoverController::IsClaimed(const ServiceGroup& group) const {
@@ -136,6 +156,7 @@
           {{"service", group->name},
            {"endpoint", step.endpoint},
            {"cause", step.cause},
+           {"members", DescribeMembers(view.members)},
            {"term", view.pause_term},
            {"token", token}});
     }
