takeover: compare endpoints that have left the registry until the others have their commits

Cause: a takeover compared the endpoints that the registry lists. An entry lapses when its endpoint cannot reach the store, although the endpoint goes on receiving commits.

With the old logic the test "when the registry has dropped the only replica with the latest commits" promotes "a" instead of waiting for "b".

Such an endpoint now stays a departed member: it gets no statements and is not promoted, but its log is compared. It is forgotten once every registered replica has received the log that the primary had after the departure, since nothing is then only in the departed log. The claim in the store names all members, so that a daemon that starts during the outage compares them as well. A departed primary that answers is replaced instead of being left alone.

--- a/kernel/takeover_plan.cc
+++ b/kernel/takeover_plan.cc
@@ -23,7 +23,8 @@
 const MemberStatus* BestReplica(const std::vector<const MemberStatus*>& replicas, bool leaving) {
   const MemberStatus* best = nullptr;
   for (const MemberStatus* replica : replicas) {
-    if (replica->leaving == leaving && (best == nullptr || IsBetterCandidate(*replica, *best))) {
+    if (!replica->departed && replica->leaving == leaving &&
+        (best == nullptr || IsBetterCandidate(*replica, *best))) {
       best = replica;
     }
   }
@@ -43,6 +44,20 @@
   return old_primary_status != nullptr && old_primary_status->received >= longest;
 }
 
+// Returns the registered member that reports itself as primary, or null.
+const MemberStatus* FindPrimary(const std::vector<MemberStatus>& members) {
+  const auto found = std::find_if(members.begin(), members.end(), [](const MemberStatus& member) {
+    return member.reachable && member.is_primary && !member.departed;
+  });
+  return found == members.end() ? nullptr : &*found;
+}
+
+bool Answers(const std::vector<MemberStatus>& members, const std::string& id) {
+  return std::any_of(members.begin(), members.end(), [&id](const MemberStatus& member) {
+    return member.id == id && member.reachable;
+  });
+}
+
 }  // namespace
 
 TakeoverStep NextTakeoverStep(const TakeoverView& view) {
@@ -50,11 +65,12 @@
   std::vector<const MemberStatus*> replicas;
   const MemberStatus* unreachable_replica = nullptr;
   for (const MemberStatus& member : view.members) {
-    if (member.reachable && member.is_primary && member.id != view.old_primary) {
+    const bool leads = member.reachable && member.is_primary;
+    if (leads && member.id != view.old_primary && !member.departed) {
       return {Kind::kAbandon, member.id, "another member is already the primary"};
     }
-    if (member.id == view.old_primary && (!member.reachable || member.is_primary)) {
-      primary = &member;
+    if (leads || (member.id == view.old_primary && !member.reachable)) {
+      primary = primary == nullptr || leads ? &member : primary;
     } else if (member.reachable) {
       replicas.push_back(&member);
     } else {
@@ -63,7 +79,7 @@
   }
   const bool primary_answers = primary != nullptr && primary->reachable;
   const bool stepped_down = OldPrimaryHasLongestLog(replicas, view.old_primary);
-  if (primary_answers && view.reason == TakeoverReason::kPrimaryLost) {
+  if (primary_answers && !primary->departed && view.reason == TakeoverReason::kPrimaryLost) {
     return {Kind::kAbandon, primary->id, "the primary answers"};
   }
   const MemberStatus* candidate = BestReplica(replicas, false);
@@ -111,4 +127,29 @@
   return {Kind::kPromote, candidate->id, "the candidate holds every acknowledged commit"};
 }
 
+std::vector<std::string> MembersToForget(const std::vector<MemberStatus>& first,
+                                         const std::vector<MemberStatus>& second) {
+  const MemberStatus* primary = FindPrimary(first);
+  const MemberStatus* still_primary = FindPrimary(second);
+  if (primary == nullptr || still_primary == nullptr || still_primary->id != primary->id ||
+      still_primary->term != primary->term) {
+    return {};
+  }
+  size_t replicas = 0;
+  std::vector<std::string> silent;
+  for (const MemberStatus& member : second) {
+    if (member.departed) {
+      if (!member.reachable && !Answers(first, member.id)) {
+        silent.push_back(member.id);
+      }
+    } else if (member.id != primary->id) {
+      if (!member.reachable || member.received < primary->received) {
+        return {};
+      }
+      ++replicas;
+    }
+  }
+  return replicas == 0 ? std::vector<std::string>() : silent;
+}
+
 }  // namespace poplarmoor
--- a/kernel/takeover_plan.h
+++ b/kernel/takeover_plan.h
@@ -13,6 +13,9 @@
   std::string id;
   bool reachable = false;
   bool leaving = false;
+  // The endpoint has no registry entry any more. Its log is still compared, because it may be the
+  // only one with some acknowledged commits, but the endpoint is not promoted.
+  bool departed = false;
   bool is_primary = false;
   uint64_t term = 0;     // Highest term that the endpoint knows.
   LogPosition received;  // Position of the last entry in the endpoint's log.
@@ -69,8 +72,18 @@
 /// acknowledged only once the candidate has received it. Commits acknowledged earlier are in the
 /// log of the candidate or of a paused replica, so the candidate is promoted only when no
 /// paused replica has a longer log.
-/// @param view Reason of the takeover and latest statuses of all registered members.
+/// @param view Reason of the takeover and latest statuses of all members, departed ones included.
 /// @returns The step.
 TakeoverStep NextTakeoverStep(const TakeoverView& view);
 
+/// Decides which departed members later takeovers need not compare. A departed member that does not
+/// answer may be left out once every registered replica has received the log that the primary had
+/// after the departure: the acknowledged commits that only the departed member had received are
+/// then in the logs of the others.
+/// @param first Statuses of all members after the departure.
+/// @param second Statuses of all members, requested after all answers of `first` had arrived.
+/// @returns Ids of the departed members that may be left out.
+std::vector<std::string> MembersToForget(const std::vector<MemberStatus>& first,
+                                         const std::vector<MemberStatus>& second);
+
 }  // namespace poplarmoor
--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -59,6 +59,9 @@
 void Cluster::ApplyEndpoint(const EndpointRecord& record) {
   this->missing_since.erase(record.id);
   const auto known = this->FindEndpoint(record.id);
+  if (known != nullptr) {
+    known->departed = false;
+  }
   if (known != nullptr && record.revision < known->record().revision) {
     return;  // Records also come from peers, whose copy may be older than the store's.
   }
@@ -81,17 +84,41 @@
 }
 
 void Cluster::MarkEndpointMissing(const std::string& id) {
-  if (this->FindEndpoint(id) != nullptr) {
+  const auto pool = this->FindEndpoint(id);
+  if (pool != nullptr && !pool->departed) {
     this->missing_since.emplace(id, BootNow());
   }
 }
 
+void Cluster::ApplyClaim(TakeoverClaim claim) {
+  ServiceGroup* group = this->EnsureGroup(claim.service);
+  for (const TakeoverMember& member : claim.members) {
+    if (group->members.contains(member.id)) {
+      continue;
+    }
+    EndpointRecord record;
+    record.id = member.id;
+    record.service = claim.service;
+    record.address = member.address;
+    record.failure_domain = member.failure_domain;
+    const auto pool =
+        std::make_shared<EndpointPool>(this->executor, this->codec, record, &this->router);
+    pool->departed = true;
+    pool->suspected = true;
+    group->members.emplace(member.id, pool);
+    this->SetLimits(pool.get());
+  }
+  group->ApplyClaim(std::move(claim));
+}
+
 void Cluster::RunMaintenance() {
   const TimePoint now = BootNow();
   for (auto& [service, group] : this->by_service) {
     for (auto& [id, pool] : group->members) {
       pool->CloseIdle(kSurplusIdleAge);
-      pool->WarmUp();
+      if (!pool->departed) {
+        pool->WarmUp();
+      }
     }
   }
   for (auto missing = this->missing_since.begin(); missing != this->missing_since.end();) {
@@ -100,17 +127,20 @@
       continue;
     }
     for (auto& [service, group] : this->by_service) {
-      if (group->members.contains(missing->first)) {
-        Log(LogLevel::kInfo, "endpoint gone",
-            {{"service", service},
-             {"endpoint", missing->first},
-             {"missing_ms", ToMillis(now - missing->second)},
-             {"serving", group->Primary() != nullptr},
-             {"members", group->members.size() - 1}});
-        group->ClearPrimary(missing->first, "its registry entry is gone");
-        group->members.at(missing->first)->CloseAll();
-        group->members.erase(missing->first);
+      const auto found = group->members.find(missing->first);
+      if (found == group->members.end()) {
+        continue;
       }
+      Log(LogLevel::kInfo, "endpoint gone",
+          {{"service", service},
+           {"endpoint", missing->first},
+           {"missing_ms", ToMillis(now - missing->second)},
+           {"serving", group->Primary() != nullptr},
+           {"members", group->members.size()}});
+      group->ClearPrimary(missing->first, "its registry entry is gone");
+      found->second->departed = true;
+      found->second->suspected = true;
+      found->second->CloseAll();
     }
     missing = this->missing_since.erase(missing);
   }
@@ -186,7 +216,7 @@
 bool Cluster::IsReady() const {
   return this->table.version != 0 &&
          std::any_of(this->by_service.begin(), this->by_service.end(),
-                     [](const auto& entry) { return !entry.second->members.empty(); });
+                     [](const auto& entry) { return entry.second->HasRegisteredMember(); });
 }
 
 asio::awaitable<bool> Cluster::AwaitReady(Duration max_wait) {
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -37,13 +37,17 @@
   /// the only effect is that the endpoint no longer counts as missing from the registry.
   void ApplyEndpoint(const EndpointRecord& record);
 
-  /// Records that the registry has no entry for the endpoint. RunMaintenance() removes the endpoint
-  /// only after a grace period, because entries also expire during an outage of the registry.
+  /// Records that the registry has no entry for the endpoint. RunMaintenance() acts on it only
+  /// after a grace period, because entries also expire during an outage of the registry.
   void MarkEndpointMissing(const std::string& id);
 
-  /// Removes endpoints whose registry entry has been missing for longer than the grace period.
-  /// Closes connections that have been idle for too long, and opens the connections that are to be
-  /// kept ready for later statements. To be called regularly.
+  /// Applies a takeover claim, and adds the members that its holder compares and that this daemon
+  /// does not know as departed ones.
+  void ApplyClaim(TakeoverClaim claim);
+
+  /// Marks endpoints as departed whose registry entry has been missing for longer than the grace
+  /// period. Closes connections that have been idle for too long, and opens the connections that
+  /// are to be kept ready for later statements. To be called regularly.
   void RunMaintenance();
 
   /// Sets the list of running daemons, this one included. The number of connections that an
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -160,6 +160,9 @@
   uint32_t busy() const { return this->admission.Busy() + this->relayed_in_use; }
   const StatementQueue& queue() const { return this->admission; }
 
+  // The endpoint has no registry entry any more. It gets no statements, but takeovers compare its
+  // log until MembersToForget() names it.
+  bool departed = false;
   bool down = false;  // No new connection to the endpoint can be opened.
   TimePoint next_down_probe;
   Duration down_interval{};  // Interval between probes while the endpoint is down.
--- a/session/relay_server.cc
+++ b/session/relay_server.cc
@@ -98,7 +98,7 @@
     leased.pool = this->cluster->FindEndpoint(request.endpoint);
     const bool transaction_gone =
         request.transaction && request.opening == kOpeningNames.NameOf(Opening::kNone);
-    if (leased.pool == nullptr || leased.pool->down || transaction_gone) {
+    if (leased.pool == nullptr || leased.pool->departed || leased.pool->down || transaction_gone) {
       attempt.failure = AcquireFailure::kUnreachable;
       attempt.cause = transaction_gone ? "the gateway no longer has the transaction"
                                        : "the gateway cannot reach the endpoint";
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -121,6 +121,16 @@
   }
 }
 
+bool ServiceGroup::HasRegisteredMember() const {
+  return std::any_of(this->members.begin(), this->members.end(),
+                     [](const auto& member) { return !member.second->departed; });
+}
+
+bool ServiceGroup::HasDepartedMember() const {
+  return std::any_of(this->members.begin(), this->members.end(),
+                     [](const auto& member) { return member.second->departed; });
+}
+
 Duration ServiceGroup::ExpectedOutage() const {
   if (this->Primary() != nullptr) {
     return {};
@@ -164,7 +174,8 @@
     candidate.is_primary = id == this->primary;
     candidate.relayed = pool->UsesRelay() && !pool->is_relayed();
     candidate.usable = (!pool->down || pool->UsesRelay()) && !pool->record().leaving &&
-                       pool->IsFreshEnough(demand_age) && now >= pool->avoid_until;
+                       !pool->departed && pool->IsFreshEnough(demand_age) &&
+                       now >= pool->avoid_until;
     candidate.busy = pool->busy();
     candidate.limit = pool->queue().SingleLimit();
     candidate.service_time = pool->queue().SmoothedStatementTime();
--- a/session/service_group.h
+++ b/session/service_group.h
@@ -61,8 +61,15 @@
   std::vector<std::shared_ptr<EndpointPool>> EndpointsForRead(const std::string& own_domain,
                                                               Duration demand_age) const;
 
+  /// @returns Whether a member is not departed.
+  bool HasRegisteredMember() const;
+
+  /// @returns Whether a member has left the registry, but its log is still to be compared.
+  bool HasDepartedMember() const;
+
   std::string name;
-  std::map<std::string, std::shared_ptr<EndpointPool>> members;  // Endpoints of the service, by id.
+  // Endpoints of the service, by id, departed ones included.
+  std::map<std::string, std::shared_ptr<EndpointPool>> members;
   FreshnessLog freshness;
   uint64_t term = 0;        // Highest term in which this daemon knows of a primary of the service.
   std::string old_primary;  // Id of the last known primary.
@@ -76,10 +83,12 @@
   // Time until which endpoints may still carry out an order to resume replication that an earlier
   // takeover sent.
   TimePoint resume_pending_until;
-  TimePoint primary_since;       // When this daemon learned of the present primary.
-  bool finding_primary = false;  // A search for the primary is in progress.
-  bool taking_over = false;      // This daemon prepares or runs a takeover of the service.
-  bool refreshing = false;       // A request for the primary's log position is in progress.
+  TimePoint primary_since;            // When this daemon learned of the present primary.
+  bool finding_primary = false;       // A search for the primary is in progress.
+  bool taking_over = false;           // This daemon prepares or runs a takeover of the service.
+  bool reviewing_departures = false;  // A check whether departed members may be forgotten runs.
+  TimePoint next_departure_review;
+  bool refreshing = false;  // A request for the primary's log position is in progress.
   // When each commit in progress at the primary was sent, by the connection that it uses.
   std::map<EndpointChannel*, TimePoint> commits;
 
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -378,8 +378,7 @@
       continue;
     }
     try {
-      this->cluster->EnsureGroup(object.name)
-          ->ApplyClaim(DecodeTakeoverClaim(object.value, object.revision));
+      this->cluster->ApplyClaim(DecodeTakeoverClaim(object.value, object.revision));
     } catch (const std::exception& error) {
       Log(LogLevel::kError, "takeover claim ignored",
           {{"service", object.name}, {"cause", error.what()}});
--- a/session/takeover_claim.cc
+++ b/session/takeover_claim.cc
@@ -6,10 +6,17 @@
 namespace poplarmoor {
 
 std::string EncodeTakeoverClaim(const TakeoverClaim& claim) {
+  nlohmann::json members = nlohmann::json::array();
+  for (const TakeoverMember& member : claim.members) {
+    members.push_back({{"id", member.id},
+                       {"address", member.address},
+                       {"failure_domain", member.failure_domain}});
+  }
   return nlohmann::json{
       {"service", claim.service},   {"phase", kTakeoverPhaseNames.NameOf(claim.phase)},
       {"holder", claim.holder},     {"nonce", claim.nonce},
-      {"endpoint", claim.endpoint}, {"lost_primary", claim.lost_primary}}
+      {"endpoint", claim.endpoint}, {"lost_primary", claim.lost_primary},
+      {"members", members}}
       .dump();
 }
 
@@ -27,6 +34,10 @@
     claim.nonce = body.at("nonce");
     claim.endpoint = body.at("endpoint");
     claim.lost_primary = body.at("lost_primary");
+    // Claims of earlier versions have no members.
+    for (const nlohmann::json& member : body.value("members", nlohmann::json::array())) {
+      claim.members.push_back({member.at("id"), member.at("address"), member.at("failure_domain")});
+    }
     claim.revision = revision;
     return claim;
   } catch (const nlohmann::json::exception& error) {
--- a/session/takeover_claim.h
+++ b/session/takeover_claim.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "kernel/name_table.h"
 
@@ -27,6 +28,13 @@
     {TakeoverPhase::kAbandoned, "abandoned"},
 }}};
 
+/// Endpoint whose log a takeover compares.
+struct TakeoverMember {
+  std::string id;
+  std::string address;  // "IP:port".
+  std::string failure_domain;
+};
+
 /// Newest takeover of a service, as recorded in the store. The revision that the stored object got
 /// when the takeover was claimed is the holder's fencing token.
 struct TakeoverClaim {
@@ -37,7 +45,10 @@
   std::string endpoint;      // Endpoint ordered to become the primary; set in phase kOrdered.
   std::string lost_primary;  // Primary that the holder cannot reach; empty when the takeover has
                              // another reason.
-  uint64_t revision = 0;     // Store revision of the takeover claim; 0: the store has none.
+  // All members that the holder knew when it claimed the takeover. A daemon that starts later may
+  // not find all of them in the registry.
+  std::vector<TakeoverMember> members;
+  uint64_t revision = 0;  // Store revision of the takeover claim; 0: the store has none.
 };
 
 /// Name of the object kind under which the store keeps the takeover claims.
--- a/session/takeover_controller.cc
+++ b/session/takeover_controller.cc
@@ -57,6 +57,10 @@
 // For this time after this daemon has learned of a new primary, it does not replace the primary
 // because of stalled commits: the replicas may still be switching to the new primary.
 constexpr Duration kNewPrimaryGrace = 2s;
+// Interval at which a daemon checks whether departed members may be forgotten. It grows with the
+// number of daemons, because each check asks every member for its status.
+constexpr Duration kMinDepartureReviewInterval = 1s;
+constexpr Duration kDepartureReviewIntervalPerDaemon = 50ms;
 // If no primary is known, for example because the registry names none, a daemon queries the members
 // of the group for this time before it starts a takeover.
 constexpr Duration kNoPrimaryTimeout = 1s;
@@ -133,12 +137,17 @@
   }
   const auto primary = group->Primary();
   if (primary == nullptr) {
-    if (!group->finding_primary && !group->members.empty()) {
+    if (!group->finding_primary && group->HasRegisteredMember()) {
       group->finding_primary = true;
       this->Spawn(this->FindPrimary(group));
     }
     return;
   }
+  if (group->HasDepartedMember() && !group->reviewing_departures && !group->taking_over &&
+      now >= group->next_departure_review) {
+    group->reviewing_departures = true;
+    this->Spawn(this->ReviewDepartures(group));
+  }
   // Only daemons that reach the primary directly check whether it leaves or stalls, so that in a
   // large fleet not all daemons start a takeover at the same time.
   if (group->taking_over || this->stopping || primary->is_relayed()) {
@@ -276,6 +285,7 @@
     query.pool = pool;
     query.status.id = id;
     query.status.leaving = pool->record().leaving;
+    query.status.departed = pool->departed;
     // If the endpoint is down and gateways are available, it is queried twice, through a gateway
     // and directly, because either path may have recovered.
     query.pending = pool->down && pool->UsesRelay() ? 2 : 1;
@@ -311,11 +321,11 @@
 
 asio::awaitable<void> TakeoverController::FindPrimary(ServiceGroup* group) {
   const TimePoint started = BootNow();
-  while (group->Primary() == nullptr && !group->members.empty()) {
+  while (group->Primary() == nullptr && group->HasRegisteredMember()) {
     const auto statuses = co_await this->CollectStatuses(group, kStatusTimeout);
     const MemberStatus* newest_primary = nullptr;
     for (const MemberStatus& status : statuses) {
-      if (status.reachable && status.is_primary &&
+      if (status.reachable && status.is_primary && !status.departed &&
           (newest_primary == nullptr || status.term > newest_primary->term)) {
         newest_primary = &status;
       }
@@ -328,7 +338,8 @@
     // Otherwise it may merely have lost the path to the former primary's gateways. If no former
     // primary is known, this daemon must have connections of its own to some member of the group.
     const auto former = this->cluster->FindEndpoint(group->old_primary);
-    const bool sees_outage = former != nullptr ? former->down : IsGatewayOfAny(*group);
+    const bool former_registered = former != nullptr && !former->departed;
+    const bool sees_outage = former_registered ? former->down : IsGatewayOfAny(*group);
     const bool may_take_over =
         sees_outage && !group->taking_over && !this->stopping && !this->IsClaimed(*group);
     if (may_take_over && BootNow() - started > kNoPrimaryTimeout) {
@@ -344,4 +355,24 @@
   group->finding_primary = false;
 }
 
+asio::awaitable<void> TakeoverController::ReviewDepartures(ServiceGroup* group) {
+  const auto first = co_await this->CollectStatuses(group, kStatusTimeout);
+  const auto second = co_await this->CollectStatuses(group, kStatusTimeout);
+  for (const std::string& id : MembersToForget(first, second)) {
+    const auto member = group->members.find(id);
+    // The endpoint may have registered again while the statuses were collected.
+    if (member != group->members.end() && member->second->departed) {
+      Log(LogLevel::kInfo, "departed endpoint forgotten",
+          {{"service", group->name}, {"endpoint", id}, {"primary", group->old_primary}});
+      member->second->CloseAll();
+      group->members.erase(member);
+    }
+  }
+  const Duration scaled_interval =
+      this->cluster->relays().plan().size() * kDepartureReviewIntervalPerDaemon;
+  const Duration interval = std::max(kMinDepartureReviewInterval, scaled_interval);
+  group->next_departure_review = BootNow() + interval / 2 + RandomDuration(&this->random, interval);
+  group->reviewing_departures = false;
+}
+
 }  // namespace poplarmoor
--- a/session/takeover_controller.h
+++ b/session/takeover_controller.h
@@ -46,6 +46,8 @@
   boost::asio::awaitable<void> ProbeEndpoint(ServiceGroup* group,
                                              std::shared_ptr<EndpointPool> pool);
   boost::asio::awaitable<void> FindPrimary(ServiceGroup* group);
+  // Removes the departed members that later takeovers need not compare.
+  boost::asio::awaitable<void> ReviewDepartures(ServiceGroup* group);
   boost::asio::awaitable<void> RunTakeover(ServiceGroup* group, TakeoverReason reason);
   boost::asio::awaitable<bool> ClaimTakeover(ServiceGroup* group, TakeoverReason reason);
   boost::asio::awaitable<void> RunTakeoverSteps(ServiceGroup* group,
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -41,7 +41,7 @@
   for (const MemberStatus& member : members) {
     text += (text.empty() ? "" : ", ") + member.id;
     if (!member.reachable) {
-      text += " no answer";
+      text += member.departed ? " departed, no answer" : " no answer";
       continue;
     }
     text += member.is_primary ? " primary " : " replica ";
@@ -51,6 +51,7 @@
                 ? ""
                 : " paused in " + std::to_string(member.active_pause_term);
     text += member.leaving ? " leaving" : "";
+    text += member.departed ? " departed" : "";
   }
   return text;
 }
@@ -89,6 +90,9 @@
   if (reason == TakeoverReason::kPrimaryLost) {
     claim.lost_primary = group->old_primary;
   }
+  for (const auto& [id, pool] : group->members) {
+    claim.members.push_back({id, pool->record().address, pool->record().failure_domain});
+  }
   std::string cause;
   bool conflict = false;
   try {
@@ -108,7 +112,7 @@
         if (current.holder == this->daemon && current.nonce == claim.nonce) {
           claim.revision = current.revision;
         } else {
-          group->ApplyClaim(current);
+          this->cluster->ApplyClaim(current);
         }
       }
     } catch (const std::runtime_error& error) {
--- a/tests/kernel/takeover_plan_test.cc
+++ b/tests/kernel/takeover_plan_test.cc
@@ -249,5 +249,104 @@
   }
 }
 
+MemberStatus Departed(MemberStatus status, bool reachable) {
+  status.departed = true;
+  status.reachable = reachable;
+  return status;
+}
+
+// Guards against the loss of commits that only an endpoint without a registry entry has received,
+// for example one that a network partition cuts off from the registry together with the primary.
+TEST_CASE("a takeover waits for a departed member that may have commits which the others lack") {
+  auto view = View(TakeoverReason::kPrimaryLost,
+                   {Primary(false), Replica("a", 90), Departed(Replica("b", 0), false)});
+  CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+  // The departed member answers and has a longer log. It is not in the registry, so it cannot be
+  // promoted, and replica a lacks its commits.
+  view.members[2] = Departed(Replica("b", 95), true);
+  CHECK(NextTakeoverStep(view).endpoint == "b");
+  CHECK(NextTakeoverStep(view).kind == Kind::kPause);
+  view.members[2].active_pause_term = 4;
+  CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+  view.members[1].received.index = 95;
+  CHECK(NextTakeoverStep(view).kind == Kind::kPromote);
+  CHECK(NextTakeoverStep(view).endpoint == "a");
+}
+
+// Guards against an outage that lasts as long as the primary's registry entry is missing.
+TEST_CASE("a primary that has no registry entry any more is replaced although it answers") {
+  auto view = View(TakeoverReason::kPrimaryLost,
+                   {Departed(Primary(true), true), Replica("a", 100), Replica("b", 100)});
+  CHECK(NextTakeoverStep(view).kind == Kind::kPause);
+  view.members[2].active_pause_term = 4;
+  CHECK(NextTakeoverStep(view).kind == Kind::kPromote);
+  CHECK(NextTakeoverStep(view).endpoint == "a");
+}
+
+// Guards against takeovers that compare too few logs, and against takeovers that wait for an
+// endpoint that is gone for good.
+TEST_CASE(
+    "a departed member is forgotten only when all registered replicas have received what the "
+    "primary had after the departure") {
+  const MemberStatus gone = Departed(Replica("b", 0), false);
+  const std::vector<MemberStatus> before{Primary(true), Replica("a", 100), gone};
+  CHECK(MembersToForget(before, {Primary(true), Replica("a", 100), gone}) ==
+        std::vector<std::string>{"b"});
+  CHECK(MembersToForget(before, {Primary(true), Replica("a", 99), gone}).empty());
+  CHECK(MembersToForget(before, {Primary(false), Replica("a", 100), gone}).empty());
+  CHECK(MembersToForget({Primary(false), Replica("a", 100), gone}, before).empty());
+  CHECK(MembersToForget(before, {Primary(true), gone}).empty());
+  MemberStatus silent = Replica("a", 100);
+  silent.reachable = false;
+  CHECK(MembersToForget(before, {Primary(true), silent, gone}).empty());
+  // A departed member that answers may still receive commits.
+  const MemberStatus answers = Departed(Replica("b", 100), true);
+  CHECK(MembersToForget(before, {Primary(true), Replica("a", 100), answers}).empty());
+  CHECK(MembersToForget({Primary(true), Replica("a", 100), answers}, before).empty());
+  // Between the two rounds another endpoint was promoted: the positions are not comparable.
+  MemberStatus next = Primary(true);
+  next.term = 4;
+  CHECK(MembersToForget(before, {next, Replica("a", 100), gone}).empty());
+}
+
+// The primary and the departed member are on the same side of a partition and go on with commits,
+// until the primary crashes and the partition heals.
+TEST_CASE("in random takeovers, no commit that only a departed member has received is lost") {
+  for (uint64_t seed = 0; seed < 2000; ++seed) {
+    RandomEngine random(seed);
+    std::vector<MemberStatus> members{Primary(false), Replica("a", 100), Replica("b", 100),
+                                      Departed(Replica("c", 100), false)};
+    uint64_t acknowledged = 100;
+    const size_t crash = RandomBelow(&random, 20);
+    const size_t healing = RandomBelow(&random, 20);
+    const size_t registration = healing + RandomBelow(&random, 20);
+    std::string promoted;
+    for (size_t step = 0; step < 200 && promoted.empty(); ++step) {
+      MemberStatus& departed = members[3];
+      departed.reachable = step >= healing;
+      departed.departed = step < registration;
+      if (step < crash && departed.active_pause_term == 0) {
+        departed.received.index += RandomBelow(&random, 3);
+        acknowledged = departed.received.index;
+      }
+      const TakeoverStep next = NextTakeoverStep(View(TakeoverReason::kPrimaryLost, members));
+      for (MemberStatus& member : members) {
+        if (member.id != next.endpoint) {
+          continue;
+        }
+        if (next.kind == Kind::kPause) {
+          member.active_pause_term = 4;
+        } else if (next.kind == Kind::kPromote) {
+          promoted = member.id;
+          INFO("seed " << seed);
+          CHECK(member.received.index >= acknowledged);
+        }
+      }
+    }
+    INFO("seed " << seed);
+    CHECK_FALSE(promoted.empty());
+  }
+}
+
 }  // namespace
 }  // namespace poplarmoor
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -10,6 +10,7 @@
 #include "session/promotion_api.h"
 #include "session/session_server.h"
 #include "session/statement_runner.h"
+#include "session/takeover_claim.h"
 #include "session/takeover_controller.h"
 #include "session/wait_list.h"
 #include "telemetry/metrics.h"
@@ -105,6 +106,13 @@
     this->cluster.ApplyEndpoint(record);
   }
 
+  // Crashes the primary p and makes the daemon probe it, as a statement that fails there does.
+  void LosePrimary() {
+    this->endpoints[0]->Crash();
+    this->group.primary.clear();
+    this->cluster.FindEndpoint("p")->suspected = true;
+  }
+
   // Runs the io_context until the condition holds.
   template <typename Condition>
   void RunUntil(Condition condition) {
@@ -427,5 +435,72 @@
   fixture.RunUntil([&] { return fixture.server.size() == 0; });
 }
 
+// Guards against the loss of acknowledged commits: the registry drops an endpoint that it cannot
+// hear, and that endpoint may be the only one with the latest commits.
+TEST_CASE(
+    "when the registry has dropped the only replica with the latest commits, no other replica is "
+    "promoted until that replica answers") {
+  Fixture fixture;
+  FakeLineEndpoint& behind = *fixture.endpoints[1];
+  FakeLineEndpoint& dropped = *fixture.endpoints[2];
+  behind.lag = 5;
+  dropped.max_connections = 0;
+  fixture.takeover_controller.Start();
+  fixture.cluster.MarkEndpointMissing("b");
+  const ServiceGroup* group = fixture.cluster.FindGroup("ledger");
+  fixture.RunUntil(
+      [&] { return !group->members.contains("b") || group->members.at("b")->departed; });
+  fixture.LosePrimary();
+  const auto phase = [&] {
+    const auto stored = fixture.store.kinds[kTakeoverKind].find("ledger");
+    return stored == fixture.store.kinds[kTakeoverKind].end()
+               ? TakeoverPhase::kNone
+               : DecodeTakeoverClaim(stored->second.value, 1).phase;
+  };
+  // The takeover gives up because the log of endpoint b is unknown.
+  fixture.RunUntil([&] {
+    return phase() == TakeoverPhase::kAbandoned || !fixture.promotions.endpoints.empty();
+  });
+  CHECK(fixture.promotions.endpoints.empty());
+  dropped.max_connections = 1000;
+  fixture.Register(dropped);
+  fixture.RunUntil([&] { return !fixture.promotions.endpoints.empty(); });
+  CHECK(fixture.promotions.endpoints.front() == "b");
+}
+
+// Guards against the loss of acknowledged commits when a daemon restarts during a takeover: it
+// finds only the endpoints that the registry has at that time.
+TEST_CASE("a daemon compares the members that an earlier takeover of the service has named") {
+  Fixture fixture;
+  TakeoverClaim claim;
+  claim.service = "ledger";
+  claim.phase = TakeoverPhase::kClaimed;
+  claim.holder = "d2";
+  claim.members = {{"a", "127.0.0.1:1", "fd1"}, {"gone", "127.0.0.1:1", "fd2"}};
+  const TakeoverClaim read = DecodeTakeoverClaim(EncodeTakeoverClaim(claim), 7);
+  fixture.cluster.ApplyClaim(read);
+  const auto& members = fixture.cluster.FindGroup("ledger")->members;
+  REQUIRE(members.contains("gone"));
+  CHECK(members.at("gone")->departed);
+  CHECK_FALSE(members.at("a")->departed);
+  CHECK(members.at("a")->record().address == fixture.endpoints[1]->address());
+  for (const auto& pool :
+       fixture.cluster.FindGroup("ledger")->EndpointsForRead("fd1", Duration::max())) {
+    CHECK(pool->record().id != "gone");
+  }
+}
+
+// Guards against takeovers that wait for an endpoint that has left for good.
+TEST_CASE("a replica that has left is forgotten once the other replicas have the primary's log") {
+  Fixture fixture;
+  fixture.takeover_controller.Start();
+  fixture.endpoints[2]->Crash();
+  fixture.cluster.MarkEndpointMissing("b");
+  fixture.RunUntil([&] { return !fixture.cluster.FindGroup("ledger")->members.contains("b"); });
+  fixture.LosePrimary();
+  fixture.RunUntil([&] { return !fixture.promotions.endpoints.empty(); });
+  CHECK(fixture.promotions.endpoints.front() == "a");
+}
+
 }  // namespace
 }  // namespace poplarmoor::platform
