--- a/tests/platform/platform_registry_codec_test.cc
+++ b/tests/platform/platform_registry_codec_test.cc
@@ -70,6 +70,26 @@
   CHECK_FALSE(PlatformRegistryCodec().DecodeEndpoint(bytes));
 }
 
+// Guards against numbers that are cut to the width of a field: 2^32 + 3 slots would become 3.
+TEST_CASE("a registry entry with a number out of range yields no endpoint") {
+  for (const Json& slots : {Json(4294967299), Json(4294967296), Json(0), Json(3.5)}) {
+    INFO(slots.dump());
+    Json entry = MakeEntry();
+    entry["slots"] = slots;
+    CHECK_FALSE(DecodeEntry(entry));
+  }
+  for (const char* address :
+       {"10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:99999999999"}) {
+    INFO(address);
+    Json entry = MakeEntry();
+    entry["address"] = address;
+    CHECK_FALSE(DecodeEntry(entry));
+  }
+  Json entry = MakeEntry();
+  entry["born"] = 9223372036854775808U;
+  CHECK_FALSE(DecodeEntry(entry));
+}
+
 TEST_CASE("decoding routes does not lose their limits and does not fail on unknown fields") {
   StoredObject object;
   object.value = R"({"version":7,"routes":[{"name":"r","host":"fiti","pathPrefix":"/",
