session: one malformed daemon entry does not hide the other daemons

With one malformed entry of kind "daemons" in the store, a daemon learned of no other daemon and did not write or renew its own entry. Cause: the exception of DecodeDaemonEntry ended the whole round of TrackDaemons(), in each round for as long as the entry was there.

A malformed entry is now logged and left out. The others are used.

The new test failed before: the daemon did not write its entry within the test's limit of 60 s. It passes now.

--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -411,7 +411,12 @@
           entry = {object.revision, now};
         }
         if (now - entry.since < kExpiryIntervals * renewal_interval) {
-          live.push_back(DecodeDaemonEntry(object.name, object.value));
+          try {
+            live.push_back(DecodeDaemonEntry(object.name, object.value));
+          } catch (const std::runtime_error& error) {
+            Log(LogLevel::kWarn, "daemon entry ignored",
+                {{"name", object.name}, {"revision", object.revision}, {"cause", error.what()}});
+          }
         }
       }
       this->cluster->SetPeers(std::move(live));
--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -110,6 +110,21 @@
   CHECK(fixture.store.full_calls == 1);
 }
 
+// Guards against one daemon's entry that another program wrote or cut: no daemon of the fleet would
+// renew its own entry or learn of the others.
+TEST_CASE("a malformed daemon entry does not hide the other daemons") {
+  SyncFixture fixture;
+  fixture.AddFleet(3);
+  int number = 0;
+  for (const char* value : {"", "<discarded>", "5", "{}", R"({"address":1,"failure_domain":[]})"}) {
+    const std::string name = "odd" + std::to_string(number++);
+    fixture.store.kinds[kDaemonKind][name] = {name, 1, value, false};
+  }
+  fixture.sync.Start();
+  fixture.RunUntil([&fixture] { return fixture.store.kinds[kDaemonKind].contains("d0"); });
+  CHECK(fixture.cluster.relays().plan().size() == 4);
+}
+
 // Guards against needless calls while the store is down: if the daemon retried the watch of each
 // kind of objects separately, each retry would cost one call for each kind.
 TEST_CASE(
