--- a/kernel/endpoint_record.h
+++ b/kernel/endpoint_record.h
@@ -3,6 +3,8 @@
 #include <cstdint>
 #include <string>
 
+#include "kernel/store_revision.h"
+
 namespace poplarmoor {
 
 /// One database server as service discovery describes it.
@@ -14,7 +16,7 @@
   uint32_t slots = 1;           // Maximum number of concurrent statements.
   bool leaving = false;         // The endpoint stops soon and accepts no new work.
   bool claims_primary = false;  // Whether the endpoint reports itself as primary.
-  uint64_t revision = 0;        // Revision of the last change to the endpoint's registry entry.
+  StoreRevision revision;       // Revision of the last change to the endpoint's registry entry.
   int64_t incarnation_ms = 0;  // Start time of the endpoint, Unix time in ms; changes at a restart.
 };
 
--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -30,6 +30,29 @@
 // urgent statements would then miss that objective.
 constexpr int kStatementTimeLimitDivisor = 2;
 
+// Compares an endpoint's first registry entry of an era, which may come from an older copy of the
+// store, with the known entry, and keeps what cannot have become untrue since.
+// @param known Newest entry of an earlier era.
+// @param restored First entry of the new era. An endpoint that leaves stays leaving until it has
+//     started again.
+// @returns Whether the restored entry is to be used; false: it is of an earlier start.
+bool KeepNewer(const EndpointRecord& known, EndpointRecord* restored) {
+  const bool is_older = restored->incarnation_ms < known.incarnation_ms;
+  const bool undoes_leaving =
+      restored->incarnation_ms == known.incarnation_ms && known.leaving && !restored->leaving;
+  if (is_older || undoes_leaving) {
+    Log(LogLevel::kInfo, "registry entry of a restored store is older",
+        {{"service", known.service},
+         {"endpoint", known.id},
+         {"revision", restored->revision.ToText()},
+         {"known_revision", known.revision.ToText()},
+         {"older_start", is_older},
+         {"undoes_leaving", undoes_leaving}});
+  }
+  restored->leaving = restored->leaving || undoes_leaving;
+  return !is_older;
+}
+
 }  // namespace
 
 Cluster::Cluster(asio::any_io_executor executor,
@@ -56,11 +79,21 @@
   this->changed.NotifyAll();
 }
 
-void Cluster::ApplyEndpoint(const EndpointRecord& record) {
+void Cluster::ApplyEndpoint(EndpointRecord record) {
   this->missing_since.erase(record.id);
   const auto known = this->FindEndpoint(record.id);
-  if (known != nullptr && record.revision < known->record().revision) {
-    return;  // Records also come from peers, whose copy may be older than the store's.
+  if (known != nullptr && record.revision <= known->record().revision) {
+    // The record was applied before, or it is older: records also come from peers, whose copy may
+    // be older than the store's, and from answers that were under way when the store was restored.
+    Log(LogLevel::kDebug, "registry entry ignored: it is not newer than the known one",
+        {{"endpoint", record.id},
+         {"revision", record.revision.ToText()},
+         {"known_revision", known->record().revision.ToText()}});
+    return;
+  }
+  const bool is_restored = known != nullptr && record.revision.era > known->record().revision.era;
+  if (is_restored && !KeepNewer(known->record(), &record)) {
+    return;
   }
   ServiceGroup* group = this->EnsureGroup(record.service);
   auto& pool = group->members[record.id];
@@ -71,12 +104,18 @@
   } else {
     if (record.leaving && !pool->record().leaving) {
       Log(LogLevel::kInfo, "endpoint leaves",
-          {{"service", record.service}, {"endpoint", record.id}, {"revision", record.revision}});
+          {{"service", record.service},
+           {"endpoint", record.id},
+           {"revision", record.revision.ToText()}});
     }
     pool->Update(record);
   }
   this->SetLimits(pool.get());
-  group->ApplyRegistryRole(record);
+  // The role in the first entry of an era may be older than what this daemon knows. It is used only
+  // when there is nothing better.
+  if (!is_restored || group->Primary() == nullptr) {
+    group->ApplyRegistryRole(record);
+  }
   this->changed.NotifyAll();
 }
 
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -35,7 +35,7 @@
 
   /// Adds an endpoint or updates a known one. If the record is older than the one already applied,
   /// the only effect is that the endpoint no longer counts as missing from the registry.
-  void ApplyEndpoint(const EndpointRecord& record);
+  void ApplyEndpoint(EndpointRecord record);
 
   /// Records that the registry has no entry for the endpoint. RunMaintenance() removes the endpoint
   /// only after a grace period, because entries also expire during an outage of the registry.
--- a/session/object_store.h
+++ b/session/object_store.h
@@ -11,21 +11,23 @@
 #include <vector>
 
 #include "kernel/name_table.h"
+#include "kernel/store_revision.h"
 
 namespace poplarmoor {
 
 /// One object of the store.
 struct StoredObject {
   std::string name;
-  uint64_t revision = 0;  // Store revision of the object's last change.
-  std::string value;      // The object as JSON text.
-  bool deleted = false;   // The object was removed; true only in lists of changes.
+  // Number of the object's last change, in the era of the answer that the object was read from.
+  StoreRevision revision;
+  std::string value;     // The object as JSON text.
+  bool deleted = false;  // The object was removed; true only in lists of changes.
 };
 
 /// All objects of one kind (such as "daemons"), or only those that have changed, with the store
 /// revision at which they were read.
 struct StoreSnapshot {
-  uint64_t revision = 0;
+  StoreRevision revision;
   std::vector<StoredObject> objects;
 };
 
@@ -69,7 +71,8 @@
 
   /// Waits for changes to objects of a kind.
   /// @param kind Kind of the objects, such as "daemons".
-  /// @param since Store revision; only later changes are reported.
+  /// @param since Number of a store revision; only later changes are reported. When the answer has
+  ///     another era than this revision, changes may be missing: the number was given out again.
   /// @param wait Longest time that the call waits for a change.
   /// @returns The changes; none when the wait ended without any.
   /// @throws StoreError.
@@ -85,13 +88,14 @@
                                                                   bool stale_ok) = 0;
 
   /// Stores an object if the store's present version of it has the expected revision.
-  /// @param expected Revision that the present version must have; 0: the object must not exist.
+  /// @param expected Number of the revision that the present version must have; 0: the object must
+  ///     not exist.
   /// @returns The object's new revision.
   /// @throws StoreError; after kUnreachable, read the object to learn whether it was stored.
-  virtual boost::asio::awaitable<uint64_t> Put(std::string kind,
-                                               std::string name,
-                                               std::string value,
-                                               uint64_t expected) = 0;
+  virtual boost::asio::awaitable<StoreRevision> Put(std::string kind,
+                                                    std::string name,
+                                                    std::string value,
+                                                    uint64_t expected) = 0;
 
   /// Stores an object, whatever its revision.
   /// @throws StoreError.
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -93,6 +93,10 @@
   if (newer.revision <= this->claim.revision) {
     return;
   }
+  if (newer.revision.era > this->claim.revision.era && this->claim.revision.exists()) {
+    this->AdoptRestoredClaim(std::move(newer));
+    return;
+  }
   if (newer.phase == TakeoverPhase::kResuming) {
     this->resume_pending_until = BootNow() + kLateOrderWindow;
   } else if (newer.phase == TakeoverPhase::kAbandoned) {
@@ -100,7 +104,7 @@
   }
   // Whether the claim was stored recently. The first takeover claim that this daemon reads after
   // its start may be old, so it counts as recent only if its phase is kClaimed.
-  const bool is_recent = this->claim.revision != 0 || newer.phase == TakeoverPhase::kClaimed;
+  const bool is_recent = this->claim.revision.exists() || newer.phase == TakeoverPhase::kClaimed;
   this->claim = std::move(newer);
   this->claim_seen = BootNow();
   Log(LogLevel::kInfo, "takeover claim",
@@ -108,7 +112,7 @@
        {"phase", kTakeoverPhaseNames.NameOf(this->claim.phase)},
        {"holder", this->claim.holder},
        {"endpoint", this->claim.endpoint},
-       {"revision", this->claim.revision}});
+       {"revision", this->claim.revision.ToText()}});
   const auto lost = this->members.find(this->claim.lost_primary);
   if (this->claim.phase == TakeoverPhase::kClaimed && lost != this->members.end()) {
     lost->second->suspected = true;
@@ -121,6 +125,38 @@
   }
 }
 
+void ServiceGroup::AdoptRestoredClaim(TakeoverClaim restored) {
+  const bool is_same = restored.nonce == this->claim.nonce && restored.phase == this->claim.phase;
+  Log(LogLevel::kInfo, "takeover claim of a restored store",
+      {{"service", this->name},
+       {"same", is_same},
+       {"phase", kTakeoverPhaseNames.NameOf(restored.phase)},
+       {"holder", restored.holder},
+       {"revision", restored.revision.ToText()},
+       {"previous_phase", kTakeoverPhaseNames.NameOf(this->claim.phase)},
+       {"previous_holder", this->claim.holder},
+       {"previous_revision", this->claim.revision.ToText()}});
+  // A phase kAbandoned may be older than an order to resume replication that was not answered, so
+  // it does not end that order's window here.
+  if (restored.phase == TakeoverPhase::kResuming) {
+    this->resume_pending_until = BootNow() + kLateOrderWindow;
+  }
+  this->claim = std::move(restored);
+  if (!is_same) {
+    this->claim_seen = BootNow();
+  }
+}
+
+void ServiceGroup::ForgetClaim(StoreRevision listed) {
+  if (listed.era <= this->claim.revision.era || !this->claim.revision.exists()) {
+    return;
+  }
+  TakeoverClaim none;
+  none.service = this->name;
+  none.revision = {listed.era, 0};
+  this->AdoptRestoredClaim(std::move(none));
+}
+
 Duration ServiceGroup::ExpectedOutage() const {
   if (this->Primary() != nullptr) {
     return {};
--- a/session/service_group.h
+++ b/session/service_group.h
@@ -40,9 +40,16 @@
   /// effect if a newer registry entry has already changed the primary that this daemon knows.
   void ApplyRegistryRole(const EndpointRecord& record);
 
-  /// Applies a takeover claim from the store if it is newer than the newest known claim.
+  /// Applies a takeover claim from the store if its revision is newer than that of the known claim.
+  /// The first claim of a new era may be older than the known one, because the store was restored.
+  /// The known claim is replaced all the same: the store compares later writes with the restored
+  /// one.
   void ApplyClaim(TakeoverClaim newer);
 
+  /// Replaces the known claim when the store has none: it was restored from a copy without it.
+  /// @param listed Revision of the listing that lacks the claim.
+  void ForgetClaim(StoreRevision listed);
+
   /// Waits until a primary is known.
   /// @param max_wait Longest wait. If no primary is expected within this time, the call returns
   ///     null early.
@@ -72,7 +79,7 @@
   // When a promotion was ordered in this outage; empty: none was ordered yet.
   std::optional<TimePoint> promotion_ordered;
   TakeoverClaim claim;   // Newest takeover claim known.
-  TimePoint claim_seen;  // When this daemon first saw the present revision of `claim`.
+  TimePoint claim_seen;  // When this daemon first saw the present content of `claim`.
   // Time until which endpoints may still carry out an order to resume replication that an earlier
   // takeover sent.
   TimePoint resume_pending_until;
@@ -84,8 +91,12 @@
   std::map<EndpointChannel*, TimePoint> commits;
 
  private:
-  std::string primary;             // Id of the primary; empty: unknown.
-  uint64_t registry_revision = 0;  // Revision of the last registry entry that changed the primary.
+  // Replaces the known claim by the claim, or the lack of one, of a store that was restored. The
+  // known primary and an outage's estimate stay as they are.
+  void AdoptRestoredClaim(TakeoverClaim restored);
+
+  std::string primary;              // Id of the primary; empty: unknown.
+  StoreRevision registry_revision;  // Revision of the last registry entry that changed the primary.
   // Running average of the time from a promotion order until the promoted endpoint is the primary.
   Duration promotion_time;
   WaitList changed;
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -187,6 +187,8 @@
 
 asio::awaitable<void> SessionDaemon::StartPeerNetwork() {
   const std::string key = co_await this->FetchPeerKey();
+  std::string stored_key = nlohmann::json{{"key", key}}.dump();
+  this->components->sync.KeepObject(kPeerKeyKind, kPeerKeyName, std::move(stored_key));
   std::map<std::string, std::string> keys;
   keys[kPeerKeyName] = key;
   this->components->peer_keys = std::make_unique<KeyRing>(kPeerKeyName, std::move(keys));
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -1,7 +1,6 @@
 #include "session/store_sync.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <optional>
@@ -50,18 +49,6 @@
 // Maximum delay after which a daemon that does not watch the store tries again to read changes.
 // Such a daemon usually learns from other daemons that the store is reachable again.
 constexpr Duration kMaxFollowerRetryDelay = 3s;
-// Interval at which a daemon lists the entries of all daemons in the store. The number of daemons
-// changes rarely and affects only how they share the connections to endpoints.
-constexpr Duration kDaemonListInterval = 15s;
-// Interval at which a daemon renews its entry in the object store. It may be long: the entry of
-// a daemon that is gone expires only after several intervals, but the other daemons stop sending
-// statements to that daemon long before.
-constexpr Duration kEntryRenewInterval = 45s;
-// A daemon counts as gone when its entry has not been renewed for this many renewal intervals.
-constexpr int kExpiryIntervals = 3;
-// After its start, a daemon lists the daemons' entries several times at these intervals. They are
-// short because the first listings miss daemons that start at the same time.
-constexpr std::array<Duration, 3> kInitialListIntervals{1s, 2s, 4s};
 // After its start, a daemon waits up to this time to learn of other daemons before it watches the
 // store: in a large fleet only a few daemons watch it.
 constexpr Duration kPeerDiscoveryTimeout = 3s;
@@ -74,10 +61,6 @@
 constexpr int kPeersPerRound = 3;
 // Time limit for a peer's answer, in addition to the time that the peer is asked to wait.
 constexpr Duration kPeerAnswerTimeout = 250ms;
-// A daemon lists the daemons' entries at one interval and renews its own entry at another. Each of
-// the two intervals is at least this time multiplied by the number of daemons, which bounds the
-// rate at which all daemons of a large fleet together call the store.
-constexpr Duration kListIntervalPerDaemon = 400ms;
 
 std::chrono::milliseconds WatchWait(std::chrono::milliseconds bound) {
   return std::chrono::milliseconds(static_cast<int64_t>(bound.count() * kWatchWaitFraction));
@@ -97,7 +80,8 @@
       cluster(cluster),
       self(std::move(self)),
       bounds(bounds),
-      store_recovered(std::move(executor)),
+      store_recovered(executor),
+      restored(std::move(executor)),
       random(std::random_device{}()) {}
 
 void StoreSync::Start() {
@@ -113,7 +97,9 @@
                this->ApplyEndpoints(snapshot, complete);
              });
   start_sync(kTakeoverKind, kDefaultWatchWait,
-             [this](const StoreSnapshot& snapshot, bool) { this->ApplyClaims(snapshot); });
+             [this](const StoreSnapshot& snapshot, bool complete) {
+               this->ApplyClaims(snapshot, complete);
+             });
   asio::co_spawn(this->executor, this->TrackDaemons(), asio::detached);
 }
 
@@ -127,7 +113,7 @@
     const GatewayPlan& plan = this->cluster->relays().plan();
     const bool has_peers = this->cluster->relays().peers() != nullptr && plan.size() > 1;
     const bool discovering_peers = plan.size() == 1 && BootNow() - started < kPeerDiscoveryTimeout;
-    if (discovering_peers && kind->revision != 0) {
+    if (discovering_peers && kind->revision.exists()) {
       co_await Pause(kPeerDiscoveryPoll);
       continue;
     }
@@ -203,33 +189,29 @@
 asio::awaitable<bool> StoreSync::SyncFromStore(std::shared_ptr<KindState> kind) {
   std::string cause;
   try {
-    const bool complete = kind->revision == 0;
-    StoreSnapshot snapshot;
-    if (complete) {
-      // The first listing after a start may be some seconds old: the watch that follows returns the
-      // later changes.
-      snapshot = co_await this->store->List(kind->name, kind->listed_at == 0);
-    } else {
-      // While the store is unreachable, the call's wait is short, which leaves time to call peers.
-      auto wait = kind->reachable ? kind->wait : std::min(kind->wait, kUnreachableWatchWait);
-      if (!this->cluster->relays().plan().EveryDaemonWatches()) {
-        wait = std::min(wait, std::chrono::milliseconds(
-                                  static_cast<int64_t>(kind->wait.count() * kWatcherWaitFraction)));
+    bool complete = !kind->revision.exists() || kind->revision.era < this->era.value_or(0);
+    if (!complete) {
+      try {
+        co_await this->WatchKind(kind);
+      } catch (const StoreError& error) {
+        kind->watching = false;
+        complete = error.failure == StoreFailure::kHistoryGone;
+        if (!complete) {
+          throw;
+        }
+      }
+      if (complete) {
+        Log(LogLevel::kInfo, "store history gone, listing again",
+            {{"kind", kind->name}, {"revision", kind->revision.ToText()}});
+        kind->revision = {};
       }
-      snapshot = co_await this->store->Watch(kind->name, kind->revision, wait);
     }
-    if (!kind->reachable) {
-      Log(LogLevel::kInfo, "store regained",
-          {{"kind", kind->name}, {"revision", snapshot.revision}});
+    if (complete) {
+      // Listed before the other kinds go on: only an answer tells whether the store was restored.
+      co_await this->ListKind(kind);
     }
-    this->Merge(kind.get(), snapshot, complete);
     co_return true;
   } catch (const StoreError& error) {
-    if (error.failure == StoreFailure::kHistoryGone) {
-      Log(LogLevel::kInfo, "store history gone, listing again", {{"kind", kind->name}});
-      kind->revision = 0;
-      co_return true;
-    }
     cause = error.what();
   }
   if (kind->reachable) {
@@ -238,6 +220,68 @@
   co_return false;
 }
 
+asio::awaitable<void> StoreSync::ListKind(std::shared_ptr<KindState> kind) {
+  // The first listing after a start may be some seconds old: the watch that follows returns the
+  // later changes.
+  const StoreSnapshot snapshot = co_await this->store->List(kind->name, kind->stale_ok);
+  kind->stale_ok = false;
+  this->NoteEra(kind->name, snapshot.revision);
+  if (snapshot.revision.era < *this->era) {
+    throw StoreError(StoreFailure::kRefused, "a listing of " + kind->name +
+                                                 " is older than the store's latest restore: " +
+                                                 snapshot.revision.ToText());
+  }
+  if (!kind->reachable) {
+    Log(LogLevel::kInfo, "store regained",
+        {{"kind", kind->name}, {"revision", snapshot.revision.ToText()}});
+  }
+  this->Merge(kind.get(), snapshot, true);
+}
+
+asio::awaitable<void> StoreSync::ListAgain(std::shared_ptr<KindState> kind) {
+  try {
+    co_await this->ListKind(kind);
+  } catch (const StoreError& error) {
+    // SyncKind() lists the kind when its watch call has ended.
+    Log(LogLevel::kInfo, "cannot list a kind of the restored store",
+        {{"kind", kind->name}, {"cause", error.what()}});
+  }
+}
+
+asio::awaitable<void> StoreSync::WatchKind(std::shared_ptr<KindState> kind) {
+  // While the store is unreachable, the call's wait is short, which leaves time to call peers.
+  auto wait = kind->reachable ? kind->wait : std::min(kind->wait, kUnreachableWatchWait);
+  if (!this->cluster->relays().plan().EveryDaemonWatches()) {
+    wait = std::min(wait, std::chrono::milliseconds(
+                              static_cast<int64_t>(kind->wait.count() * kWatcherWaitFraction)));
+  }
+  const StoreRevision since = kind->revision;
+  kind->watching = true;
+  const StoreSnapshot snapshot = co_await this->store->Watch(kind->name, since.number, wait);
+  kind->watching = false;
+  this->NoteEra(kind->name, snapshot.revision);
+  if (snapshot.revision.era < since.era) {
+    throw StoreError(StoreFailure::kRefused,
+                     "the answer to a watch of " + kind->name +
+                         " is of an earlier era than the last one: " + snapshot.revision.ToText());
+  }
+  if (!kind->reachable) {
+    Log(LogLevel::kInfo, "store regained",
+        {{"kind", kind->name}, {"revision", snapshot.revision.ToText()}});
+  }
+  if (snapshot.revision.era == since.era && kind->revision.era == since.era) {
+    this->Merge(kind.get(), snapshot, false);
+    co_return;
+  }
+  // The store was restored since `since`: the number was given out again, and the answer lacks the
+  // changes before it. SyncFromStore() lists the kind next, unless ListAgain() has done so.
+  Log(LogLevel::kInfo, "watch ignored: it began before the store was restored",
+      {{"kind", kind->name},
+       {"since", since.ToText()},
+       {"revision", snapshot.revision.ToText()},
+       {"known_revision", kind->revision.ToText()}});
+}
+
 void StoreSync::Merge(KindState* kind, const StoreSnapshot& snapshot, bool complete) {
   if (complete) {
     kind->objects.clear();
@@ -258,6 +302,9 @@
   }
 }
 
+// -----------------------------------------------------------------------------
+// Changes from and for other daemons
+
 asio::awaitable<bool> StoreSync::SyncFromPeer(std::shared_ptr<KindState> kind,
                                               Peer peer,
                                               Duration wait) {
@@ -279,10 +326,11 @@
       snapshot.objects.push_back({object.name, object.revision, object.value, object.deleted});
     }
     if (answer.revision > kind->revision) {
+      this->NoteEra(kind->name, answer.revision);
       this->Merge(kind.get(), snapshot, answer.complete);
       if (!answer.reachable) {
         Log(LogLevel::kInfo, "changes read from a peer that cannot reach the store",
-            {{"peer", peer.daemon}, {"kind", kind->name}, {"revision", answer.revision}});
+            {{"peer", peer.daemon}, {"kind", kind->name}, {"revision", answer.revision.ToText()}});
       }
     }
     co_return answer.reachable;
@@ -313,7 +361,7 @@
     while (kind->reachable && kind->revision <= request.since && BootNow() < deadline) {
       co_await kind->changed.Wait(deadline - BootNow());
     }
-    answer.reachable = kind->reachable && kind->revision != 0;
+    answer.reachable = kind->reachable && kind->revision.exists();
     answer.revision = kind->revision;
     answer.complete = request.since < kind->listed_at;
     for (const auto& [name, object] : kind->objects) {
@@ -338,7 +386,7 @@
       this->cluster->ApplyRoutes(this->registry->DecodeRoutes(object));
     } catch (const std::exception& error) {
       Log(LogLevel::kError, "configuration cannot be read, the previous one stays in force",
-          {{"revision", object.revision}, {"cause", error.what()}});
+          {{"revision", object.revision.ToText()}, {"cause", error.what()}});
     }
   }
 }
@@ -354,7 +402,7 @@
     if (!record) {
       Log(LogLevel::kWarn,
           "registry entry ignored: it is malformed or describes no usable endpoint",
-          {{"name", object.name}, {"revision", object.revision}});
+          {{"name", object.name}, {"revision", object.revision.ToText()}});
       continue;
     }
     present.insert(record->id);
@@ -372,11 +420,13 @@
   }
 }
 
-void StoreSync::ApplyClaims(const StoreSnapshot& snapshot) {
+void StoreSync::ApplyClaims(const StoreSnapshot& snapshot, bool complete) {
+  std::set<std::string> present;
   for (const StoredObject& object : snapshot.objects) {
     if (object.deleted) {
       continue;
     }
+    present.insert(object.name);
     try {
       this->cluster->EnsureGroup(object.name)
           ->ApplyClaim(DecodeTakeoverClaim(object.value, object.revision));
@@ -385,73 +435,10 @@
           {{"service", object.name}, {"cause", error.what()}});
     }
   }
-}
-
-asio::awaitable<void> StoreSync::TrackDaemons() {
-  // What the listings of the store have shown of one daemon's entry in the store.
-  struct Seen {
-    uint64_t revision = 0;  // Newest revision of the daemon's entry.
-    TimePoint since;        // Time of the first listing that contained the entry's newest revision.
-  };
-  std::map<std::string, Seen> seen;
-  std::optional<TimePoint> last_renewal;
-  for (uint64_t round = 0; !this->leaving; ++round) {
-    const size_t daemon_count = this->cluster->relays().plan().size();
-    const Duration scaled_interval = daemon_count * kListIntervalPerDaemon;
-    const Duration renewal_interval = std::max(kEntryRenewInterval, scaled_interval);
-    try {
-      const StoreSnapshot snapshot = co_await this->store->List(kDaemonKind, true);
-      const TimePoint now = BootNow();
-      std::vector<Peer> live;
-      bool listed = false;
-      for (const StoredObject& object : snapshot.objects) {
-        listed = listed || object.name == this->self.daemon;
-        Seen& entry = seen[object.name];
-        if (entry.revision != object.revision) {
-          entry = {object.revision, now};
-        }
-        if (now - entry.since < kExpiryIntervals * renewal_interval) {
-          live.push_back(DecodeDaemonEntry(object.name, object.value));
-        }
-      }
-      this->cluster->SetPeers(std::move(live));
-      if (!last_renewal || now - *last_renewal >= renewal_interval) {
-        co_await this->WriteDaemonEntry(round, listed);
-        last_renewal = BootNow();
-      }
-    } catch (const std::runtime_error& error) {
-      Log(LogLevel::kInfo, "cannot list the daemons or renew this daemon's entry",
-          {{"cause", error.what()}});
-    }
-    const bool first = round < kInitialListIntervals.size();
-    co_await Pause(first ? kInitialListIntervals[round]
-                         : std::max(kDaemonListInterval, scaled_interval));
-  }
-}
-
-asio::awaitable<void> StoreSync::WriteDaemonEntry(uint64_t renewal_count, bool listed) {
-  std::string entry = EncodeDaemonEntry(this->self, renewal_count);
-  if (!listed) {
-    try {
-      co_await this->store->Put(kDaemonKind, this->self.daemon, entry, 0);
-      co_return;
-    } catch (const StoreError& error) {
-      if (error.failure != StoreFailure::kConflict) {
-        throw;
-      }
+  for (auto& [service, group] : this->cluster->groups()) {
+    if (complete && !present.contains(service)) {
+      group->ForgetClaim(snapshot.revision);
     }
-    // Conflict: the store has an entry that this daemon wrote after the time of the listing, for
-    // example before a restart. The entry is overwritten below.
-  }
-  co_await this->store->Set(kDaemonKind, this->self.daemon, std::move(entry));
-}
-
-asio::awaitable<void> StoreSync::RemoveDaemonEntry() {
-  this->leaving = true;
-  try {
-    co_await this->store->Remove(kDaemonKind, this->self.daemon);
-  } catch (const StoreError& error) {
-    Log(LogLevel::kInfo, "cannot remove the daemon entry", {{"cause", error.what()}});
   }
 }
 
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -8,7 +8,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "kernel/gateway_plan.h"
 #include "kernel/random.h"
@@ -48,6 +50,11 @@
   /// divide this daemon's share of the endpoints' connections among themselves.
   boost::asio::awaitable<void> RemoveDaemonEntry();
 
+  /// Registers an object that exists in the store and never changes. If the store is restored from
+  /// a copy without the object, this daemon writes it again.
+  /// @param value The object as JSON text.
+  void KeepObject(std::string kind, std::string name, std::string value);
+
  private:
   // Applies objects of one kind from the store. The snapshot has all objects of the kind if
   // `complete` is true, else only the changed ones.
@@ -63,19 +70,43 @@
     Apply apply;
     WaitList changed;
     std::map<std::string, StoredObject> objects;  // Objects by name, including deleted ones.
-    uint64_t revision = 0;  // Store revision of the copy; 0: all objects must be listed again.
+    StoreRevision revision;  // Revision of the copy; number 0: all objects must be listed again.
     // Store revision at which all objects were last listed. This daemon does not know which objects
     // were deleted before this revision.
-    uint64_t listed_at = 0;
+    StoreRevision listed_at;
+    bool stale_ok = true;   // The next listing may be some seconds old.
+    bool watching = false;  // A watch call to the store is in progress.
     bool reachable = true;  // The last call to the store or to a watcher succeeded.
   };
 
+  struct KeptObject {
+    std::string kind;
+    std::string name;
+    std::string value;
+  };
+
   boost::asio::awaitable<void> SyncKind(std::shared_ptr<KindState> kind);
   // Reads changes from a watcher, which is a daemon that watches the store on behalf of others.
   // @returns Whether a watcher that reaches the store has answered.
   boost::asio::awaitable<bool> SyncFromWatchers(std::shared_ptr<KindState> kind);
   // Reads changes from random peers while the store is unreachable.
   boost::asio::awaitable<void> SyncFromPeers(std::shared_ptr<KindState> kind);
+  // Lists all objects of the kind and merges them.
+  // @throws StoreError, also if the listing is of an earlier era than the store's present one.
+  boost::asio::awaitable<void> ListKind(std::shared_ptr<KindState> kind);
+  // Lists all objects of a kind whose watch call was sent before the store was restored.
+  boost::asio::awaitable<void> ListAgain(std::shared_ptr<KindState> kind);
+  // Watches for changes of the kind and merges them.
+  boost::asio::awaitable<void> WatchKind(std::shared_ptr<KindState> kind);
+  // Records the era of an answer of the store or a peer. If the era is a new one, the store was
+  // restored from a copy: all kinds are listed again, and what this daemon has written is written
+  // again if the copy lacks it.
+  // @param kind Kind of the objects in the answer.
+  void NoteEra(const std::string& kind, StoreRevision seen);
+  // Writes the registered objects that the restored store lacks.
+  boost::asio::awaitable<void> RewriteKeptObjects();
+  // Random time that spreads the calls of all daemons after the store was restored.
+  Duration RestoreJitter();
   boost::asio::awaitable<bool> SyncFromStore(std::shared_ptr<KindState> kind);
   boost::asio::awaitable<bool> SyncFromPeer(std::shared_ptr<KindState> kind,
                                             Peer peer,
@@ -88,7 +119,7 @@
   boost::asio::awaitable<void> WriteDaemonEntry(uint64_t renewal_count, bool listed);
   void ApplyRoutes(const StoreSnapshot& snapshot);
   void ApplyEndpoints(const StoreSnapshot& snapshot, bool complete);
-  void ApplyClaims(const StoreSnapshot& snapshot);
+  void ApplyClaims(const StoreSnapshot& snapshot, bool complete);
 
   boost::asio::any_io_executor executor;
   ObjectStore* store;
@@ -101,6 +132,9 @@
   // while the store is reachable.
   const KindState* retrying_kind = nullptr;
   WaitList store_recovered;
+  std::optional<uint64_t> era;  // Latest era of the store in any answer; empty: no answer yet.
+  WaitList restored;            // Notified when the era rises.
+  std::vector<KeptObject> kept_objects;
   RandomEngine random;
   bool leaving = false;  // This daemon removes its entry from the store and renews it no longer.
 };
--- a/session/takeover_claim.cc
+++ b/session/takeover_claim.cc
@@ -5,6 +5,18 @@
 
 namespace poplarmoor {
 
+namespace {
+
+// A fencing token has the number of the revision in its lower bits and the era above them. Both
+// together have at most 53 bits: programs that read numbers as doubles keep such tokens exact.
+constexpr int kTokenNumberBits = 40;
+
+}  // namespace
+
+uint64_t FencingToken(StoreRevision revision) {
+  return (revision.era << kTokenNumberBits) | revision.number;
+}
+
 std::string EncodeTakeoverClaim(const TakeoverClaim& claim) {
   return nlohmann::json{
       {"service", claim.service},   {"phase", kTakeoverPhaseNames.NameOf(claim.phase)},
@@ -13,7 +25,7 @@
       .dump();
 }
 
-TakeoverClaim DecodeTakeoverClaim(const std::string& text, uint64_t revision) {
+TakeoverClaim DecodeTakeoverClaim(const std::string& text, StoreRevision revision) {
   try {
     const nlohmann::json body = nlohmann::json::parse(text);
     TakeoverClaim claim;
--- a/session/takeover_claim.h
+++ b/session/takeover_claim.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "kernel/name_table.h"
+#include "kernel/store_revision.h"
 
 namespace poplarmoor {
 
@@ -27,8 +28,8 @@
     {TakeoverPhase::kAbandoned, "abandoned"},
 }}};
 
-/// Newest takeover of a service, as recorded in the store. The revision that the stored object got
-/// when the takeover was claimed is the holder's fencing token.
+/// Newest takeover of a service, as recorded in the store. The holder's fencing token is made from
+/// the revision that the stored object got when the takeover was claimed; see FencingToken().
 struct TakeoverClaim {
   std::string service;
   TakeoverPhase phase = TakeoverPhase::kNone;
@@ -37,7 +38,7 @@
   std::string endpoint;      // Endpoint ordered to become the primary; set in phase kOrdered.
   std::string lost_primary;  // Primary that the holder cannot reach; empty when the takeover has
                              // another reason.
-  uint64_t revision = 0;     // Store revision of the takeover claim; 0: the store has none.
+  StoreRevision revision;    // Revision of the takeover claim; number 0: the store has none.
 };
 
 /// Name of the object kind under which the store keeps the takeover claims.
@@ -49,6 +50,11 @@
 /// @param text JSON text of the takeover claim.
 /// @param revision Revision of the takeover claim in the store.
 /// @throws std::runtime_error when the text is malformed.
-TakeoverClaim DecodeTakeoverClaim(const std::string& text, uint64_t revision);
+TakeoverClaim DecodeTakeoverClaim(const std::string& text, StoreRevision revision);
+
+/// @param revision Revision that the store gave the takeover claim.
+/// @returns Number for the promotion order. It rises with the revision, across eras, and is never
+///     the same for two claims.
+uint64_t FencingToken(StoreRevision revision);
 
 }  // namespace poplarmoor
--- a/session/takeover_controller.h
+++ b/session/takeover_controller.h
@@ -50,9 +50,12 @@
   boost::asio::awaitable<bool> ClaimTakeover(ServiceGroup* group, TakeoverReason reason);
   boost::asio::awaitable<void> RunTakeoverSteps(ServiceGroup* group,
                                                 TakeoverReason reason,
-                                                uint64_t token);
-  boost::asio::awaitable<bool> Promote(ServiceGroup* group, std::string endpoint, uint64_t token);
+                                                TakeoverClaim held);
+  boost::asio::awaitable<bool> Promote(ServiceGroup* group,
+                                       std::string endpoint,
+                                       TakeoverClaim held);
   boost::asio::awaitable<void> AbandonTakeover(ServiceGroup* group,
+                                               TakeoverClaim held,
                                                std::vector<std::string> paused,
                                                uint64_t term);
   // Sends a pause or step-down order to a member and copies its answer into the view.
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -51,7 +51,7 @@
     claimed = co_await this->ClaimTakeover(group, reason);
   }
   if (claimed) {
-    co_await this->RunTakeoverSteps(group, reason, group->claim.revision);
+    co_await this->RunTakeoverSteps(group, reason, group->claim);
   } else {
     // Another daemon holds the takeover claim, or the store cannot be reached.
     co_await Pause(kClaimRetryDelay);
@@ -72,8 +72,8 @@
   std::string cause;
   bool conflict = false;
   try {
-    claim.revision = co_await this->store->Put(kTakeoverKind, group->name,
-                                               EncodeTakeoverClaim(claim), group->claim.revision);
+    claim.revision = co_await this->store->Put(
+        kTakeoverKind, group->name, EncodeTakeoverClaim(claim), group->claim.revision.number);
   } catch (const StoreError& error) {
     cause = error.what();
     conflict = error.failure != StoreFailure::kRefused;
@@ -95,13 +95,13 @@
       cause = error.what();
     }
   }
-  Log(LogLevel::kInfo, claim.revision != 0 ? "takeover claimed" : "takeover not claimed",
+  Log(LogLevel::kInfo, claim.revision.exists() ? "takeover claimed" : "takeover not claimed",
       {{"service", group->name},
        {"reason", kTakeoverReasonNames.NameOf(reason)},
        {"old_primary", group->old_primary},
-       {"token", claim.revision},
+       {"token", FencingToken(claim.revision)},
        {"cause", cause}});
-  if (claim.revision == 0) {
+  if (!claim.revision.exists()) {
     co_return false;
   }
   group->ApplyClaim(claim);
@@ -110,7 +110,8 @@
 
 asio::awaitable<void> TakeoverController::RunTakeoverSteps(ServiceGroup* group,
                                                            TakeoverReason reason,
-                                                           uint64_t token) {
+                                                           TakeoverClaim held) {
+  const uint64_t token = FencingToken(held.revision);
   TakeoverView view;
   view.reason = reason;
   view.old_primary = group->old_primary;
@@ -118,7 +119,7 @@
   const TimePoint deadline = BootNow() + kTakeoverTimeout;
   std::string last_cause;
   bool outdated = true;
-  while (BootNow() < deadline && group->claim.revision == token) {
+  while (BootNow() < deadline && group->claim.nonce == held.nonce) {
     if (outdated) {
       view.members = co_await this->CollectStatuses(group, kOrderTimeout);
       outdated = false;
@@ -143,7 +144,7 @@
       break;
     }
     if (step.kind == TakeoverStep::Kind::kPromote) {
-      if (co_await this->Promote(group, step.endpoint, token)) {
+      if (co_await this->Promote(group, step.endpoint, held)) {
         co_return;
       }
       break;
@@ -162,7 +163,7 @@
       outdated = true;
     }
   }
-  co_await this->AbandonTakeover(group, std::move(paused), view.pause_term);
+  co_await this->AbandonTakeover(group, std::move(held), std::move(paused), view.pause_term);
 }
 
 asio::awaitable<bool> TakeoverController::OrderMember(ServiceGroup* group,
@@ -196,12 +197,15 @@
 }
 
 asio::awaitable<void> TakeoverController::AbandonTakeover(ServiceGroup* group,
+                                                          TakeoverClaim held,
                                                           std::vector<std::string> paused,
                                                           uint64_t term) {
   Log(LogLevel::kInfo, "takeover abandoned",
       {{"service", group->name}, {"paused", paused.size()}, {"holder", group->claim.holder}});
-  if (group->claim.holder != this->daemon) {
-    co_return;  // The holder of the newer takeover claim decides about the paused replicas.
+  if (group->claim.nonce != held.nonce) {
+    // The holder of the newer takeover claim decides about the paused replicas. If the store was
+    // restored without this claim, an order of this daemon to promote may still be carried out.
+    co_return;
   }
   // If the answer to an order to resume replication is lost, the endpoint may still carry out the
   // order during the next takeover. The stored phase kResuming tells the next holder of the claim
@@ -235,7 +239,7 @@
   claim.endpoint = std::move(endpoint);
   try {
     claim.revision = co_await this->store->Put(kTakeoverKind, group->name,
-                                               EncodeTakeoverClaim(claim), claim.revision);
+                                               EncodeTakeoverClaim(claim), claim.revision.number);
     group->ApplyClaim(std::move(claim));
   } catch (const StoreError& error) {
     Log(LogLevel::kInfo, "takeover phase not stored",
@@ -247,12 +251,13 @@
 
 asio::awaitable<bool> TakeoverController::Promote(ServiceGroup* group,
                                                   std::string endpoint,
-                                                  uint64_t token) {
+                                                  TakeoverClaim held) {
+  const uint64_t token = FencingToken(held.revision);
   // A promotion order without an answer may be carried out later. The replicas stay paused until a
   // promotion order is answered, or until the token of a newer takeover claim makes the order
   // invalid.
   PromotionOutcome outcome = PromotionOutcome::kUnknown;
-  while (group->claim.revision == token) {
+  while (group->claim.nonce == held.nonce) {
     outcome = co_await this->promotions->Promote(group->name, endpoint, token);
     Log(LogLevel::kInfo, "promotion ordered",
         {{"service", group->name},
--- a/tests/platform/memory_store.h
+++ b/tests/platform/memory_store.h
@@ -12,9 +12,10 @@
  public:
   boost::asio::awaitable<StoreSnapshot> List(std::string kind, bool) override {
     StoreSnapshot snapshot;
-    snapshot.revision = this->revision;
+    snapshot.revision = {this->era, this->revision};
     for (const auto& [name, object] : this->kinds[kind]) {
       snapshot.objects.push_back(object);
+      snapshot.objects.back().revision.era = this->era;
     }
     co_return snapshot;
   }
@@ -33,23 +34,25 @@
     if (found == this->kinds[kind].end()) {
       co_return std::nullopt;
     }
-    co_return found->second;
+    StoredObject object = found->second;
+    object.revision.era = this->era;
+    co_return object;
   }
 
-  boost::asio::awaitable<uint64_t> Put(std::string kind,
-                                       std::string name,
-                                       std::string value,
-                                       uint64_t expected) override {
+  boost::asio::awaitable<StoreRevision> Put(std::string kind,
+                                            std::string name,
+                                            std::string value,
+                                            uint64_t expected) override {
     StoredObject& object = this->kinds[kind][name];
-    if (object.revision != expected) {
+    if (object.revision.number != expected) {
       throw StoreError(StoreFailure::kConflict, "the object has another revision");
     }
-    object = {name, ++this->revision, std::move(value), false};
+    object = {name, this->NextRevision(), std::move(value), false};
     co_return object.revision;
   }
 
   boost::asio::awaitable<void> Set(std::string kind, std::string name, std::string value) override {
-    this->kinds[kind][name] = {name, ++this->revision, std::move(value), false};
+    this->kinds[kind][name] = {name, this->NextRevision(), std::move(value), false};
     co_return;
   }
 
@@ -58,7 +61,19 @@
     co_return;
   }
 
-  uint64_t revision = 1;
+  /// @returns Revision of the next change.
+  StoreRevision NextRevision() { return {this->era, ++this->revision}; }
+
+  /// Restores the store from a copy, which begins a new era.
+  /// @param copy Earlier state of this store.
+  void RestoreFrom(const MemoryStore& copy) {
+    this->kinds = copy.kinds;
+    this->revision = copy.revision;
+    ++this->era;
+  }
+
+  uint64_t era = 0;
+  uint64_t revision = 1;  // Number of the latest change.
   std::map<std::string, std::map<std::string, StoredObject>> kinds;
 };
 
--- a/tests/platform/platform_registry_codec_test.cc
+++ b/tests/platform/platform_registry_codec_test.cc
@@ -26,7 +26,7 @@
 std::optional<EndpointRecord> DecodeEntry(const Json& entry) {
   StoredObject object;
   object.name = "i-7f3a91c2";
-  object.revision = 12;
+  object.revision = {3, 12};
   object.value = entry.dump();
   return PlatformRegistryCodec().DecodeEndpoint(object);
 }
@@ -40,7 +40,7 @@
   CHECK_FALSE(record->leaving);
   CHECK_FALSE(record->claims_primary);
   CHECK(record->incarnation_ms == 1754000000123);
-  CHECK(record->revision == 12);
+  CHECK(record->revision == StoreRevision{3, 12});
 }
 
 TEST_CASE(
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -67,7 +67,7 @@
       record.service = "ledger";
       record.failure_domain = "fd1";
       record.claims_primary = record.id == "p";
-      record.revision = 2;
+      record.revision = {0, 2};
       record.address = this->endpoints.back()->address();
       this->gate.cluster.ApplyEndpoint(record);
       record.address = "127.0.0.1:1";  // "entry" cannot reach the endpoint.
@@ -223,7 +223,7 @@
   record.service = "ledger";
   record.failure_domain = "fd1";
   record.address = "127.0.0.1:1";
-  record.revision = 1;
+  record.revision = {0, 1};
   cluster.ApplyEndpoint(record);
   std::vector<Peer> fleet;
   for (int number = 0; number < 90; ++number) {
@@ -253,7 +253,7 @@
   // Both daemons consider the endpoints down, although the endpoints are reachable again.
   for (const char* id : {"p", "a"}) {
     EndpointRecord record = fixture.gate.cluster.FindEndpoint(id)->record();
-    record.revision = 3;
+    record.revision = {0, 3};
     fixture.entry.cluster.ApplyEndpoint(record);
     for (RelayFixture::Daemon* daemon : {&fixture.gate, &fixture.entry}) {
       daemon->cluster.FindEndpoint(id)->down = true;
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -101,7 +101,7 @@
     record.failure_domain = "fd1";
     record.slots = 3;
     record.claims_primary = endpoint.id == this->group.primary;
-    record.revision = ++this->store.revision;
+    record.revision = this->store.NextRevision();
     this->cluster.ApplyEndpoint(record);
   }
 
--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -36,14 +36,14 @@
     }
     co_await Pause(60s);
     StoreSnapshot snapshot;
-    snapshot.revision = since;
+    snapshot.revision = {this->era, since};
     co_return snapshot;
   }
 
-  asio::awaitable<uint64_t> Put(std::string kind,
-                                std::string name,
-                                std::string value,
-                                uint64_t expected) override {
+  asio::awaitable<StoreRevision> Put(std::string kind,
+                                     std::string name,
+                                     std::string value,
+                                     uint64_t expected) override {
     ++this->full_calls;
     return MemoryStore::Put(std::move(kind), std::move(name), std::move(value), expected);
   }
@@ -74,7 +74,7 @@
     for (int number = 1; number <= count; ++number) {
       const std::string name = "d" + std::to_string(number);
       const Peer peer{name, "127.0.0.1:1", "fd" + std::to_string(number % 3)};
-      this->store.kinds[kDaemonKind][name] = {name, 1, EncodeDaemonEntry(peer, 0), false};
+      this->store.kinds[kDaemonKind][name] = {name, {0, 1}, EncodeDaemonEntry(peer, 0), false};
     }
   }
 
@@ -150,7 +150,7 @@
                      waits.push_back(DecodeSyncRequest(message.body).wait_us);
                      SyncAnswer answer;
                      answer.reachable = true;
-                     answer.revision = 1;
+                     answer.revision = {0, 1};
                      std::string body = EncodeSyncAnswer(answer);
                      co_return PeerMessage(kSyncMessage, std::move(body));
                    });
@@ -169,8 +169,8 @@
                        : other.address();
   }
   for (const Peer& peer : fleet) {
-    fixture.store.kinds[kDaemonKind][peer.daemon] = {peer.daemon, 1, EncodeDaemonEntry(peer, 0),
-                                                     false};
+    fixture.store.kinds[kDaemonKind][peer.daemon] = {
+        peer.daemon, {0, 1}, EncodeDaemonEntry(peer, 0), false};
   }
   fixture.cluster.SetNetwork(&own);
   fixture.cluster.SetPeers(fleet);
--- a/tests/wire/relay_codec_test.cc
+++ b/tests/wire/relay_codec_test.cc
@@ -66,16 +66,16 @@
   report.received = {3, 8};
   report.active_pause_term = 4;
   CHECK(DecodeRelayReport(EncodeRelayReport(report)).received == report.received);
-  CHECK(DecodeSyncRequest(EncodeSyncRequest({"config", 4, 9})).since == 4);
+  CHECK(DecodeSyncRequest(EncodeSyncRequest({"config", {2, 4}, 9})).since == StoreRevision{2, 4});
   SyncAnswer answer;
   answer.reachable = true;
-  answer.revision = 6;
-  answer.objects = {{"main", 5, "{}", false}, {"old", 6, "", true}};
+  answer.revision = {2, 6};
+  answer.objects = {{"main", {2, 5}, "{}", false}, {"old", {2, 6}, "", true}};
   const SyncAnswer decoded = DecodeSyncAnswer(EncodeSyncAnswer(answer));
   CHECK(decoded.reachable);
-  CHECK(decoded.revision == 6);
+  CHECK(decoded.revision == StoreRevision{2, 6});
   REQUIRE(decoded.objects.size() == 2);
-  CHECK(decoded.objects[0].revision == 5);
+  CHECK(decoded.objects[0].revision == StoreRevision{2, 5});
   CHECK(decoded.objects[1].deleted);
 }
 
--- a/wire/relay_codec.cc
+++ b/wire/relay_codec.cc
@@ -76,9 +76,18 @@
                                bool>;
 using OrderTuple = std::tuple<std::string, std::string, uint64_t, uint64_t>;
 using ReportTuple = std::tuple<std::string, bool, uint64_t, Position, uint64_t>;
-using SyncRequestTuple = std::tuple<std::string, uint64_t, uint64_t>;
-using ObjectTuple = std::tuple<std::string, uint64_t, std::string, bool>;
-using SyncAnswerTuple = std::tuple<bool, bool, uint64_t, std::vector<ObjectTuple>>;
+using Revision = std::tuple<uint64_t, uint64_t>;  // Era and number.
+using SyncRequestTuple = std::tuple<std::string, Revision, uint64_t>;
+using ObjectTuple = std::tuple<std::string, Revision, std::string, bool>;
+using SyncAnswerTuple = std::tuple<bool, bool, Revision, std::vector<ObjectTuple>>;
+
+Revision Pack(const StoreRevision& revision) {
+  return {revision.era, revision.number};
+}
+
+StoreRevision UnpackRevision(const Revision& revision) {
+  return {std::get<0>(revision), std::get<1>(revision)};
+}
 
 }  // namespace
 
@@ -149,32 +158,39 @@
 }
 
 std::string EncodeSyncRequest(const SyncRequest& request) {
-  return PackTuple(SyncRequestTuple(request.kind, request.since, request.wait_us));
+  return PackTuple(SyncRequestTuple(request.kind, Pack(request.since), request.wait_us));
 }
 
 SyncRequest DecodeSyncRequest(std::string_view body) {
   const auto fields = UnpackTuple<SyncRequestTuple>(body, "sync request");
   SyncRequest request;
-  std::tie(request.kind, request.since, request.wait_us) = fields;
+  Revision since;
+  std::tie(request.kind, since, request.wait_us) = fields;
+  request.since = UnpackRevision(since);
   return request;
 }
 
 std::string EncodeSyncAnswer(const SyncAnswer& answer) {
   std::vector<ObjectTuple> objects;
   for (const SyncObject& object : answer.objects) {
-    objects.emplace_back(object.name, object.revision, object.value, object.deleted);
+    objects.emplace_back(object.name, Pack(object.revision), object.value, object.deleted);
   }
-  return PackTuple(SyncAnswerTuple(answer.reachable, answer.complete, answer.revision, objects));
+  return PackTuple(
+      SyncAnswerTuple(answer.reachable, answer.complete, Pack(answer.revision), objects));
 }
 
 SyncAnswer DecodeSyncAnswer(std::string_view body) {
   const auto fields = UnpackTuple<SyncAnswerTuple>(body, "sync answer");
   SyncAnswer answer;
   std::vector<ObjectTuple> objects;
-  std::tie(answer.reachable, answer.complete, answer.revision, objects) = fields;
+  Revision revision;
+  std::tie(answer.reachable, answer.complete, revision, objects) = fields;
+  answer.revision = UnpackRevision(revision);
   for (const ObjectTuple& tuple : objects) {
     SyncObject object;
-    std::tie(object.name, object.revision, object.value, object.deleted) = tuple;
+    Revision changed_at;
+    std::tie(object.name, changed_at, object.value, object.deleted) = tuple;
+    object.revision = UnpackRevision(changed_at);
     answer.objects.push_back(std::move(object));
   }
   return answer;
--- a/wire/relay_codec.h
+++ b/wire/relay_codec.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "kernel/log_position.h"
+#include "kernel/store_revision.h"
 
 namespace poplarmoor {
 
@@ -75,14 +76,14 @@
 /// Request to a peer for changes to store objects of one kind.
 struct SyncRequest {
   std::string kind;
-  uint64_t since = 0;    // Revision up to which the sender knows the objects of this kind.
+  StoreRevision since;   // Revision up to which the sender knows the objects of this kind.
   uint64_t wait_us = 0;  // Longest time that the peer waits for a change before it answers.
 };
 
 /// Store object in a SyncAnswer.
 struct SyncObject {
   std::string name;
-  uint64_t revision = 0;
+  StoreRevision revision;
   std::string value;
   bool deleted = false;
 };
@@ -93,7 +94,7 @@
   // Whether `objects` lists all existing objects of the kind; if so, an object that is not listed
   // has been deleted.
   bool complete = false;
-  uint64_t revision = 0;  // Revision up to which the peer knows the objects of this kind.
+  StoreRevision revision;  // Revision up to which the peer knows the objects of this kind.
   std::vector<SyncObject> objects;
 };
 
