--- a/session/takeover_claim.h
+++ b/session/takeover_claim.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "kernel/name_table.h"
+#include "kernel/store_revision.h"
 
 namespace poplarmoor {
 
@@ -35,8 +36,8 @@
   std::string failure_domain;
 };
 
-/// Newest takeover of a service, as recorded in the store. The revision that the stored object got
-/// when the takeover was claimed is the holder's fencing token.
+/// Newest takeover of a service, as recorded in the store. The holder's fencing token is made from
+/// the revision that the stored object got when the takeover was claimed; see FencingToken().
 struct TakeoverClaim {
   std::string service;
   TakeoverPhase phase = TakeoverPhase::kNone;
@@ -48,7 +49,7 @@
   // All members that the holder knew when it claimed the takeover. A daemon that starts later may
   // not find all of them in the registry.
   std::vector<TakeoverMember> members;
-  uint64_t revision = 0;  // Store revision of the takeover claim; 0: the store has none.
+  StoreRevision revision;  // Revision of the takeover claim; number 0: the store has none.
 };
 
 /// Name of the object kind under which the store keeps the takeover claims.
@@ -60,6 +61,11 @@
 /// @param text JSON text of the takeover claim.
 /// @param revision Revision of the takeover claim in the store.
 /// @throws std::runtime_error when the text is malformed.
-TakeoverClaim DecodeTakeoverClaim(const std::string& text, uint64_t revision);
+TakeoverClaim DecodeTakeoverClaim(const std::string& text, StoreRevision revision);
+
+/// @param revision Revision that the store gave the takeover claim.
+/// @returns Number for the promotion order. It rises with the revision, across eras, and is never
+///     the same for two claims.
+uint64_t FencingToken(StoreRevision revision);
 
 }  // namespace poplarmoor
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -102,7 +102,7 @@
     record.failure_domain = "fd1";
     record.slots = 3;
     record.claims_primary = endpoint.id == this->group.primary;
-    record.revision = ++this->store.revision;
+    record.revision = this->store.NextRevision();
     this->cluster.ApplyEndpoint(record);
   }
 
@@ -455,7 +455,7 @@
     const auto stored = fixture.store.kinds[kTakeoverKind].find("ledger");
     return stored == fixture.store.kinds[kTakeoverKind].end()
                ? TakeoverPhase::kNone
-               : DecodeTakeoverClaim(stored->second.value, 1).phase;
+               : DecodeTakeoverClaim(stored->second.value, {0, 1}).phase;
   };
   // The takeover gives up because the log of endpoint b is unknown.
   fixture.RunUntil([&] {
@@ -477,7 +477,7 @@
   claim.phase = TakeoverPhase::kClaimed;
   claim.holder = "d2";
   claim.members = {{"a", "127.0.0.1:1", "fd1"}, {"gone", "127.0.0.1:1", "fd2"}};
-  const TakeoverClaim read = DecodeTakeoverClaim(EncodeTakeoverClaim(claim), 7);
+  const TakeoverClaim read = DecodeTakeoverClaim(EncodeTakeoverClaim(claim), {0, 7});
   fixture.cluster.ApplyClaim(read);
   const auto& members = fixture.cluster.FindGroup("ledger")->members;
   REQUIRE(members.contains("gone"));
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -132,7 +132,7 @@
       fixture.body = R"({"items":[)" + MakeGoodItem("a") + "," + odd.text + "," +
                      MakeGoodItem("b") + R"(],"hasMore":false,"currentRev":40})";
       const StoreSnapshot snapshot = fixture.Run(fixture.store->List("servers", false));
-      CHECK(snapshot.revision == 40);
+      CHECK((snapshot.revision == StoreRevision{0, 40}));
       CHECK(EndpointIds(snapshot) == kGoodIds);
     }
   }
@@ -150,7 +150,7 @@
                      R"(,"deleted":false}],"currentRev":41})";
       const std::chrono::milliseconds wait(1);
       const StoreSnapshot snapshot = fixture.Run(fixture.store->Watch("servers", 40, wait));
-      CHECK(snapshot.revision == 41);
+      CHECK((snapshot.revision == StoreRevision{0, 41}));
       CHECK(EndpointIds(snapshot) == kGoodIds);
     }
   }
@@ -166,7 +166,7 @@
   const StoreSnapshot snapshot = fixture.Run(fixture.store->Watch("servers", 40, wait));
   REQUIRE(snapshot.objects.size() == 1);
   CHECK(snapshot.objects[0].name == "odd");
-  CHECK(snapshot.objects[0].revision == 7);
+  CHECK((snapshot.objects[0].revision == StoreRevision{0, 7}));
   CHECK(snapshot.objects[0].deleted);
 }
 
