takeover: a departed endpoint that refuses a connection is not forgotten, and findings of the review

- A departed endpoint at its connection limit, or one whose gateway answered for it, counted as silent and could be forgotten while it went on receiving commits.
- A candidate that departed during its promotion could get statements.
- An old claim that is read again brought back members that were forgotten.
- All daemons reviewed a departure at the same moment; a random pause spreads their status calls.

--- a/kernel/takeover_plan.cc
+++ b/kernel/takeover_plan.cc
@@ -52,9 +52,9 @@
   return found == members.end() ? nullptr : &*found;
 }
 
-bool Answers(const std::vector<MemberStatus>& members, const std::string& id) {
+bool IsRunning(const std::vector<MemberStatus>& members, const std::string& id) {
   return std::any_of(members.begin(), members.end(), [&id](const MemberStatus& member) {
-    return member.id == id && member.reachable;
+    return member.id == id && (member.reachable || member.refused);
   });
 }
 
@@ -77,6 +77,12 @@
       unreachable_replica = &member;
     }
   }
+  for (const MemberStatus& member : view.members) {
+    // The log of a former primary is unknown as well when a departed member leads.
+    if (&member != primary && member.id == view.old_primary && !member.reachable) {
+      unreachable_replica = &member;
+    }
+  }
   const bool primary_answers = primary != nullptr && primary->reachable;
   const bool stepped_down = OldPrimaryHasLongestLog(replicas, view.old_primary);
   if (primary_answers && !primary->departed && view.reason == TakeoverReason::kPrimaryLost) {
@@ -139,7 +145,7 @@
   std::vector<std::string> silent;
   for (const MemberStatus& member : second) {
     if (member.departed) {
-      if (!member.reachable && !Answers(first, member.id)) {
+      if (!IsRunning(first, member.id) && !IsRunning(second, member.id)) {
         silent.push_back(member.id);
       }
     } else if (member.id != primary->id) {
--- a/kernel/takeover_plan.h
+++ b/kernel/takeover_plan.h
@@ -12,6 +12,7 @@
 struct MemberStatus {
   std::string id;
   bool reachable = false;
+  bool refused = false;  // The endpoint is running, but refused the call or closed the connection.
   bool leaving = false;
   // The endpoint has no registry entry any more. Its log is still compared, because it may be the
   // only one with some acknowledged commits, but the endpoint is not promoted.
@@ -77,9 +78,9 @@
 TakeoverStep NextTakeoverStep(const TakeoverView& view);
 
 /// Decides which departed members later takeovers need not compare. A departed member that does not
-/// answer may be left out once every registered replica has received the log that the primary had
-/// after the departure: the acknowledged commits that only the departed member had received are
-/// then in the logs of the others.
+/// answer and refuses no connection either may be left out once every registered replica has
+/// received the log that the primary had after the departure: the acknowledged commits that only
+/// the departed member had received are then in the logs of the others.
 /// @param first Statuses of all members after the departure.
 /// @param second Statuses of all members, requested after all answers of `first` had arrived.
 /// @returns Ids of the departed members that may be left out.
--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -131,6 +131,9 @@
 
 void Cluster::ApplyClaim(TakeoverClaim claim) {
   ServiceGroup* group = this->EnsureGroup(claim.service);
+  if (claim.revision <= group->claim.revision) {
+    return;
+  }
   for (const TakeoverMember& member : claim.members) {
     if (group->members.contains(member.id)) {
       continue;
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -34,7 +34,7 @@
 
 std::shared_ptr<EndpointPool> ServiceGroup::Primary() const {
   const auto found = this->members.find(this->primary);
-  return found == this->members.end() ? nullptr : found->second;
+  return found == this->members.end() || found->second->departed ? nullptr : found->second;
 }
 
 void ServiceGroup::SetPrimary(const std::string& endpoint,
--- a/session/takeover_controller.cc
+++ b/session/takeover_controller.cc
@@ -270,6 +270,14 @@
         co_await query.pool->SendOrder(EndpointOrder::kStatus, 0, timeout, fresh);
     ApplyReport(report, &query.status);
   } catch (const std::runtime_error& error) {
+    // Only a direct call shows that the endpoint is not running: a gateway may lack the path to it.
+    const auto* failure = dynamic_cast<const EndpointSessionError*>(&error);
+    const bool no_connection =
+        failure != nullptr && (failure->kind == EndpointSessionError::Kind::kTimeout ||
+                               failure->kind == EndpointSessionError::Kind::kRefused);
+    if (!no_connection && (fresh || !query.pool->UsesRelay())) {
+      query.status.refused = true;
+    }
     Log(LogLevel::kDebug, "status call failed",
         {{"endpoint", query.status.id}, {"fresh", fresh}, {"cause", error.what()}});
   }
@@ -288,7 +296,7 @@
     query.status.departed = pool->departed;
     // If the endpoint is down and gateways are available, it is queried twice, through a gateway
     // and directly, because either path may have recovered.
-    query.pending = pool->down && pool->UsesRelay() ? 2 : 1;
+    query.pending = (pool->down || pool->departed) && pool->UsesRelay() ? 2 : 1;
     round->queries.push_back(std::move(query));
   }
   size_t down = 0;
@@ -356,7 +364,13 @@
 }
 
 asio::awaitable<void> TakeoverController::ReviewDepartures(ServiceGroup* group) {
+  const Duration scaled_interval =
+      this->cluster->relays().plan().size() * kDepartureReviewIntervalPerDaemon;
+  const Duration interval = std::max(kMinDepartureReviewInterval, scaled_interval);
+  // All daemons learn of a departure at the same time.
+  co_await Pause(RandomDuration(&this->random, interval));
   const auto first = co_await this->CollectStatuses(group, kStatusTimeout);
+  co_await Pause(kMinDepartureReviewInterval);
   const auto second = co_await this->CollectStatuses(group, kStatusTimeout);
   for (const std::string& id : MembersToForget(first, second)) {
     const auto member = group->members.find(id);
@@ -368,10 +382,7 @@
       group->members.erase(member);
     }
   }
-  const Duration scaled_interval =
-      this->cluster->relays().plan().size() * kDepartureReviewIntervalPerDaemon;
-  const Duration interval = std::max(kMinDepartureReviewInterval, scaled_interval);
-  group->next_departure_review = BootNow() + interval / 2 + RandomDuration(&this->random, interval);
+  group->next_departure_review = BootNow() + interval / 2;
   group->reviewing_departures = false;
 }
 
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -303,7 +303,7 @@
   co_await this->PublishPhase(group, TakeoverPhase::kOrdered, endpoint);
   while (BootNow() - started < kClaimValidity) {
     const auto pool = this->cluster->FindEndpoint(endpoint);
-    if (pool == nullptr) {
+    if (pool == nullptr || pool->departed) {
       break;
     }
     try {
--- a/tests/kernel/takeover_plan_test.cc
+++ b/tests/kernel/takeover_plan_test.cc
@@ -283,6 +283,16 @@
   CHECK(NextTakeoverStep(view).endpoint == "a");
 }
 
+// Guards against the loss of commits that a former primary has received as a replica: this daemon
+// may not know that another endpoint, which is not in the registry, leads by now.
+TEST_CASE("a takeover waits for the former primary when a departed member leads") {
+  MemberStatus leader = Departed(Replica("d", 100), true);
+  leader.is_primary = true;
+  const auto view = View(TakeoverReason::kPrimaryLost, {Primary(false), leader, Replica("a", 90)});
+  CHECK(NextTakeoverStep(view).kind == Kind::kStepDown);
+  CHECK(NextTakeoverStep(view).endpoint == "d");
+}
+
 // Guards against takeovers that compare too few logs, and against takeovers that wait for an
 // endpoint that is gone for good.
 TEST_CASE(
@@ -303,6 +313,11 @@
   const MemberStatus answers = Departed(Replica("b", 100), true);
   CHECK(MembersToForget(before, {Primary(true), Replica("a", 100), answers}).empty());
   CHECK(MembersToForget({Primary(true), Replica("a", 100), answers}, before).empty());
+  // So may one that is at its connection limit.
+  MemberStatus full = gone;
+  full.refused = true;
+  CHECK(MembersToForget(before, {Primary(true), Replica("a", 100), full}).empty());
+  CHECK(MembersToForget({Primary(true), Replica("a", 100), full}, before).empty());
   // Between the two rounds another endpoint was promoted: the positions are not comparable.
   MemberStatus next = Primary(true);
   next.term = 4;
