--- a/kernel/store_revision.h
+++ b/kernel/store_revision.h
@@ -16,7 +16,7 @@
   friend auto operator<=>(const StoreRevision& left, const StoreRevision& right) = default;
 
   /// @returns Whether this is the revision of a change.
-  bool exists() const { return this->number != 0; }
+  bool Exists() const { return this->number != 0; }
 
   /// @returns Text for logs: "number", or "era/number" when the store tells its era.
   std::string ToText() const {
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -93,7 +93,7 @@
   if (newer.revision <= this->claim.revision) {
     return;
   }
-  if (newer.revision.era > this->claim.revision.era && this->claim.revision.exists()) {
+  if (newer.revision.era > this->claim.revision.era && this->claim.revision.Exists()) {
     this->AdoptRestoredClaim(std::move(newer));
     return;
   }
@@ -104,7 +104,7 @@
   }
   // Whether the claim was stored recently. The first takeover claim that this daemon reads after
   // its start may be old, so it counts as recent only if its phase is kClaimed.
-  const bool is_recent = this->claim.revision.exists() || newer.phase == TakeoverPhase::kClaimed;
+  const bool is_recent = this->claim.revision.Exists() || newer.phase == TakeoverPhase::kClaimed;
   this->claim = std::move(newer);
   this->claim_seen = BootNow();
   Log(LogLevel::kInfo, "takeover claim",
@@ -158,7 +158,7 @@
 }
 
 void ServiceGroup::ForgetClaim(StoreRevision listed) {
-  if (listed.era <= this->claim.revision.era || !this->claim.revision.exists()) {
+  if (listed.era <= this->claim.revision.era || !this->claim.revision.Exists()) {
     return;
   }
   TakeoverClaim none;
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -113,7 +113,7 @@
     const GatewayPlan& plan = this->cluster->relays().plan();
     const bool has_peers = this->cluster->relays().peers() != nullptr && plan.size() > 1;
     const bool discovering_peers = plan.size() == 1 && BootNow() - started < kPeerDiscoveryTimeout;
-    if (discovering_peers && kind->revision.exists()) {
+    if (discovering_peers && kind->revision.Exists()) {
       co_await Pause(kPeerDiscoveryPoll);
       continue;
     }
@@ -189,7 +189,7 @@
 asio::awaitable<bool> StoreSync::SyncFromStore(std::shared_ptr<KindState> kind) {
   std::string cause;
   try {
-    bool complete = !kind->revision.exists() || kind->revision.era < this->era.value_or(0);
+    bool complete = !kind->revision.Exists() || kind->revision.era < this->era.value_or(0);
     if (!complete) {
       try {
         co_await this->WatchKind(kind);
@@ -361,7 +361,7 @@
     while (kind->reachable && kind->revision <= request.since && BootNow() < deadline) {
       co_await kind->changed.Wait(deadline - BootNow());
     }
-    answer.reachable = kind->reachable && kind->revision.exists();
+    answer.reachable = kind->reachable && kind->revision.Exists();
     answer.revision = kind->revision;
     answer.complete = request.since < kind->listed_at;
     for (const auto& [name, object] : kind->objects) {
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -119,13 +119,13 @@
       cause = error.what();
     }
   }
-  Log(LogLevel::kInfo, claim.revision.exists() ? "takeover claimed" : "takeover not claimed",
+  Log(LogLevel::kInfo, claim.revision.Exists() ? "takeover claimed" : "takeover not claimed",
       {{"service", group->name},
        {"reason", kTakeoverReasonNames.NameOf(reason)},
        {"old_primary", group->old_primary},
        {"token", FencingToken(claim.revision)},
        {"cause", cause}});
-  if (!claim.revision.exists()) {
+  if (!claim.revision.Exists()) {
     co_return false;
   }
   group->ApplyClaim(claim);
