session: daemons that restart together use half of their connection share, then grow

Cause: for 3.5 s after its start a daemon used one connection to each endpoint, and an open transaction (40% of the bookings) holds it between its statements. Ruled out: the start itself (all daemons listened and knew the primaries 20 ms after it) and the endpoints' slots.

Idle daemons keep at most half of their share open, so the other half is free after a loss of power: it is the first limit now, and from 1 s on it grows by one connection each 500 ms.

--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "kernel/startup_limit.h"
 #include "net/random_bits.h"
 #include "session/boot_clock.h"
 #include "session/direct_channel.h"
@@ -26,11 +27,6 @@
 // For this time after an endpoint has refused a connection at its connection limit, this daemon
 // does not raise its number of connections: other daemons need the time to close idle connections.
 constexpr Duration kLimitHoldTime = 3s;
-// For this time after a daemon has learned of an endpoint, usually at its start, it uses only one
-// connection to the endpoint. After a power loss of several daemons, the connections of their
-// previous processes still count towards the endpoint's connection limit until the endpoint drops
-// them, 3 s after their VMs have disappeared.
-constexpr Duration kStartupLimitTime = 3500ms;
 // Because all daemons of a fleet may start together, each daemon delays the first connection that
 // it opens in advance by a random time up to this one.
 constexpr Duration kWarmUpSpread = 2s;
@@ -315,11 +311,10 @@
 }
 
 void EndpointPool::ApplyLimits() {
-  uint32_t total = this->share + this->borrowed;
-  if (BootNow() - this->created < kStartupLimitTime) {
-    total = 1;
-  } else if (BootNow() < this->observed_limit_until) {
-    total = std::clamp<uint32_t>(this->observed_limit, 1, this->share);
+  const TimePoint now = BootNow();
+  uint32_t total = StartupConnectionLimit(this->share, this->borrowed, now - this->created);
+  if (now < this->observed_limit_until) {
+    total = std::min(total, std::clamp<uint32_t>(this->observed_limit, 1, this->share));
   }
   uint32_t single_statement_limit = std::min(this->single_limit, total);
   single_statement_limit = this->reduced_limit == 0
@@ -351,8 +346,8 @@
     this->observed_limit_until = {};
     this->ApplyLimits();
   }
-  if (this->startup_limited && now - this->created >= kStartupLimitTime) {
-    this->startup_limited = false;
+  if (this->startup_limited) {
+    this->startup_limited = now - this->created < kStartupLimitTime;
     this->ApplyLimits();
   }
   const size_t kept = this->IdleTarget();
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -216,7 +216,7 @@
   // Earliest time to open the next connection in advance; random at first, so that daemons that
   // start together do not open their connections at the same time.
   TimePoint next_warm_up;
-  // Whether the pool is limited to one connection because it was created less than
+  // Whether StartupConnectionLimit() applies because the pool was created less than
   // kStartupLimitTime ago. CloseIdle() sets the field to false after that time.
   bool startup_limited = true;
   StatementQueue::Ticket next_ticket = 1;
