session: an unexpected error ends only the session or task in which it occurs

It can happen here: an exception that leaves a caller's session, a probe or a takeover was thrown again in the event loop and ended the daemon; one that left the loop which reads the store ended this loop silently, and the daemon learnt of no change any more. Ruled out: a message that triggers this today (the line codec, the relay codec and the log replace or refuse what they cannot read), so the test uses a codec with a defect.

--- a/session/relay_router.cc
+++ b/session/relay_router.cc
@@ -1,13 +1,12 @@
 #include "session/relay_router.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <exception>
 #include <random>
 #include <stdexcept>
 
 #include "net/peer_network.h"
+#include "session/background_task.h"
 #include "session/boot_clock.h"
 #include "session/relay_channel.h"
 #include "session/wait_list.h"
@@ -79,14 +78,6 @@
   this->peer_health.SetPeers(this->gateways.Peers());
 }
 
-void RelayRouter::Spawn(asio::awaitable<void> work, const asio::any_io_executor& executor) {
-  asio::co_spawn(executor, std::move(work), [](std::exception_ptr failure) {
-    if (failure) {
-      std::rethrow_exception(failure);
-    }
-  });
-}
-
 asio::awaitable<void> RelayRouter::WatchPeers() {
   const auto executor = co_await asio::this_coro::executor;
   for (;;) {
@@ -97,7 +88,7 @@
         return candidate.address == address;
       });
       if (peer != live.end() && this->checking.insert(address).second) {
-        this->Spawn(this->Check(*peer), executor);
+        SpawnTask(executor, "check a peer", this->Check(*peer));
       }
     }
     if (this->probe_all_due) {
@@ -111,12 +102,12 @@
             std::find(connected.begin(), connected.end(), peer.address) != connected.end();
         if (is_connected && !this->peer_health.IsLost(peer) &&
             this->checking.insert(peer.address).second) {
-          this->Spawn(this->Check(peer), executor);
+          SpawnTask(executor, "check a peer", this->Check(peer));
         }
       }
     }
     for (const Peer& peer : this->peer_health.TakeDueProbes(BootNow(), &this->random)) {
-      this->Spawn(this->Probe(peer), executor);
+      SpawnTask(executor, "probe a peer", this->Probe(peer));
     }
   }
 }
--- a/session/relay_router.h
+++ b/session/relay_router.h
@@ -98,7 +98,6 @@
   boost::asio::awaitable<bool> Ping(Peer peer, Duration limit);
   // Pings a peer that is recorded as unreachable, and records whether the peer answers.
   boost::asio::awaitable<void> Probe(Peer peer);
-  void Spawn(boost::asio::awaitable<void> work, const boost::asio::any_io_executor& executor);
 
   std::string self;
   GatewayPlan gateways;
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -12,6 +12,7 @@
 #include "net/key_ring.h"
 #include "net/peer_network.h"
 #include "net/random_bits.h"
+#include "session/background_task.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
 #include "session/object_store.h"
@@ -198,7 +199,8 @@
   this->components->sync.Attach(this->components->peers.get());
   this->components->peers->Listen(this->settings.peer_address);
   this->components->cluster.SetNetwork(this->components->peers.get());
-  asio::co_spawn(*this->context, this->components->cluster.relays().WatchPeers(), Rethrow);
+  SpawnService(this->context->get_executor(), "watch the peers",
+               [this] { return this->components->cluster.relays().WatchPeers(); });
   for (;;) {
     co_await Pause(kOrphanCheckInterval);
     this->components->relay_server.EndOrphanedTransactions();
--- a/session/session_server.cc
+++ b/session/session_server.cc
@@ -1,11 +1,11 @@
 #include "session/session_server.h"
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <stdexcept>
 
 #include "net/address.h"
+#include "session/background_task.h"
 #include "session/caller_session.h"
 #include "session/wait_list.h"
 #include "telemetry/log.h"
@@ -37,11 +37,8 @@
   } catch (const boost::system::system_error& error) {
     throw std::runtime_error("cannot listen on " + address + ": " + error.what());
   }
-  asio::co_spawn(this->executor, this->Accept(max_sessions), [](std::exception_ptr failure) {
-    if (failure) {
-      std::rethrow_exception(failure);
-    }
-  });
+  SpawnService(this->executor, "accept callers",
+               [this, max_sessions] { return this->Accept(max_sessions); });
 }
 
 asio::awaitable<void> SessionServer::Accept(size_t max_sessions) {
@@ -66,12 +63,8 @@
     auto session = std::make_shared<CallerSession>(std::move(socket), number, this->cluster,
                                                    this->runner, this->codec);
     this->sessions.emplace(number, session);
-    asio::co_spawn(this->executor, session->Serve(), [this, number](std::exception_ptr failure) {
-      this->sessions.erase(number);
-      if (failure) {
-        std::rethrow_exception(failure);
-      }
-    });
+    SpawnTask(this->executor, "caller session", session->Serve(),
+              [this, number] { this->sessions.erase(number); });
   }
 }
 
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -1,14 +1,13 @@
 #include "session/store_sync.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <optional>
 #include <random>
 #include <set>
 
 #include "kernel/random.h"
 #include "net/peer_network.h"
+#include "session/background_task.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
 #include "session/daemon_entry.h"
@@ -88,7 +87,8 @@
   const auto start_sync = [this](std::string name, std::chrono::milliseconds wait, Apply apply) {
     auto kind = std::make_shared<KindState>(name, wait, std::move(apply), WaitList(this->executor));
     this->kinds[name] = kind;
-    asio::co_spawn(this->executor, this->SyncKind(std::move(kind)), asio::detached);
+    SpawnService(this->executor, "read changes of " + name,
+                 [this, kind] { return this->SyncKind(kind); });
   };
   start_sync(this->registry->routes_kind(), WatchWait(this->bounds.routes),
              [this](const StoreSnapshot& snapshot, bool) { this->ApplyRoutes(snapshot); });
--- a/session/store_sync_entries.cc
+++ b/session/store_sync_entries.cc
@@ -2,11 +2,10 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <optional>
 #include <set>
 
+#include "session/background_task.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
 #include "session/daemon_entry.h"
@@ -64,10 +63,10 @@
   for (const auto& [name, other] : this->kinds) {
     // A kind that waits, in a watch call or before a retry, would notice the restore too late.
     if (name != kind && (other->watching || !other->reachable)) {
-      asio::co_spawn(this->executor, this->ListAgain(other), asio::detached);
+      SpawnTask(this->executor, "list a kind again", this->ListAgain(other));
     }
   }
-  asio::co_spawn(this->executor, this->RewriteKeptObjects(), asio::detached);
+  SpawnTask(this->executor, "write kept objects again", this->RewriteKeptObjects());
   this->restored.NotifyAll();
 }
 
--- a/session/takeover_controller.cc
+++ b/session/takeover_controller.cc
@@ -1,10 +1,8 @@
 #include "session/takeover_controller.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <exception>
 
+#include "session/background_task.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
 #include "session/endpoint_session.h"
@@ -94,16 +92,8 @@
   status->active_pause_term = report.active_pause_term;
 }
 
-void TakeoverController::Spawn(asio::awaitable<void> work) {
-  asio::co_spawn(this->executor, std::move(work), [](std::exception_ptr failure) {
-    if (failure) {
-      std::rethrow_exception(failure);
-    }
-  });
-}
-
 void TakeoverController::Start() {
-  this->Spawn(this->Run());
+  SpawnService(this->executor, "check the endpoints", [this] { return this->Run(); });
 }
 
 // -----------------------------------------------------------------------------
@@ -132,21 +122,23 @@
     if (due && !pool->probing && may_probe) {
       pool->probing = true;
       pool->suspected = false;
-      this->Spawn(this->ProbeEndpoint(group, pool));
+      SpawnTask(this->executor, "probe an endpoint", this->ProbeEndpoint(group, pool));
     }
   }
   const auto primary = group->Primary();
   if (primary == nullptr) {
     if (!group->finding_primary && group->HasRegisteredMember()) {
       group->finding_primary = true;
-      this->Spawn(this->FindPrimary(group));
+      SpawnTask(this->executor, "find a primary", this->FindPrimary(group),
+                [group] { group->finding_primary = false; });
     }
     return;
   }
   if (group->HasDepartedMember() && !group->reviewing_departures && !group->taking_over &&
       now >= group->next_departure_review) {
     group->reviewing_departures = true;
-    this->Spawn(this->ReviewDepartures(group));
+    SpawnTask(this->executor, "review departed endpoints", this->ReviewDepartures(group),
+              [group] { group->reviewing_departures = false; });
   }
   // Only daemons that reach the primary directly check whether it leaves or stalls, so that in a
   // large fleet not all daemons start a takeover at the same time.
@@ -155,7 +147,8 @@
   }
   if (primary->record().leaving) {
     group->taking_over = true;
-    this->Spawn(this->RunTakeover(group, TakeoverReason::kPrimaryLeaving));
+    SpawnTask(this->executor, "run a takeover",
+              this->RunTakeover(group, TakeoverReason::kPrimaryLeaving));
     return;
   }
   TimePoint oldest = now;
@@ -164,7 +157,8 @@
   }
   if (now - oldest > kCommitStallTimeout && now - group->primary_since > kNewPrimaryGrace) {
     group->taking_over = true;
-    this->Spawn(this->RunTakeover(group, TakeoverReason::kReplicationStalled));
+    SpawnTask(this->executor, "run a takeover",
+              this->RunTakeover(group, TakeoverReason::kReplicationStalled));
   }
 }
 
@@ -201,7 +195,8 @@
   const bool was_down = pool->down;
   result->pending = was_down ? 1 : kProbeAttempts;
   for (int number = 0; number < result->pending; ++number) {
-    this->Spawn(attempt(result, pool, number * kProbeStagger));
+    SpawnTask(this->executor, "probe an endpoint once",
+              attempt(result, pool, number * kProbeStagger));
   }
   while (result->pending > 0 && !result->answers) {
     co_await result->changed.Wait(kProbeTimeout);
@@ -303,9 +298,10 @@
   for (size_t index = 0; index < round->queries.size(); ++index) {
     const StatusRound::Query& query = round->queries[index];
     down += query.pool->down ? 1 : 0;
-    this->Spawn(this->QueryStatus(round, index, timeout, false));
+    SpawnTask(this->executor, "query an endpoint", this->QueryStatus(round, index, timeout, false));
     if (query.pending > 1) {
-      this->Spawn(this->QueryStatus(round, index, timeout, true));
+      SpawnTask(this->executor, "query an endpoint directly",
+                this->QueryStatus(round, index, timeout, true));
     }
   }
   const TimePoint deadline = BootNow() + timeout;
@@ -360,7 +356,6 @@
                               : kFollowerSearchInterval +
                                     RandomDuration(&this->random, kFollowerSearchJitter));
   }
-  group->finding_primary = false;
 }
 
 asio::awaitable<void> TakeoverController::ReviewDepartures(ServiceGroup* group) {
@@ -383,7 +378,6 @@
     }
   }
   group->next_departure_review = BootNow() + interval / 2;
-  group->reviewing_departures = false;
 }
 
 }  // namespace poplarmoor
--- a/session/takeover_controller.h
+++ b/session/takeover_controller.h
@@ -49,6 +49,7 @@
   // Removes the departed members that later takeovers need not compare.
   boost::asio::awaitable<void> ReviewDepartures(ServiceGroup* group);
   boost::asio::awaitable<void> RunTakeover(ServiceGroup* group, TakeoverReason reason);
+  boost::asio::awaitable<void> TryTakeover(ServiceGroup* group, TakeoverReason reason);
   boost::asio::awaitable<bool> ClaimTakeover(ServiceGroup* group, TakeoverReason reason);
   boost::asio::awaitable<void> RunTakeoverSteps(ServiceGroup* group,
                                                 TakeoverReason reason,
@@ -78,7 +79,6 @@
   boost::asio::awaitable<std::vector<MemberStatus>> CollectStatuses(ServiceGroup* group,
                                                                     Duration timeout);
   bool IsClaimed(const ServiceGroup& group) const;
-  void Spawn(boost::asio::awaitable<void> work);
 
   boost::asio::any_io_executor executor;
   Cluster* cluster;
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -65,6 +65,16 @@
 }
 
 asio::awaitable<void> TakeoverController::RunTakeover(ServiceGroup* group, TakeoverReason reason) {
+  try {
+    co_await this->TryTakeover(group, reason);
+  } catch (...) {
+    group->taking_over = false;
+    throw;
+  }
+  group->taking_over = false;
+}
+
+asio::awaitable<void> TakeoverController::TryTakeover(ServiceGroup* group, TakeoverReason reason) {
   const bool planned = reason == TakeoverReason::kPrimaryLeaving;
   co_await Pause(RandomDuration(&this->random, planned ? kPlannedJitter : kUnplannedJitter));
   bool claimed = !this->IsClaimed(*group);
@@ -77,7 +87,6 @@
     // Another daemon holds the takeover claim, or the store cannot be reached.
     co_await Pause(kClaimRetryDelay);
   }
-  group->taking_over = false;
 }
 
 asio::awaitable<bool> TakeoverController::ClaimTakeover(ServiceGroup* group,
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
+#include <stdexcept>
 
 #include "net/address.h"
 #include "platform/line_codec.h"
@@ -50,6 +52,21 @@
   std::vector<std::string> endpoints;
   // Number of the next promotion requests that fail immediately, as if the platform were down.
   int unanswered_orders = 0;
+  // If set, all promotion requests are refused, and this function is called for each of them.
+  std::function<void()> on_refusal;
+};
+
+// Codec with a defect: it throws an exception of an unexpected type for some messages.
+class DefectiveCodec : public LineCodec {
+ public:
+  static constexpr std::string_view kTrigger = "trigger-the-defect";
+
+  CallerMessage DecodeCaller(std::string_view line) const override {
+    if (line.find(kTrigger) != std::string_view::npos) {
+      throw std::logic_error("defect");
+    }
+    return LineCodec::DecodeCaller(line);
+  }
 };
 
 // One daemon with a group of three endpoints; the test connects to the daemon as a caller.
@@ -126,7 +143,7 @@
   }
 
   asio::io_context context{1};
-  LineCodec codec;
+  DefectiveCodec codec;
   FakeGroup group;
   MemoryStore store;
   Metrics metrics;
@@ -408,6 +425,18 @@
   CHECK(caller.Query("READ 1").starts_with("ROW data"));
 }
 
+// Guards against a single message that ends the whole process because of a defect.
+TEST_CASE("an unexpected error in one caller's session ends only this session") {
+  Fixture fixture;
+  Caller broken(&fixture, "orders");
+  Caller other(&fixture, "orders");
+  CHECK(broken.Receive().empty());
+  CHECK(other.Receive().empty());
+  CHECK(broken.Query(std::string("READ ") + std::string(DefectiveCodec::kTrigger)).empty());
+  CHECK(other.Query("READ 1").starts_with("ROW data"));
+  CHECK(fixture.server.size() == 1);
+}
+
 TEST_CASE(
     "many open sessions whose callers send no statements occupy no connections to endpoints") {
   Fixture fixture;
