takeover: replicas are told to resume only while the store confirms this daemon's claim

Report of other operators: around a hand-over between two processes, both acted for a moment. It can happen here: a daemon that was frozen or cut off from the store during a takeover gave it up when it went on (its time limit had passed), could not store the phase resuming because another daemon had claimed the takeover, and sent the orders to resume replication all the same. An endpoint does not check the term of such an order, so that it undoes the pause that the newer takeover relies on, and acknowledged commits can be lost. Ruled out: promotion orders, which the platform refuses by their fencing token.

An answer that was lost is read back, as for a claim (StoreClaim). The test covers a takeover that was claimed by another daemon, and one that was not.

--- a/session/takeover_controller.h
+++ b/session/takeover_controller.h
@@ -48,6 +48,7 @@
   boost::asio::awaitable<void> FindPrimary(ServiceGroup* group);
   // Removes the departed members that later takeovers need not compare.
   boost::asio::awaitable<void> ReviewDepartures(ServiceGroup* group);
+  // Runs a takeover and clears the group's `taking_over` when it has ended.
   boost::asio::awaitable<void> RunTakeover(ServiceGroup* group, TakeoverReason reason);
   boost::asio::awaitable<void> TryTakeover(ServiceGroup* group, TakeoverReason reason);
   boost::asio::awaitable<bool> ClaimTakeover(ServiceGroup* group, TakeoverReason reason);
@@ -66,8 +67,17 @@
   boost::asio::awaitable<bool> OrderMember(ServiceGroup* group,
                                            TakeoverStep step,
                                            TakeoverView* view);
+  // Writes this daemon's takeover claim to the store if the store still has the revision that this
+  // daemon knows. If the answer is lost, reads the claim back.
+  // @returns The claim's new revision; number 0 when it was not stored. Then another daemon's claim
+  //     is applied if the store has one.
+  boost::asio::awaitable<StoreRevision> StoreClaim(TakeoverClaim claim,
+                                                   uint64_t expected,
+                                                   std::string* cause);
   // Writes the takeover claim's new phase to the store, where the other daemons read it.
-  boost::asio::awaitable<void> PublishPhase(ServiceGroup* group,
+  // @returns Whether the store has accepted it, which shows that no other daemon has claimed the
+  //     takeover meanwhile.
+  boost::asio::awaitable<bool> PublishPhase(ServiceGroup* group,
                                             TakeoverPhase phase,
                                             std::string endpoint);
 
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -103,31 +103,7 @@
     claim.members.push_back({id, pool->record().address, pool->record().failure_domain});
   }
   std::string cause;
-  bool conflict = false;
-  try {
-    claim.revision = co_await this->store->Put(
-        kTakeoverKind, group->name, EncodeTakeoverClaim(claim), group->claim.revision.number);
-  } catch (const StoreError& error) {
-    cause = error.what();
-    conflict = error.failure != StoreFailure::kRefused;
-  }
-  if (conflict) {
-    // Another daemon stored its takeover claim first, or the store stored this daemon's claim but
-    // the answer was lost; the claim in the store shows which.
-    try {
-      const auto stored = co_await this->store->Get(kTakeoverKind, group->name, false);
-      if (stored) {
-        const TakeoverClaim current = DecodeTakeoverClaim(stored->value, stored->revision);
-        if (current.holder == this->daemon && current.nonce == claim.nonce) {
-          claim.revision = current.revision;
-        } else {
-          this->cluster->ApplyClaim(current);
-        }
-      }
-    } catch (const std::runtime_error& error) {
-      cause = error.what();
-    }
-  }
+  claim.revision = co_await this->StoreClaim(claim, group->claim.revision.number, &cause);
   Log(LogLevel::kInfo, claim.revision.Exists() ? "takeover claimed" : "takeover not claimed",
       {{"service", group->name},
        {"reason", kTakeoverReasonNames.NameOf(reason)},
@@ -141,6 +117,36 @@
   co_return true;
 }
 
+asio::awaitable<StoreRevision> TakeoverController::StoreClaim(TakeoverClaim claim,
+                                                              uint64_t expected,
+                                                              std::string* cause) {
+  try {
+    co_return co_await this->store->Put(kTakeoverKind, claim.service, EncodeTakeoverClaim(claim),
+                                        expected);
+  } catch (const StoreError& error) {
+    *cause = error.what();
+    if (error.failure == StoreFailure::kRefused) {
+      co_return StoreRevision();
+    }
+  }
+  // Another daemon stored its takeover claim first, or the store stored this daemon's claim but the
+  // answer was lost; the claim in the store shows which.
+  try {
+    const auto stored = co_await this->store->Get(kTakeoverKind, claim.service, false);
+    if (stored) {
+      const TakeoverClaim current = DecodeTakeoverClaim(stored->value, stored->revision);
+      if (current.holder == claim.holder && current.nonce == claim.nonce &&
+          current.phase == claim.phase) {
+        co_return current.revision;
+      }
+      this->cluster->ApplyClaim(current);
+    }
+  } catch (const std::runtime_error& error) {
+    *cause = error.what();
+  }
+  co_return StoreRevision();
+}
+
 asio::awaitable<void> TakeoverController::RunTakeoverSteps(ServiceGroup* group,
                                                            TakeoverReason reason,
                                                            TakeoverClaim held) {
@@ -241,11 +247,17 @@
     // restored without this claim, an order of this daemon to promote may still be carried out.
     co_return;
   }
-  // If the answer to an order to resume replication is lost, the endpoint may still carry out the
-  // order during the next takeover. The stored phase kResuming tells the next holder of the claim
-  // that this may happen.
-  if (!paused.empty()) {
-    co_await this->PublishPhase(group, TakeoverPhase::kResuming, "");
+  // The stored phase kResuming shows that no other daemon has claimed the takeover meanwhile, for
+  // example while this daemon was frozen: an order to resume replication would undo a pause that
+  // the other daemon relies on. The phase also tells the next holder of the claim that the endpoint
+  // may still carry out such an order if its answer is lost.
+  while (!paused.empty() && !co_await this->PublishPhase(group, TakeoverPhase::kResuming, "")) {
+    if (group->claim.nonce != held.nonce || this->stopping) {
+      Log(LogLevel::kInfo, "replicas stay paused: the takeover is no longer this daemon's",
+          {{"service", group->name}, {"holder", group->claim.holder}});
+      co_return;
+    }
+    co_await Pause(kClaimRetryDelay);
   }
   bool all_resumed = true;
   for (const std::string& endpoint : paused) {
@@ -265,22 +277,21 @@
   }
 }
 
-asio::awaitable<void> TakeoverController::PublishPhase(ServiceGroup* group,
+asio::awaitable<bool> TakeoverController::PublishPhase(ServiceGroup* group,
                                                        TakeoverPhase phase,
                                                        std::string endpoint) {
   TakeoverClaim claim = group->claim;
   claim.phase = phase;
   claim.endpoint = std::move(endpoint);
-  try {
-    claim.revision = co_await this->store->Put(kTakeoverKind, group->name,
-                                               EncodeTakeoverClaim(claim), claim.revision.number);
-    group->ApplyClaim(std::move(claim));
-  } catch (const StoreError& error) {
+  std::string cause;
+  claim.revision = co_await this->StoreClaim(claim, claim.revision.number, &cause);
+  if (!claim.revision.Exists()) {
     Log(LogLevel::kInfo, "takeover phase not stored",
-        {{"service", group->name},
-         {"phase", kTakeoverPhaseNames.NameOf(phase)},
-         {"cause", error.what()}});
+        {{"service", group->name}, {"phase", kTakeoverPhaseNames.NameOf(phase)}, {"cause", cause}});
+    co_return false;
   }
+  group->ApplyClaim(std::move(claim));
+  co_return true;
 }
 
 asio::awaitable<bool> TakeoverController::Promote(ServiceGroup* group,
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -40,6 +40,10 @@
       co_await Pause(1ms);
       co_return PromotionOutcome::kUnknown;
     }
+    if (this->on_refusal) {
+      this->on_refusal();
+      co_return PromotionOutcome::kRefused;
+    }
     if (this->group->primary != endpoint) {
       this->group->primary = endpoint;
       ++this->group->term;
@@ -361,6 +365,38 @@
   }
 }
 
+// Guards against a daemon that was frozen or cut off from the store during a takeover: when it goes
+// on, its orders would undo the pause that the next takeover relies on, and acknowledged commits
+// would be lost.
+TEST_CASE(
+    "a daemon that gives up a takeover lets the paused replicas resume only if no other daemon has "
+    "claimed the takeover meanwhile") {
+  const bool superseded = GENERATE(false, true);
+  Fixture fixture;
+  fixture.promotions.on_refusal = [&fixture, superseded] {
+    if (superseded) {
+      TakeoverClaim newer;
+      newer.service = "ledger";
+      newer.phase = TakeoverPhase::kClaimed;
+      newer.holder = "d2";
+      newer.nonce = 99;
+      fixture.store.kinds[kTakeoverKind]["ledger"] = {"ledger", fixture.store.NextRevision(),
+                                                      EncodeTakeoverClaim(newer), false};
+    }
+  };
+  const auto paused = [&fixture] {
+    return fixture.endpoints[1]->active_pause_term != 0 ||
+           fixture.endpoints[2]->active_pause_term != 0;
+  };
+  fixture.takeover_controller.Start();
+  fixture.LosePrimary();
+  fixture.RunUntil([&] { return !fixture.promotions.tokens.empty(); });
+  REQUIRE(paused());
+  const ServiceGroup* group = fixture.cluster.FindGroup("ledger");
+  fixture.RunUntil([&] { return !group->taking_over; });
+  CHECK(paused() == superseded);
+}
+
 TEST_CASE(
     "when an endpoint has reached its connection limit, a daemon waits longer before each further "
     "attempt to connect to the endpoint") {
