session: a gateway that stops finishes what other daemons have sent to it

It can happen here: a daemon stopped as soon as its own callers were gone, with statements and transactions of other daemons in progress on its connections; their writes were answered as in doubt, their transactions as aborted.

From the signal on a gateway refuses new statements of other daemons as not run (too_many_connections, so that the next gateway is asked and the endpoint does not count as unreachable), and the process ends after those in progress.

--- a/session/relay_server.cc
+++ b/session/relay_server.cc
@@ -80,7 +80,15 @@
 
 asio::awaitable<PeerMessage> RelayServer::OnStatement(PeerMessage message) {
   const RelayRequest request = DecodeRelayRequest(message.body);
-  const RelayAnswer answer = co_await this->Run(request);
+  RelayAnswer answer;
+  ++this->running;
+  try {
+    answer = co_await this->Run(request);
+  } catch (...) {
+    --this->running;
+    throw;
+  }
+  --this->running;
   std::string body = EncodeRelayAnswer(answer);
   co_return PeerMessage(kRelayMessage, std::move(body));
 }
@@ -94,6 +102,11 @@
   if (existing != this->transactions.end()) {
     leased = std::move(existing->second);
     this->transactions.erase(existing);
+  } else if (this->draining) {
+    // Another gateway is tried. kUnreachable would say that the endpoint may be down.
+    attempt.failure = AcquireFailure::kTooMany;
+    attempt.cause = "the gateway is stopping";
+    co_return ToAnswer(attempt);
   } else {
     leased.pool = this->cluster->FindEndpoint(request.endpoint);
     const bool transaction_gone =
--- a/session/relay_server.h
+++ b/session/relay_server.h
@@ -26,6 +26,13 @@
   /// Registers the handlers of relay messages from other daemons.
   void RegisterHandlers(PeerNetwork* network);
 
+  /// Prepares for a planned stop of the daemon: new statements and transactions of other daemons
+  /// are refused as not run, so that these daemons use another gateway. Open transactions go on.
+  void Drain() { this->draining = true; }
+
+  /// @returns Number of statements of other daemons that run and of their open transactions.
+  size_t in_progress() const { return this->running + this->transactions.size(); }
+
   /// Rolls back each relayed transaction that has been idle for longer than the idle limit of
   /// transactions plus a grace period: the daemon that sends the transaction's statements must have
   /// died. To be called regularly.
@@ -49,8 +56,11 @@
 
   boost::asio::any_io_executor executor;
   Cluster* cluster;
-  // Connections leased to relayed transactions, by lease number.
+  // Connections leased to relayed transactions, by lease number. The entry of a transaction is
+  // missing while one of its statements runs.
   std::map<uint64_t, LeasedConnection> transactions;
+  size_t running = 0;     // Number of statements of other daemons that run.
+  bool draining = false;  // The daemon is about to stop.
 };
 
 }  // namespace poplarmoor
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -231,20 +231,28 @@
   const Duration grace = this->settings.stop_grace;
   this->stopping = true;
   this->components->takeover_controller.Stop();
-  Log(LogLevel::kInfo, "daemon stops", {{"sessions", this->components->server.size()}});
-  asio::co_spawn(*this->context, this->components->sync.RemoveDaemonEntry(), Rethrow);
+  RelayServer& relays = this->components->relay_server;
+  relays.Drain();
+  Log(LogLevel::kInfo, "daemon stops",
+      {{"sessions", this->components->server.size()}, {"relayed", relays.in_progress()}});
+  SpawnTask(this->context->get_executor(), "remove the daemon entry",
+            this->components->sync.RemoveDaemonEntry());
   co_await Pause(std::min<Duration>(kBalancerRemovalDelay, grace / 3));
   this->components->server.Drain();
   bool transactions_ended = false;
-  while (this->components->server.size() > 0 && BootNow() - stop_time < grace - kStopMargin) {
+  while (this->components->server.size() + relays.in_progress() > 0 &&
+         BootNow() - stop_time < grace - kStopMargin) {
     if (!transactions_ended && BootNow() - stop_time > grace / 2) {
       transactions_ended = true;
       this->components->server.EndIdleTransactions();
     }
     co_await Pause(kStopPollInterval);
   }
+  // The last answers to other daemons are still being sent.
+  co_await Pause(kStopPollInterval);
   Log(LogLevel::kInfo, "daemon stopped",
       {{"sessions_left", this->components->server.size()},
+       {"relayed_left", relays.in_progress()},
        {"elapsed_ms", ToMillis(BootNow() - stop_time)}});
   this->context->stop();
 }
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -168,6 +168,36 @@
   CHECK(fixture.group.executed.size() == 1);
 }
 
+// Guards against a planned stop of a gateway that cuts off what other daemons' callers have sent:
+// a write would be reported as in doubt, a transaction as aborted.
+TEST_CASE(
+    "a gateway that is stopping finishes the open transactions of other daemons and refuses new "
+    "statements as not run") {
+  RelayFixture fixture;
+  SessionState state;
+  state.session = 7;
+  SessionTransaction transaction;
+  const auto first = fixture.Await(fixture.entry.runner.RunInTransaction(
+      fixture.Job("w1", "WRITE 1 x", true), &state, &transaction));
+  CHECK_FALSE(first.error);
+  fixture.gate.server.Drain();
+  CHECK(fixture.gate.server.in_progress() == 1);
+  const auto second = fixture.Await(fixture.entry.runner.RunInTransaction(
+      fixture.Job("w2", "WRITE 2 x", true), &state, &transaction));
+  CHECK_FALSE(second.error);
+  const auto commit = fixture.Await(
+      fixture.entry.runner.Commit(fixture.Job("c1", "COMMIT", true), &state, &transaction));
+  CHECK_FALSE(commit.error);
+  CHECK(fixture.gate.server.in_progress() == 0);
+  const size_t executed = fixture.group.executed.size();
+  fixture.route.statement_timeout = 300ms;
+  const auto refused =
+      fixture.Await(fixture.entry.runner.Run(fixture.Job("w3", "WRITE 3 x", true), &state));
+  REQUIRE(refused.error);
+  CHECK(HasNotRun(*refused.error));
+  CHECK(fixture.group.executed.size() == executed);
+}
+
 // Failure: a gateway has lost power or is cut off. Connections to the gateway can be opened, but it
 // answers no call.
 TEST_CASE(
