store sync: followers of a watcher know how old its copy is, and stay with the one that answers

Each answer of a watcher now tells how long ago the store confirmed its copy.

A follower now asks the watcher first that answered last time.

--- /dev/null
+++ b/kernel/change_schedule.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "kernel/time.h"
+
+namespace poplarmoor {
+
+/// Time limits for the calls that bring changes of the object store to all daemons. In a small
+/// fleet every daemon watches the store. In a large one a few daemons (watchers) do, and the others
+/// (followers) read the changes from them. A watcher that is cut off from the store may not notice
+/// for some time, so each of its answers tells how long ago the store last confirmed its copy, and
+/// a follower that finds this too long ago goes to the next watcher and at last to the store.
+class ChangeSchedule {
+ public:
+  /// Time limit for a peer's answer, in addition to the time that the peer may wait for a change.
+  static constexpr Duration kPeerAnswerTimeout = 250ms;
+
+  /// @param bound Time within which a change must be applied by every daemon that reaches the
+  ///     store.
+  explicit ChangeSchedule(Duration bound);
+
+  /// @returns Longest time that a watch call to the store waits for a change if every daemon
+  ///     watches the store.
+  Duration WatchWait() const;
+
+  /// @returns Longest time that a watch call of a watcher waits, if the other daemons follow it.
+  Duration WatcherWait() const;
+
+  /// @returns Longest time that a follower asks a watcher to wait for a change.
+  Duration FollowWait() const;
+
+  /// @param age Time since the store last confirmed a peer's copy.
+  /// @returns Whether a follower may rely on the copy.
+  bool IsCurrent(Duration age) const { return age < this->MaxAge(); }
+
+  /// @param requested Longest time that the follower asks for.
+  /// @param age Time since the store last confirmed this daemon's copy.
+  /// @returns How long a daemon may wait for a change before it answers a follower. The wait ends
+  ///     when the copy is too old for the follower, so that the follower soon asks another daemon.
+  Duration AnswerWait(Duration requested, Duration age) const;
+
+ private:
+  Duration MaxAge() const;
+
+  Duration bound;
+};
+
+}  // namespace poplarmoor
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -23,21 +23,10 @@
 
 namespace {
 
-// Longest time that a watch call to the store waits for a change, for a kind of objects whose
-// changes have no time bound. It is shorter than the 20 s for which the store usually keeps
+// Time within which a change must be applied, for a kind of objects whose changes have no bound.
+// Watch calls then wait for 15 s, which is shorter than the 20 s for which the store usually keeps
 // changes, so that this daemon rarely has to list all objects again before the next watch call.
-constexpr std::chrono::milliseconds kDefaultWatchWait{15000};
-// Longest time that a watch call to the store waits for a change, as a fraction of the time within
-// which a change must be applied. When the store drops its record of past changes, a waiting call
-// may miss changes, and only the error of the next call shows this. The wait and the calls after it
-// must therefore fit into the time bound.
-constexpr double kWatchWaitFraction = 0.65;
-// In a large fleet only a few daemons (watchers) watch the store, and the others read the changes
-// from the watchers. A watcher's watch call to the store waits for only this fraction of the time
-// for which it would wait if every daemon watched the store. The reason is that the other daemons
-// need some time to notice that a watcher is gone; this time and their next calls must also fit
-// into the time within which a change must be applied.
-constexpr double kWatcherWaitFraction = 0.45;
+constexpr Duration kDefaultBound = 23s;
 // Delay before a failed store call is retried. Each further failure doubles the delay up to the
 // maximum. Random jitter is added so that the daemons do not retry at the same time.
 constexpr Duration kInitialRetryDelay = 100ms;
@@ -52,19 +41,9 @@
 // store: in a large fleet only a few daemons watch it.
 constexpr Duration kPeerDiscoveryTimeout = 3s;
 constexpr Duration kPeerDiscoveryPoll = 100ms;
-// Longest time that a watcher is asked to wait for a change before it answers. It is short so that
-// the calling daemon soon notices when the watcher is gone.
-constexpr Duration kWatcherCallWait = 1s;
 // Highest number of random peers that this daemon asks for changes after it could read them neither
 // from a watcher nor from the store.
 constexpr int kPeersPerRound = 3;
-// Time limit for a peer's answer, in addition to the time that the peer is asked to wait.
-constexpr Duration kPeerAnswerTimeout = 250ms;
-
-std::chrono::milliseconds WatchWait(std::chrono::milliseconds bound) {
-  return std::chrono::milliseconds(static_cast<int64_t>(bound.count() * kWatchWaitFraction));
-}
-
 }  // namespace
 
 StoreSync::StoreSync(asio::any_io_executor executor,
@@ -83,24 +62,28 @@
       restored(std::move(executor)),
       random(std::random_device{}()) {}
 
+Duration StoreSync::KindState::Age() const {
+  return BootNow() - this->confirmed;
+}
+
 void StoreSync::Start() {
-  const auto start_sync = [this](std::string name, std::chrono::milliseconds wait, Apply apply) {
-    auto kind = std::make_shared<KindState>(name, wait, std::move(apply), WaitList(this->executor));
+  const auto start_sync = [this](std::string name, Duration bound, Apply apply) {
+    auto kind = std::make_shared<KindState>(name, ChangeSchedule(bound), std::move(apply),
+                                            WaitList(this->executor));
     this->kinds[name] = kind;
     SpawnService(this->executor, "read changes of " + name,
                  [this, kind] { return this->SyncKind(kind); });
   };
-  start_sync(this->registry->routes_kind(), WatchWait(this->bounds.routes),
+  start_sync(this->registry->routes_kind(), this->bounds.routes,
              [this](const StoreSnapshot& snapshot, bool) { this->ApplyRoutes(snapshot); });
-  start_sync(this->registry->endpoint_kind(), WatchWait(this->bounds.endpoints),
+  start_sync(this->registry->endpoint_kind(), this->bounds.endpoints,
              [this](const StoreSnapshot& snapshot, bool complete) {
                this->ApplyEndpoints(snapshot, complete);
              });
-  start_sync(kTakeoverKind, kDefaultWatchWait,
-             [this](const StoreSnapshot& snapshot, bool complete) {
-               this->ApplyClaims(snapshot, complete);
-             });
-  asio::co_spawn(this->executor, this->TrackDaemons(), asio::detached);
+  start_sync(kTakeoverKind, kDefaultBound, [this](const StoreSnapshot& snapshot, bool complete) {
+    this->ApplyClaims(snapshot, complete);
+  });
+  SpawnService(this->executor, "track the daemons", [this] { return this->TrackDaemons(); });
 }
 
 // -----------------------------------------------------------------------------
@@ -155,13 +138,24 @@
   // How long a watcher may wait for a change before it answers. After one watcher has failed, the
   // next ones are asked to answer immediately: waiting for several silent watchers in a row would
   // exceed the time bound of a change.
-  Duration wait = kWatcherCallWait;
-  for (const Peer& watcher : this->cluster->relays().plan().Watchers()) {
+  Duration wait = kind->schedule.FollowWait();
+  std::vector<Peer> watchers = this->cluster->relays().plan().Watchers();
+  // The watcher that answered last time is asked first, with the full wait. If the others were
+  // asked first each time, immediate answers of two watchers would follow each other without any
+  // pause.
+  const auto last = std::find_if(watchers.begin(), watchers.end(), [&kind](const Peer& watcher) {
+    return watcher.daemon == kind->source;
+  });
+  if (last != watchers.end()) {
+    std::rotate(watchers.begin(), last, watchers.end());
+  }
+  for (const Peer& watcher : watchers) {
     if (this->cluster->relays().health().IsLost(watcher)) {
       continue;
     }
     const bool succeeded = co_await this->SyncFromPeer(kind, watcher, wait);
     if (succeeded) {
+      kind->source = watcher.daemon;
       co_return true;
     }
     wait = Duration{};
@@ -235,6 +229,7 @@
     Log(LogLevel::kInfo, "store regained",
         {{"kind", kind->name}, {"revision", snapshot.revision.ToText()}});
   }
+  kind->confirmed = BootNow();
   this->Merge(kind.get(), snapshot, true);
 }
 
@@ -250,14 +245,13 @@
 
 asio::awaitable<void> StoreSync::WatchKind(std::shared_ptr<KindState> kind) {
   // While the store is unreachable, the call's wait is short, which leaves time to call peers.
-  auto wait = kind->reachable ? kind->wait : std::min(kind->wait, kUnreachableWatchWait);
-  if (!this->cluster->relays().plan().EveryDaemonWatches()) {
-    wait = std::min(wait, std::chrono::milliseconds(
-                              static_cast<int64_t>(kind->wait.count() * kWatcherWaitFraction)));
-  }
+  const bool all_watch = this->cluster->relays().plan().EveryDaemonWatches();
+  Duration wait = all_watch ? kind->schedule.WatchWait() : kind->schedule.WatcherWait();
+  wait = kind->reachable ? wait : std::min<Duration>(wait, kUnreachableWatchWait);
   const StoreRevision since = kind->revision;
   kind->watching = true;
-  const StoreSnapshot snapshot = co_await this->store->Watch(kind->name, since.number, wait);
+  const StoreSnapshot snapshot = co_await this->store->Watch(
+      kind->name, since.number, std::chrono::milliseconds(ToMillis(wait)));
   kind->watching = false;
   this->NoteEra(kind->name, snapshot.revision);
   if (snapshot.revision.era < since.era) {
@@ -270,6 +264,7 @@
         {{"kind", kind->name}, {"revision", snapshot.revision.ToText()}});
   }
   if (snapshot.revision.era == since.era && kind->revision.era == since.era) {
+    kind->confirmed = BootNow();
     this->Merge(kind.get(), snapshot, false);
     co_return;
   }
@@ -317,7 +312,7 @@
   try {
     const PeerMessage message = co_await this->cluster->relays().peers()->Call(
         peer.address, std::move(query),
-        std::chrono::milliseconds(ToMillis(wait + kPeerAnswerTimeout)),
+        std::chrono::milliseconds(ToMillis(wait + ChangeSchedule::kPeerAnswerTimeout)),
         wait > Duration{} ? PeerCallKind::kLongPoll : PeerCallKind::kRepeatable);
     const SyncAnswer answer = DecodeSyncAnswer(message.body);
     StoreSnapshot snapshot;
@@ -333,7 +328,15 @@
             {{"peer", peer.daemon}, {"kind", kind->name}, {"revision", answer.revision.ToText()}});
       }
     }
-    co_return answer.reachable;
+    const Duration age(static_cast<int64_t>(answer.age_us));
+    kind->confirmed = std::max(kind->confirmed, BootNow() - age);
+    const bool current = kind->schedule.IsCurrent(age);
+    const bool usable = answer.reachable && current;
+    if (answer.reachable && !current && kind->reachable) {
+      Log(LogLevel::kInfo, "a peer's copy of the store is too old",
+          {{"peer", peer.daemon}, {"kind", kind->name}, {"age_ms", ToMillis(age)}});
+    }
+    co_return usable;
   } catch (const PeerError& error) {
     Log(LogLevel::kInfo, "cannot read changes from a peer",
         {{"peer", peer.daemon}, {"kind", kind->name}, {"cause", error.what()}});
@@ -358,11 +361,16 @@
   if (found != this->kinds.end()) {
     const std::shared_ptr<KindState> kind = found->second;
     const TimePoint deadline = BootNow() + Duration(static_cast<int64_t>(request.wait_us));
-    while (kind->reachable && kind->revision <= request.since && BootNow() < deadline) {
-      co_await kind->changed.Wait(deadline - BootNow());
+    while (kind->reachable && kind->revision <= request.since) {
+      const Duration wait = kind->schedule.AnswerWait(deadline - BootNow(), kind->Age());
+      if (wait == Duration{}) {
+        break;
+      }
+      co_await kind->changed.Wait(wait);
     }
     answer.reachable = kind->reachable && kind->revision.Exists();
     answer.revision = kind->revision;
+    answer.age_us = static_cast<uint64_t>(kind->Age().count());
     answer.complete = request.since < kind->listed_at;
     for (const auto& [name, object] : kind->objects) {
       if (answer.complete ? !object.deleted : object.revision > request.since) {
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "kernel/change_schedule.h"
 #include "kernel/gateway_plan.h"
 #include "kernel/random.h"
 #include "session/object_store.h"
@@ -62,11 +63,17 @@
 
   // This daemon's copy of the objects of one kind.
   struct KindState {
-    KindState(std::string name, std::chrono::milliseconds wait, Apply apply, WaitList changed)
-        : name(std::move(name)), wait(wait), apply(std::move(apply)), changed(std::move(changed)) {}
+    KindState(std::string name, ChangeSchedule schedule, Apply apply, WaitList changed)
+        : name(std::move(name)),
+          schedule(schedule),
+          apply(std::move(apply)),
+          changed(std::move(changed)) {}
+
+    /// @returns Time since the store last confirmed this daemon's copy.
+    Duration Age() const;
 
     std::string name;
-    std::chrono::milliseconds wait;  // Longest time that a watch waits for a change.
+    ChangeSchedule schedule;
     Apply apply;
     WaitList changed;
     std::map<std::string, StoredObject> objects;  // Objects by name, including deleted ones.
@@ -77,6 +84,10 @@
     bool stale_ok = true;   // The next listing may be some seconds old.
     bool watching = false;  // A watch call to the store is in progress.
     bool reachable = true;  // The last call to the store or to a watcher succeeded.
+    std::string source;     // Watcher whose copy was recent enough last time; empty: none yet.
+    // When the store last answered that the copy is up to date, to this daemon or to the peer that
+    // the changes were read from.
+    TimePoint confirmed;
   };
 
   struct KeptObject {
@@ -87,7 +98,7 @@
 
   boost::asio::awaitable<void> SyncKind(std::shared_ptr<KindState> kind);
   // Reads changes from a watcher, which is a daemon that watches the store on behalf of others.
-  // @returns Whether a watcher that reaches the store has answered.
+  // @returns Whether a watcher has answered whose copy the store has confirmed recently.
   boost::asio::awaitable<bool> SyncFromWatchers(std::shared_ptr<KindState> kind);
   // Reads changes from random peers while the store is unreachable.
   boost::asio::awaitable<void> SyncFromPeers(std::shared_ptr<KindState> kind);
--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -78,6 +78,28 @@
     }
   }
 
+  // Makes the daemon a follower in a large fleet whose first watcher is at one address and whose
+  // other daemons are all at another one.
+  void FollowWatchers(PeerNetwork* network,
+                      const std::string& first_watcher,
+                      const std::string& others) {
+    std::vector<Peer> fleet{{"d0", "127.0.0.1:1", "fd0"}};
+    for (int number = 1; number <= 90; ++number) {
+      fleet.push_back({"d" + std::to_string(number), "", "fd" + std::to_string(number % 3)});
+    }
+    GatewayPlan plan("d0");
+    plan.SetPeers(fleet);
+    REQUIRE_FALSE(plan.IsWatcher());
+    const std::string first = plan.Watchers().front().daemon;
+    for (Peer& peer : fleet) {
+      peer.address = peer.daemon == first ? first_watcher : others;
+      this->store.kinds[kDaemonKind][peer.daemon] = {
+          peer.daemon, {0, 1}, EncodeDaemonEntry(peer, 0), false};
+    }
+    this->cluster.SetNetwork(network);
+    this->cluster.SetPeers(fleet);
+  }
+
   template <typename Condition>
   void RunUntil(Condition condition) {
     const TimePoint limit = BootNow() + 60s;
@@ -95,6 +117,23 @@
   StoreSync sync;
 };
 
+// Lets a daemon answer requests for changes as a watcher does that believes to reach the store.
+// @param age Time since the store last confirmed the watcher's copy.
+// @param waits Receives, for each request, how long the watcher was asked to wait for a change.
+void AnswerAsWatcher(PeerNetwork* network, Duration age, std::vector<uint64_t>* waits) {
+  network->SetHandler(
+      kSyncMessage, [age, waits](std::string, PeerMessage message) -> asio::awaitable<PeerMessage> {
+        waits->push_back(DecodeSyncRequest(message.body).wait_us);
+        SyncAnswer answer;
+        answer.reachable = true;
+        answer.revision = {0, 1};
+        answer.age_us = static_cast<uint64_t>(age.count());
+        std::string body = EncodeSyncAnswer(answer);
+        co_return PeerMessage(kSyncMessage, std::move(body));
+      });
+  network->Listen("127.0.0.1:0");
+}
+
 // Guards against a store overload when all daemons of a large fleet start together: each call is
 // charged and the call rate is limited.
 TEST_CASE(
@@ -160,39 +199,38 @@
                                  asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
   PeerNetwork other(fixture.context.get_executor(), "other", &keys);
   std::vector<uint64_t> waits;
-  other.SetHandler(kSyncMessage,
-                   [&waits](std::string, PeerMessage message) -> asio::awaitable<PeerMessage> {
-                     waits.push_back(DecodeSyncRequest(message.body).wait_us);
-                     SyncAnswer answer;
-                     answer.reachable = true;
-                     answer.revision = {0, 1};
-                     std::string body = EncodeSyncAnswer(answer);
-                     co_return PeerMessage(kSyncMessage, std::move(body));
-                   });
-  other.Listen("127.0.0.1:0");
-  std::vector<Peer> fleet{{"d0", "127.0.0.1:1", "fd0"}};
-  for (int number = 1; number <= 90; ++number) {
-    fleet.push_back({"d" + std::to_string(number), "", "fd" + std::to_string(number % 3)});
-  }
-  GatewayPlan plan("d0");
-  plan.SetPeers(fleet);
-  const std::string first = plan.Watchers().front().daemon;
-  REQUIRE_FALSE(plan.IsWatcher());
-  for (Peer& peer : fleet) {
-    peer.address = peer.daemon == first
-                       ? "127.0.0.1:" + std::to_string(silent.local_endpoint().port())
-                       : other.address();
-  }
-  for (const Peer& peer : fleet) {
-    fixture.store.kinds[kDaemonKind][peer.daemon] = {
-        peer.daemon, {0, 1}, EncodeDaemonEntry(peer, 0), false};
-  }
-  fixture.cluster.SetNetwork(&own);
-  fixture.cluster.SetPeers(fleet);
+  AnswerAsWatcher(&other, 0ms, &waits);
+  fixture.FollowWatchers(&own, "127.0.0.1:" + std::to_string(silent.local_endpoint().port()),
+                         other.address());
   fixture.sync.Start();
   fixture.RunUntil([&waits] { return !waits.empty(); });
   CHECK(waits.front() == 0);
 }
 
+// Guards against late configuration changes when a watcher is cut off from the store but has not
+// noticed it yet: its followers would be told that nothing has changed.
+TEST_CASE(
+    "when the store has not confirmed a watcher's copy for too long, a daemon asks the next "
+    "watcher, even if the first one claims to reach the store") {
+  SyncFixture fixture;
+  KeyRing keys("k", {{"k", "0123456789abcdef0123456789abcdef"}});
+  PeerNetwork own(fixture.context.get_executor(), "d0", &keys);
+  PeerNetwork stale(fixture.context.get_executor(), "stale", &keys);
+  PeerNetwork other(fixture.context.get_executor(), "other", &keys);
+  std::vector<uint64_t> stale_waits;
+  std::vector<uint64_t> waits;
+  AnswerAsWatcher(&stale, 30s, &stale_waits);
+  AnswerAsWatcher(&other, 0ms, &waits);
+  fixture.FollowWatchers(&own, stale.address(), other.address());
+  fixture.sync.Start();
+  fixture.RunUntil([&waits] { return waits.size() > 8; });
+  CHECK(waits.front() == 0);
+  CHECK(fixture.store.watches == 0);
+  // The watcher that has answered is asked first from then on and may wait for a change. Each of
+  // the three kinds of objects has asked the stale one once.
+  CHECK(waits.back() > 0);
+  CHECK(stale_waits.size() == 3);
+}
+
 }  // namespace
 }  // namespace poplarmoor::platform
--- a/wire/relay_codec.cc
+++ b/wire/relay_codec.cc
@@ -79,7 +79,7 @@
 using Revision = std::tuple<uint64_t, uint64_t>;  // Era and number.
 using SyncRequestTuple = std::tuple<std::string, Revision, uint64_t>;
 using ObjectTuple = std::tuple<std::string, Revision, std::string, bool>;
-using SyncAnswerTuple = std::tuple<bool, bool, Revision, std::vector<ObjectTuple>>;
+using SyncAnswerTuple = std::tuple<bool, bool, Revision, uint64_t, std::vector<ObjectTuple>>;
 
 Revision Pack(const StoreRevision& revision) {
   return {revision.era, revision.number};
@@ -175,8 +175,8 @@
   for (const SyncObject& object : answer.objects) {
     objects.emplace_back(object.name, Pack(object.revision), object.value, object.deleted);
   }
-  return PackTuple(
-      SyncAnswerTuple(answer.reachable, answer.complete, Pack(answer.revision), objects));
+  return PackTuple(SyncAnswerTuple(answer.reachable, answer.complete, Pack(answer.revision),
+                                   answer.age_us, objects));
 }
 
 SyncAnswer DecodeSyncAnswer(std::string_view body) {
@@ -184,7 +184,7 @@
   SyncAnswer answer;
   std::vector<ObjectTuple> objects;
   Revision revision;
-  std::tie(answer.reachable, answer.complete, revision, objects) = fields;
+  std::tie(answer.reachable, answer.complete, revision, answer.age_us, objects) = fields;
   answer.revision = UnpackRevision(revision);
   for (const ObjectTuple& tuple : objects) {
     SyncObject object;
--- a/wire/relay_codec.h
+++ b/wire/relay_codec.h
@@ -95,6 +95,9 @@
   // has been deleted.
   bool complete = false;
   StoreRevision revision;  // Revision up to which the peer knows the objects of this kind.
+  // Time since the store last confirmed, directly or through other peers, that this revision is the
+  // latest one.
+  uint64_t age_us = 0;
   std::vector<SyncObject> objects;
 };
 
