session: watchers spread the primaries' log positions, and have primaries of a silent domain probed

A daemon there runs 0.26 statements of a service a second, so that it rarely knows a position of the primary within the bound of 1.5 or 2.5 s, and its reads run at the primary: with 195 daemons this begins where a service gets less than one statement a daemon in the bound. While the primary is away they are refused although a replica could serve them: from 34 to 36 s 555 tries of reads with a bound, inside and outside of the cut domain. And a primary whose loss no watcher notices by itself is replaced late: one of four takeovers was claimed 2.2 s after the cut, the others after 0.5 and 0.6 s.

The lead watcher of each failure domain reads the positions of its domain's primaries (each at most each 250 ms), all watchers read them from the lead watchers (domains - 1 calls each 300 ms), and the others get them in the answers that bring the store's changes, so that no message is added for them. The age counts from before the question. A lead watcher that does not answer makes those of the other domains probe the primaries of its domain.

--- a/kernel/gateway_plan.cc
+++ b/kernel/gateway_plan.cc
@@ -1,6 +1,7 @@
 #include "kernel/gateway_plan.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "kernel/ownership.h"
@@ -121,14 +122,23 @@
   return Copy(others);
 }
 
-std::vector<Peer> GatewayPlan::Watchers() const {
-  std::string domain;
+std::string GatewayPlan::OwnDomain() const {
   for (const Peer& peer : this->live_peers) {
-    domain = peer.daemon == this->self ? peer.failure_domain : domain;
+    if (peer.daemon == this->self) {
+      return peer.failure_domain;
+    }
   }
+  return {};
+}
+
+std::vector<Peer> GatewayPlan::Watchers() const {
+  return this->WatchersOf(this->OwnDomain());
+}
+
+std::vector<Peer> GatewayPlan::WatchersOf(const std::string& failure_domain) const {
   PeerPointers watchers;
   for (const Peer& peer : this->live_peers) {
-    if (peer.failure_domain == domain) {
+    if (peer.failure_domain == failure_domain) {
       watchers.push_back(&peer);
     }
   }
@@ -136,6 +146,32 @@
   return Copy(watchers);
 }
 
+std::optional<Peer> GatewayPlan::LeadWatcher(const std::string& failure_domain,
+                                             const std::function<bool(const Peer&)>& usable) const {
+  for (Peer& watcher : this->WatchersOf(failure_domain)) {
+    if (watcher.daemon == this->self || usable(watcher)) {
+      return std::move(watcher);
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<Peer> GatewayPlan::EvidenceSources(
+    const std::function<bool(const Peer&)>& usable) const {
+  std::set<std::string> domains;
+  for (const Peer& peer : this->live_peers) {
+    domains.insert(peer.failure_domain);
+  }
+  std::vector<Peer> sources;
+  for (const std::string& domain : domains) {
+    auto lead = this->LeadWatcher(domain, usable);
+    if (lead && lead->daemon != this->self) {
+      sources.push_back(std::move(*lead));
+    }
+  }
+  return sources;
+}
+
 bool GatewayPlan::EveryDaemonWatches() const {
   return this->live_peers.size() <= kMaxWatchingFleet;
 }
--- a/kernel/gateway_plan.h
+++ b/kernel/gateway_plan.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,26 @@
   ///     fleet is too large for every daemon to watch it.
   std::vector<Peer> Watchers() const;
 
+  /// @returns The watchers of a failure domain, in the order in which they are asked.
+  std::vector<Peer> WatchersOf(const std::string& failure_domain) const;
+
+  /// @param usable Tells whether a daemon can be reached; this daemon always counts as usable.
+  /// @returns The watcher that reads the log positions of the primaries of a failure domain for the
+  ///     whole fleet: the domain's first usable one, or nothing when there is none.
+  std::optional<Peer> LeadWatcher(const std::string& failure_domain,
+                                  const std::function<bool(const Peer&)>& usable) const;
+
+  /// @param usable Tells whether a daemon can be reached.
+  /// @returns The daemons from which a watcher reads the log positions of all primaries: the lead
+  ///     watcher of each failure domain, without this daemon.
+  std::vector<Peer> EvidenceSources(const std::function<bool(const Peer&)>& usable) const;
+
+  /// @returns Name of this daemon.
+  const std::string& self_name() const { return this->self; }
+
+  /// @returns Failure domain of this daemon; empty until its entry is known.
+  std::string OwnDomain() const;
+
   /// @param connections Connections that an endpoint accepts from all daemons together.
   /// @returns Number of connections that each connecting daemon (any daemon in a small fleet, a
   ///     gateway in a large one) may open to the endpoint, at least 1.
--- a/session/relay_router.h
+++ b/session/relay_router.h
@@ -34,6 +34,7 @@
 /// Type of the message that asks a daemon for the changes of objects of the object store since a
 /// given revision.
 inline constexpr char kSyncMessage[] = "sync";
+inline constexpr char kEvidenceMessage[] = "evidence";
 /// Type of the message that asks a daemon for an answer, which shows that the daemon is reachable.
 inline constexpr char kPingMessage[] = "ping";
 
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -15,6 +15,7 @@
 #include "session/background_task.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
+#include "session/evidence_exchange.h"
 #include "session/object_store.h"
 #include "session/relay_server.h"
 #include "session/session_server.h"
@@ -74,6 +75,7 @@
                             adapter.promotions,
                             adapter.metrics,
                             settings.daemon),
+        evidence(executor, &this->cluster, &this->runner),
         server(executor, &this->cluster, &this->runner, adapter.sessions) {}
 
   Cluster cluster;
@@ -81,6 +83,7 @@
   StoreSync sync;
   RelayServer relay_server;
   TakeoverController takeover_controller;
+  EvidenceExchange evidence;
   SessionServer server;
   std::unique_ptr<KeyRing> peer_keys;
   std::unique_ptr<PeerNetwork> peers;
@@ -126,6 +129,7 @@
                                       : descriptors / 2);
   this->components->sync.Start();
   this->components->takeover_controller.Start();
+  this->components->evidence.Start();
   asio::co_spawn(*this->context, this->StartPeerNetwork(), Rethrow);
   asio::co_spawn(*this->context, this->AwaitStop(), Rethrow);
   asio::co_spawn(*this->context, this->AwaitReload(), Rethrow);
@@ -197,6 +201,7 @@
       this->context->get_executor(), this->settings.daemon, this->components->peer_keys.get());
   this->components->relay_server.RegisterHandlers(this->components->peers.get());
   this->components->sync.Attach(this->components->peers.get());
+  this->components->evidence.Attach(this->components->peers.get());
   this->components->peers->Listen(this->settings.peer_address);
   this->components->cluster.SetNetwork(this->components->peers.get());
   SpawnService(this->context->get_executor(), "watch the peers",
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -11,6 +11,7 @@
 #include "session/boot_clock.h"
 #include "session/cluster.h"
 #include "session/daemon_entry.h"
+#include "session/evidence_exchange.h"
 #include "session/object_store.h"
 #include "session/registry_codec.h"
 #include "session/takeover_claim.h"
@@ -309,12 +310,15 @@
   request.wait_us = static_cast<uint64_t>(wait.count());
   std::string body = EncodeSyncRequest(request);
   PeerMessage query(kSyncMessage, std::move(body));
+  const TimePoint sent = BootNow();
   try {
     const PeerMessage message = co_await this->cluster->relays().peers()->Call(
         peer.address, std::move(query),
         std::chrono::milliseconds(ToMillis(wait + ChangeSchedule::kPeerAnswerTimeout)),
         wait > Duration{} ? PeerCallKind::kLongPoll : PeerCallKind::kRepeatable);
     const SyncAnswer answer = DecodeSyncAnswer(message.body);
+    RecordEvidence(this->cluster, answer.evidence,
+                   sent + Duration(static_cast<int64_t>(answer.held_us)));
     StoreSnapshot snapshot;
     snapshot.revision = answer.revision;
     for (const SyncObject& object : answer.objects) {
@@ -355,6 +359,7 @@
 }
 
 asio::awaitable<PeerMessage> StoreSync::HandleSyncRequest(PeerMessage message) {
+  const TimePoint arrived = BootNow();
   const SyncRequest request = DecodeSyncRequest(message.body);
   SyncAnswer answer;
   const auto found = this->kinds.find(request.kind);
@@ -378,6 +383,9 @@
       }
     }
   }
+  const TimePoint now = BootNow();
+  answer.held_us = static_cast<uint64_t>((now - arrived).count());
+  answer.evidence = CollectEvidence(this->cluster, now);
   std::string body = EncodeSyncAnswer(answer);
   co_return PeerMessage(kSyncMessage, std::move(body));
 }
--- a/tests/kernel/freshness_log_test.cc
+++ b/tests/kernel/freshness_log_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "kernel/random.h"
 #include "tests/kernel/fixtures.h"
 
 namespace poplarmoor {
@@ -68,5 +69,65 @@
   CHECK(log.Newest()->position == LogPosition{1, 10000});
 }
 
+/// Simulates one daemon of a large fleet that gets few reads of a service.
+/// @param bound Staleness bound of the reads.
+/// @param exchange Whether the daemon also gets positions from other daemons, three times a second
+///     and up to 550 ms old.
+/// @param reachable_until Time until which the primary and the other daemons are reachable.
+/// @returns Share of the reads after `from` that a replica may serve.
+double ShareWithPosition(Duration bound,
+                         bool exchange,
+                         TimePoint reachable_until,
+                         TimePoint from,
+                         TimePoint until) {
+  constexpr int kReadsPerMinute = 16;
+  RandomEngine random(3);
+  FreshnessLog log;
+  int reads = 0;
+  int served = 0;
+  for (TimePoint now = TimePoint(100s); now < until; now += 1ms) {
+    const bool reachable = now < reachable_until;
+    const uint64_t index = static_cast<uint64_t>(now.time_since_epoch() / 10ms);
+    if (exchange && reachable && RandomBelow(&random, 333) == 0) {
+      const Duration age = RandomDuration(&random, 550ms);
+      log.Record(now - age, {1, index - static_cast<uint64_t>(age / 10ms)});
+    }
+    if (RandomBelow(&random, 60000) >= kReadsPerMinute) {
+      continue;
+    }
+    const bool has_position = log.RequiredPosition(now - bound).has_value();
+    if (now >= from) {
+      ++reads;
+      served += has_position ? 1 : 0;
+    }
+    // A read without a recent position runs at the primary, whose answer has its position.
+    if (!has_position && reachable) {
+      log.Record(now, {1, index});
+    }
+  }
+  return reads == 0 ? 0 : static_cast<double>(served) / reads;
+}
+
+// Guards against a large fleet whose reads all run at the primaries because each daemon runs a
+// statement of a service only every few seconds.
+TEST_CASE("sparse reads run at replicas if other daemons tell the primary's log positions") {
+  const TimePoint start(101s);
+  const TimePoint end(1100s);
+  CHECK(ShareWithPosition(1500ms, false, end, start, end) < 0.5);
+  CHECK(ShareWithPosition(1500ms, true, end, start, end) > 0.95);
+}
+
+// Guards against reads that fail while a primary is replaced although a replica could serve them.
+TEST_CASE("sparse reads within their bound are served in the first second without a primary") {
+  int served = 0;
+  int served_alone = 0;
+  for (int second = 0; second < 200; ++second) {
+    const TimePoint lost = TimePoint(110s) + second * 1s;
+    served += ShareWithPosition(2500ms, true, lost, lost, lost + 1500ms) > 0.99 ? 1 : 0;
+    served_alone += ShareWithPosition(2500ms, false, lost, lost, lost + 1500ms) > 0.99 ? 1 : 0;
+  }
+  CHECK(served > 2 * served_alone);
+}
+
 }  // namespace
 }  // namespace poplarmoor
--- a/tests/kernel/gateway_plan_test.cc
+++ b/tests/kernel/gateway_plan_test.cc
@@ -144,5 +144,50 @@
   }
 }
 
+// Guards against failure domains whose primaries' log positions nobody reads, or several daemons
+// read at the same time.
+TEST_CASE("each failure domain has one lead watcher on which all daemons agree") {
+  const auto peers = MakePeers(195, 5);
+  for (const bool first_is_lost : {false, true}) {
+    std::set<std::string> leads;
+    std::string lost;
+    if (first_is_lost) {
+      GatewayPlan plan("d0");
+      plan.SetPeers(peers);
+      lost = plan.LeadWatcher("fd1", IsReachable)->daemon;
+    }
+    const auto usable = [&lost](const Peer& peer) { return peer.daemon != lost; };
+    for (const Peer& peer : peers) {
+      GatewayPlan plan(peer.daemon);
+      plan.SetPeers(peers);
+      const auto lead = plan.LeadWatcher("fd1", usable);
+      REQUIRE(lead);
+      CHECK(lead->failure_domain == "fd1");
+      if (peer.daemon != lost) {
+        leads.insert(lead->daemon);
+      }
+    }
+    CHECK(leads.size() == 1);
+    CHECK_FALSE(leads.contains(lost));
+  }
+}
+
+// Guards against a number of calls that grows with the number of daemons.
+TEST_CASE("a watcher reads log positions from one daemon of each failure domain, at any size") {
+  for (const size_t count : {30, 200, 1000, 3300}) {
+    const auto peers = MakePeers(count, 13);
+    GatewayPlan plan("d4");
+    plan.SetPeers(peers);
+    const std::vector<Peer> sources = plan.EvidenceSources(IsReachable);
+    std::set<std::string> domains;
+    for (const Peer& source : sources) {
+      CHECK(source.daemon != "d4");
+      domains.insert(source.failure_domain);
+    }
+    CHECK(domains.size() == sources.size());
+    CHECK(sources.size() >= 12);
+  }
+}
+
 }  // namespace
 }  // namespace poplarmoor
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -8,6 +8,7 @@
 #include "platform/line_codec.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
+#include "session/evidence_exchange.h"
 #include "session/promotion_api.h"
 #include "session/relay_server.h"
 #include "session/statement_runner.h"
@@ -15,6 +16,7 @@
 #include "telemetry/metrics.h"
 #include "tests/platform/fake_line_endpoint.h"
 #include "tests/platform/memory_store.h"
+#include "wire/relay_codec.h"
 
 namespace poplarmoor::platform {
 namespace {
@@ -265,6 +267,47 @@
   CHECK(cluster.FindEndpoint("p")->is_relayed());
 }
 
+// Guards against a takeover that starts only seconds after a failure domain was cut off: in a large
+// fleet the watchers may have no statement at a primary there for that long.
+TEST_CASE(
+    "when the lead watcher of another failure domain does not answer, the primaries of that domain "
+    "are probed") {
+  std::vector<Peer> fleet;
+  for (int number = 0; number < 90; ++number) {
+    fleet.push_back(
+        {"d" + std::to_string(number), "127.0.0.1:1", "fd" + std::to_string(number % 3)});
+  }
+  GatewayPlan plan("d0");
+  plan.SetPeers(fleet);
+  const std::string self = plan.LeadWatcher("fd0", [](const Peer&) { return true; })->daemon;
+  asio::io_context context{1};
+  LineCodec codec;
+  Metrics metrics;
+  KeyRing keys("k", {{"k", "0123456789abcdef0123456789abcdef"}});
+  PeerNetwork network(context.get_executor(), self, &keys);
+  Cluster cluster(context.get_executor(), &codec, self, "fd0");
+  StatementRunner runner(&cluster, &codec, &metrics);
+  for (const char* domain : {"fd0", "fd1"}) {
+    EndpointRecord record;
+    record.id = std::string("primary-") + domain;
+    record.service = std::string("ledger-") + domain;
+    record.failure_domain = domain;
+    record.address = "127.0.0.1:1";
+    record.claims_primary = true;
+    record.revision = {0, 1};
+    cluster.ApplyEndpoint(record);
+  }
+  cluster.SetPeers(fleet);
+  cluster.SetNetwork(&network);
+  EvidenceExchange exchange(context.get_executor(), &cluster, &runner);
+  exchange.Start();
+  const TimePoint limit = BootNow() + 60s;
+  while (!cluster.FindEndpoint("primary-fd1")->suspected && BootNow() < limit) {
+    context.run_one_for(std::chrono::milliseconds(20));
+  }
+  CHECK(cluster.FindEndpoint("primary-fd1")->suspected);
+}
+
 // Accepts all promotion requests and counts them.
 class CountingPromotions : public PromotionApi {
  public:
@@ -320,5 +363,24 @@
   CHECK(fixture.group.executed.empty());
 }
 
+// Guards against stale reads: a position that seems fresher than it is would let a replica serve a
+// read that lacks an acknowledged commit.
+TEST_CASE(
+    "a log position from another daemon never counts as fresher than the daemon that read it knows "
+    "it to be") {
+  RelayFixture fixture;
+  const TimePoint read = BootNow() - 400ms;
+  fixture.gate.cluster.FindGroup("ledger")->freshness.Record(read, {1, 10});
+  const TimePoint asked = BootNow();
+  const auto evidence = CollectEvidence(&fixture.gate.cluster, BootNow());
+  REQUIRE(evidence.size() == 1);
+  const auto decoded = DecodeEvidence(EncodeEvidence(evidence));
+  RecordEvidence(&fixture.entry.cluster, decoded, asked);
+  const auto newest = fixture.entry.cluster.FindGroup("ledger")->freshness.Newest();
+  REQUIRE(newest);
+  CHECK(newest->sent <= read);
+  CHECK(newest->position == LogPosition{1, 10});
+}
+
 }  // namespace
 }  // namespace poplarmoor::platform
--- a/wire/relay_codec.cc
+++ b/wire/relay_codec.cc
@@ -79,7 +79,10 @@
 using Revision = std::tuple<uint64_t, uint64_t>;  // Era and number.
 using SyncRequestTuple = std::tuple<std::string, Revision, uint64_t>;
 using ObjectTuple = std::tuple<std::string, Revision, std::string, bool>;
-using SyncAnswerTuple = std::tuple<bool, bool, Revision, uint64_t, std::vector<ObjectTuple>>;
+using EvidenceTuple = std::tuple<std::string, Position, uint64_t>;
+using EvidenceList = std::vector<EvidenceTuple>;
+using SyncAnswerTuple =
+    std::tuple<bool, bool, Revision, uint64_t, std::vector<ObjectTuple>, uint64_t, EvidenceList>;
 
 Revision Pack(const StoreRevision& revision) {
   return {revision.era, revision.number};
@@ -89,6 +92,22 @@
   return {std::get<0>(revision), std::get<1>(revision)};
 }
 
+EvidenceList PackEvidence(const std::vector<PositionEvidence>& evidence) {
+  EvidenceList list;
+  for (const PositionEvidence& entry : evidence) {
+    list.emplace_back(entry.service, Pack(entry.position), entry.age_us);
+  }
+  return list;
+}
+
+std::vector<PositionEvidence> UnpackEvidence(const EvidenceList& list) {
+  std::vector<PositionEvidence> evidence;
+  for (const auto& [service, position, age_us] : list) {
+    evidence.push_back({service, Unpack(position), age_us});
+  }
+  return evidence;
+}
+
 }  // namespace
 
 std::string EncodeRelayRequest(const RelayRequest& request) {
@@ -176,7 +195,8 @@
     objects.emplace_back(object.name, Pack(object.revision), object.value, object.deleted);
   }
   return PackTuple(SyncAnswerTuple(answer.reachable, answer.complete, Pack(answer.revision),
-                                   answer.age_us, objects));
+                                   answer.age_us, objects, answer.held_us,
+                                   PackEvidence(answer.evidence)));
 }
 
 SyncAnswer DecodeSyncAnswer(std::string_view body) {
@@ -184,7 +204,10 @@
   SyncAnswer answer;
   std::vector<ObjectTuple> objects;
   Revision revision;
-  std::tie(answer.reachable, answer.complete, revision, answer.age_us, objects) = fields;
+  EvidenceList evidence;
+  std::tie(answer.reachable, answer.complete, revision, answer.age_us, objects, answer.held_us,
+           evidence) = fields;
+  answer.evidence = UnpackEvidence(evidence);
   answer.revision = UnpackRevision(revision);
   for (const ObjectTuple& tuple : objects) {
     SyncObject object;
@@ -196,4 +219,12 @@
   return answer;
 }
 
+std::string EncodeEvidence(const std::vector<PositionEvidence>& evidence) {
+  return PackTuple(std::tuple<EvidenceList>(PackEvidence(evidence)));
+}
+
+std::vector<PositionEvidence> DecodeEvidence(std::string_view body) {
+  return UnpackEvidence(std::get<0>(UnpackTuple<std::tuple<EvidenceList>>(body, "evidence")));
+}
+
 }  // namespace poplarmoor
--- a/wire/relay_codec.h
+++ b/wire/relay_codec.h
@@ -88,6 +88,14 @@
   bool deleted = false;
 };
 
+/// Log position that the primary of a service had.
+struct PositionEvidence {
+  std::string service;
+  LogPosition position;
+  // Time since the statement was sent whose answer carried the position; see FreshnessLog.
+  uint64_t age_us = 0;
+};
+
 /// Answer to a SyncRequest.
 struct SyncAnswer {
   bool reachable = false;  // Whether the peer reaches the store, directly or through other peers.
@@ -99,6 +107,10 @@
   // latest one.
   uint64_t age_us = 0;
   std::vector<SyncObject> objects;
+  // Time from the arrival of the request at the peer to this answer. The ages in `evidence` are
+  // those at the end of this time.
+  uint64_t held_us = 0;
+  std::vector<PositionEvidence> evidence;
 };
 
 /// Encoders and decoders of the messages between peers. The decoders throw CodecError when the body
@@ -115,5 +127,7 @@
 SyncRequest DecodeSyncRequest(std::string_view body);
 std::string EncodeSyncAnswer(const SyncAnswer& answer);
 SyncAnswer DecodeSyncAnswer(std::string_view body);
+std::string EncodeEvidence(const std::vector<PositionEvidence>& evidence);
+std::vector<PositionEvidence> DecodeEvidence(std::string_view body);
 
 }  // namespace poplarmoor
