--- a/kernel/gateway_plan.h
+++ b/kernel/gateway_plan.h
@@ -74,7 +74,7 @@
   std::vector<Peer> EvidenceSources(const std::function<bool(const Peer&)>& usable) const;
 
   /// @returns Name of this daemon.
-  const std::string& self_name() const { return this->self; }
+  const std::string& Self() const { return this->self; }
 
   /// @returns Failure domain of this daemon; empty until its entry is known.
   std::string OwnDomain() const;
--- a/session/evidence_exchange.cc
+++ b/session/evidence_exchange.cc
@@ -107,7 +107,7 @@
   RelayRouter& relays = this->cluster->relays();
   const auto usable = [&relays](const Peer& peer) { return !relays.health().IsLost(peer); };
   const auto lead = relays.plan().LeadWatcher(relays.plan().OwnDomain(), usable);
-  return lead && lead->daemon == relays.plan().self_name();
+  return lead && lead->daemon == relays.plan().Self();
 }
 
 void EvidenceExchange::SuspectPrimaries(const std::string& failure_domain) {
