--- a/session/evidence_exchange.h
+++ b/session/evidence_exchange.h
@@ -30,11 +30,11 @@
                     const std::vector<PositionEvidence>& evidence,
                     TimePoint answered);
 
-/// Spreads the log positions of all primaries in a large fleet, whose daemons each run too few
-/// statements of a service to know a recent position themselves. Without one, a read that a replica
-/// could serve has to run at the primary, and cannot run at all while there is none. The lead
-/// watcher of each failure domain reads the positions of the primaries in its domain, all watchers
-/// read them from the lead watchers, and the other daemons get them with the changes of the store.
+/// Spreads the log positions of all primaries among the daemons of a large fleet. Each of these
+/// daemons runs too few statements of a service to know a recent position itself, and without one a
+/// read that a replica could serve has to run at the primary. The lead watcher of each failure
+/// domain reads the positions of the primaries in its domain, all watchers read them from the lead
+/// watchers, and the other daemons get them with the changes of the store.
 class EvidenceExchange {
  public:
   /// @param cluster,runner Must outlive this object.
@@ -52,9 +52,9 @@
   boost::asio::awaitable<void> ReadFrom(Peer source);
   boost::asio::awaitable<PeerMessage> Answer();
   void RefreshOwnDomain();
-  // Has the primaries of a failure domain probed whose lead watcher does not answer: the domain may
-  // be cut off. Other watchers may have no statement at such a primary for seconds, and would
-  // notice its loss as late. Only lead watchers do so, to keep the number of probes small.
+  // Lets the primaries of a failure domain be probed after the domain's lead watcher has not
+  // answered: the domain may be cut off, and the watchers may have no statement at a primary there
+  // for seconds. Only lead watchers do this, to keep the number of probes small.
   void SuspectPrimaries(const std::string& failure_domain);
   bool IsLead() const;
 
