--- a/session/endpoint_channel.h
+++ b/session/endpoint_channel.h
@@ -80,8 +80,6 @@
   // answered.
   Duration relayed_age{};
   bool connection_failed = false;  // The connection failed; the endpoint may be down.
-  // A gateway has answered that it cannot reach the endpoint.
-  bool gateway_lacks_endpoint = false;
 };
 
 inline constexpr NameTable<StatementAttempt::Outcome, 3> kAttemptOutcomeNames{{{
--- a/session/relay_channel.cc
+++ b/session/relay_channel.cc
@@ -115,7 +115,6 @@
   const PeerCallKind kind =
       spec.repeatable ? PeerCallKind::kRepeatable : PeerCallKind::kNonRepeatable;
   int tries = 0;
-  bool gateway_lacks_endpoint = false;
   for (const Peer& peer : this->router->UsableGateways(this->endpoint)) {
     if (this->router->peers() == nullptr || tries == kMaxGatewayTries || BootNow() >= deadline) {
       break;
@@ -136,7 +135,6 @@
       const bool not_sent = attempt.outcome == StatementAttempt::Outcome::kNotSent;
       const bool endpoint_unreachable = not_sent && attempt.failure == AcquireFailure::kUnreachable;
       if (endpoint_unreachable) {
-        gateway_lacks_endpoint = true;
         this->router->health().NoteUnreachable(this->endpoint.id, peer, BootNow());
       }
       // If this gateway could open no connection because of the endpoint's connection limit,
@@ -175,7 +173,6 @@
     }
   }
   this->open = false;
-  attempt.gateway_lacks_endpoint = gateway_lacks_endpoint;
   co_return attempt;
 }
 
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -87,12 +87,7 @@
   if (attempt.failure == AcquireFailure::kUnreachable) {
     pool->suspected = true;
     pool->avoid_until = BootNow() + kUnreachablePause;
-    // If the gateways that were asked have not answered at all, others may still reach the
-    // endpoint.
-    const bool lost =
-        attempt.gateway_lacks_endpoint ||
-        (pool->UsesRelay() && this->cluster->relays().UsableGateways(pool->record()).empty());
-    if (lost) {
+    if (pool->UsesRelay()) {
       group->ClearPrimary(pool->record().id, "none of the gateways that were asked can reach it");
     }
   }
