--- a/net/peer_network.cc
+++ b/net/peer_network.cc
@@ -82,9 +82,6 @@
   std::mutex mutex;
   // Cache of the connections that this daemon opened, by the address of the peer.
   std::map<std::string, std::shared_ptr<OutgoingPeer>> outgoing;
-  // Connections without an answer to a call in time, by the address of the peer. They get no new
-  // calls, but their other calls still wait for answers.
-  std::multimap<std::string, std::weak_ptr<OutgoingPeer>> draining;
   std::set<std::shared_ptr<PeerConnection>> accepted;
 };
 
@@ -368,11 +365,6 @@
     // No byte has arrived since the call started, so the connection may be dead. New calls use a
     // new connection. The old one stays open, because its other calls may still get their answers.
     this->RemoveFromCache(peer);
-    if (!done) {
-      std::lock_guard lock(this->mutex);
-      std::erase_if(this->draining, [](const auto& entry) { return entry.second.expired(); });
-      this->draining.emplace(peer->address, peer);
-    }
   }
   if (done) {
     peer->connection->Close();
@@ -430,25 +422,17 @@
 }
 
 void PeerNetwork::FailRetryableCalls(const std::string& address) {
-  std::vector<std::shared_ptr<OutgoingPeer>> peers;
+  std::shared_ptr<OutgoingPeer> peer;
   {
     std::lock_guard lock(this->impl->mutex);
     const auto found = this->impl->outgoing.find(address);
-    if (found != this->impl->outgoing.end()) {
-      peers.push_back(found->second);
-      this->impl->outgoing.erase(found);
+    if (found == this->impl->outgoing.end()) {
+      return;
     }
-    const auto [first, last] = this->impl->draining.equal_range(address);
-    for (auto entry = first; entry != last; ++entry) {
-      if (auto peer = entry->second.lock()) {
-        peers.push_back(std::move(peer));
-      }
-    }
-    this->impl->draining.erase(first, last);
-  }
-  for (const auto& peer : peers) {
-    peer->FailRetryableCalls();
+    peer = found->second;
+    this->impl->outgoing.erase(found);
   }
+  peer->FailRetryableCalls();
 }
 
 asio::awaitable<PeerMessage> PeerNetwork::Call(std::string address,
