--- a/review/common/world.hpp
+++ b/review/common/world.hpp
@@ -451,6 +451,7 @@
   uint64_t sequence = 0;
   uint64_t term = 1;
   uint64_t pause_term = 0;
+  int receive_delay_ms = 0;  // Time that a commit takes from the primary to this replica.
   std::vector<Entry> log;
   int listener = -1;
   std::set<int> connections;
@@ -503,6 +504,31 @@
                 std::to_string(server->log.size()) + " entries");
   }
 
+  /// Starts a further server, as a replica.
+  Server* Add(std::string id, std::string zone, int receive_delay_ms) {
+    Server* server = nullptr;
+    {
+      std::lock_guard lock(this->mutex);
+      this->servers.push_back(std::make_unique<Server>(this, std::move(id), std::move(zone)));
+      server = this->servers.back().get();
+      server->receive_delay_ms = receive_delay_ms;
+    }
+    this->Start(server, true);
+    return server;
+  }
+
+  /// Returns the servers that run and do not drain; the primary is the first one.
+  std::vector<Server*> RunningServers() {
+    std::lock_guard lock(this->mutex);
+    std::vector<Server*> running;
+    for (const auto& server : this->servers) {
+      if (server->running && !server->draining) {
+        running.insert(server->id == this->primary ? running.begin() : running.end(), server.get());
+      }
+    }
+    return running;
+  }
+
   /// Ends a server as a crash does: it refuses connections and its connections are reset.
   void Crash(Server* server) {
     std::lock_guard lock(this->mutex);
@@ -587,6 +613,7 @@
   std::condition_variable changed;
   std::string primary;
   std::vector<Promotion> promotions;
+  int link_us = 0;  // One-way delay between daemons and servers.
   // Called without the mutex when a read, write or commit reaches a server.
   std::function<void(const Server&, const std::string& id, const std::string& text)> on_statement;
 
@@ -607,13 +634,38 @@
     }
     for (const auto& server : this->servers) {
       if (server->running && server->pause_term == 0 && server.get() != leader) {
-        server->log = leader->log;
-        server->term = leader->term;
+        if (server->receive_delay_ms == 0) {
+          this->Receive(server.get(), leader, leader->log.size());
+        } else {
+          this->ReceiveLater(server.get(), leader->id, leader->term, leader->log.size());
+        }
       }
     }
     this->changed.notify_all();
   }
 
+  // Gives a replica the first `size` entries of the leader's log.
+  void Receive(Server* replica, Server* leader, size_t size) {
+    if (replica->term != leader->term || replica->log.size() < size) {
+      replica->log.assign(leader->log.begin(), leader->log.begin() + static_cast<ptrdiff_t>(size));
+    }
+    replica->term = leader->term;
+    this->changed.notify_all();
+  }
+
+  // What is under way when the replica is paused, or when the leader changes, does not arrive.
+  void ReceiveLater(Server* replica, std::string leader, uint64_t term, size_t size) {
+    std::thread([this, replica, leader = std::move(leader), term, size] {
+      SleepMs(replica->receive_delay_ms);
+      std::lock_guard lock(this->mutex);
+      Server* current = this->Find(this->primary);
+      if (current != nullptr && current->id == leader && current->term == term &&
+          current->running && replica->running && replica->pause_term == 0) {
+        this->Receive(replica, current, size);
+      }
+    }).detach();
+  }
+
   void Report(Server* server) {
     ++server->sequence;
     this->store->Write("servers", server->id,
@@ -704,12 +756,15 @@
         return;
       }
       const std::string text = line.substr(6 + id.size() + 1);
+      std::this_thread::sleep_for(std::chrono::microseconds(this->link_us));
       std::string answer = this->Run(server, &session, id, text);
-      std::lock_guard lock(this->mutex);
+      std::unique_lock lock(this->mutex);
       if (!server->running || server->born != born) {
         return;
       }
       answer += std::string("READY ") + session.state + " " + Position(*server) + "\r\n";
+      lock.unlock();
+      std::this_thread::sleep_for(std::chrono::microseconds(this->link_us));
       if (!SendAll(connection, answer)) {
         return;
       }
