--- a/kernel/takeover_plan.cc
+++ b/kernel/takeover_plan.cc
@@ -1,6 +1,7 @@
 #include "kernel/takeover_plan.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace poplarmoor {
 
@@ -20,10 +21,17 @@
   return left.id < right.id;
 }
 
-const MemberStatus* BestReplica(const std::vector<const MemberStatus*>& replicas, bool leaving) {
+constexpr uint64_t kAnyPauseTerm = std::numeric_limits<uint64_t>::max();
+
+// Returns the best candidate among the registered replicas whose `leaving` field is as given and
+// that no takeover has paused at `pause_term` or later, or null.
+const MemberStatus* BestReplica(const std::vector<const MemberStatus*>& replicas,
+                                bool leaving,
+                                uint64_t pause_term = kAnyPauseTerm) {
   const MemberStatus* best = nullptr;
   for (const MemberStatus* replica : replicas) {
     if (!replica->departed && replica->leaving == leaving &&
+        replica->active_pause_term < pause_term &&
         (best == nullptr || IsBetterCandidate(*replica, *best))) {
       best = replica;
     }
@@ -88,7 +96,11 @@
   if (primary_answers && !primary->departed && view.reason == TakeoverReason::kPrimaryLost) {
     return {Kind::kAbandon, primary->id, "the primary answers"};
   }
-  const MemberStatus* candidate = BestReplica(replicas, false);
+  // A status may be older than the answer to another replica's pause order, so the longest log
+  // known can be that of a paused replica although the other one has received more since.
+  const MemberStatus* candidate =
+      primary_answers ? BestReplica(replicas, false, view.pause_term) : nullptr;
+  candidate = candidate == nullptr ? BestReplica(replicas, false) : candidate;
   const MemberStatus* leaving = BestReplica(replicas, true);
   if (!primary_answers && leaving != nullptr &&
       (candidate == nullptr || leaving->received > candidate->received)) {
@@ -127,12 +139,30 @@
   }
   for (const MemberStatus* replica : replicas) {
     if (replica->received > candidate->received) {
-      return {Kind::kWait, candidate->id, "the candidate has not caught up with a paused replica"};
+      if (primary_answers && view.catch_up_failed) {
+        return {Kind::kAbandon, candidate->id, "the candidate does not receive log entries"};
+      }
+      return {Kind::kWait, candidate->id, "the candidate has not caught up with a paused replica",
+              true};
     }
   }
+  if (primary_answers && candidate->active_pause_term != 0) {
+    return {Kind::kStepDown, primary->id, "every replica is paused"};
+  }
   return {Kind::kPromote, candidate->id, "the candidate holds every acknowledged commit"};
 }
 
+TakeoverStep NextPromotionGuardStep(const TakeoverView& view, const std::string& candidate) {
+  for (const MemberStatus& member : view.members) {
+    // A member in the pause term or a later one already follows the promoted endpoint.
+    if (member.reachable && !member.is_primary && member.id != candidate &&
+        member.active_pause_term < view.pause_term && member.term < view.pause_term) {
+      return {Kind::kPause, member.id, "a replica receives log entries during the promotion"};
+    }
+  }
+  return {Kind::kWait, candidate, "all replicas but the candidate are paused"};
+}
+
 std::vector<std::string> MembersToForget(const std::vector<MemberStatus>& first,
                                          const std::vector<MemberStatus>& second) {
   const MemberStatus* primary = FindPrimary(first);
--- a/kernel/takeover_plan.h
+++ b/kernel/takeover_plan.h
@@ -49,6 +49,8 @@
   // True if an earlier takeover sent a replica the command to receive log entries again and this
   // command may not have arrived yet. It could undo this takeover's pause of that replica.
   bool resume_pending = false;
+  // True if the candidate has lacked entries of a paused replica for longer than replication takes.
+  bool catch_up_failed = false;
 };
 
 /// Next step of a takeover.
@@ -62,21 +64,33 @@
   };
 
   Kind kind = Kind::kWait;
-  // Id of the endpoint to pause, demote or promote. kAbandon: id of the current primary; kWait: id
-  // of the candidate for promotion or of a replica that does not answer, or empty.
+  // Id of the endpoint to pause, demote or promote. kAbandon: id of the current primary or of the
+  // candidate for promotion; kWait: id of the candidate or of a replica that does not answer, or
+  // empty.
   std::string endpoint;
-  std::string cause;  // Reason of the step, for log lines.
+  std::string cause;         // Reason of the step, for log lines.
+  bool catching_up = false;  // kWait: the candidate lacks entries that a paused replica has.
 };
 
 /// Decides the next step of a takeover. A commit is acknowledged once one replica has received it.
 /// All replicas except the candidate for promotion are paused first. From then on, a commit is
 /// acknowledged only once the candidate has received it. Commits acknowledged earlier are in the
 /// log of the candidate or of a paused replica, so the candidate is promoted only when no
-/// paused replica has a longer log.
+/// paused replica has a longer log. The candidate itself is not paused while the primary leads:
+/// the primary could then acknowledge commits only through a replica that this takeover does not
+/// know yet.
 /// @param view Reason of the takeover and latest statuses of all members, departed ones included.
 /// @returns The step.
 TakeoverStep NextTakeoverStep(const TakeoverView& view);
 
+/// Decides the next order while the platform carries out a promotion. Until the candidate leads, a
+/// replica that joins or restarts receives the old primary's log, so that commits could be
+/// acknowledged which the candidate lacks.
+/// @param view Latest statuses of all members.
+/// @param candidate Id of the endpoint that is being promoted.
+/// @returns A step of kind kPause for a replica that is not paused, otherwise kWait.
+TakeoverStep NextPromotionGuardStep(const TakeoverView& view, const std::string& candidate);
+
 /// Decides which departed members later takeovers need not compare. A departed member that does not
 /// answer and refuses no connection either may be left out once every registered replica has
 /// received the log that the primary had after the departure: the acknowledged commits that only
--- /dev/null
+++ b/new.cc
@@ -0,0 +1,191 @@
+#include "kernel/takeover_plan.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace poplarmoor {
+
+namespace {
+
+using Kind = TakeoverStep::Kind;
+
+// Whether `left` is preferred for promotion: first by the longer log, then for not being paused,
+// then by the lower id.
+bool IsBetterCandidate(const MemberStatus& left, const MemberStatus& right) {
+  if (left.received != right.received) {
+    return left.received > right.received;
+  }
+  if ((left.active_pause_term == 0) != (right.active_pause_term == 0)) {
+    return left.active_pause_term == 0;
+  }
+  return left.id < right.id;
+}
+
+constexpr uint64_t kAnyPauseTerm = std::numeric_limits<uint64_t>::max();
+
+// Returns the best candidate among the registered replicas whose `leaving` field is as given and
+// that no takeover has paused at `pause_term` or later, or null.
+const MemberStatus* BestReplica(const std::vector<const MemberStatus*>& replicas,
+                                bool leaving,
+                                uint64_t pause_term = kAnyPauseTerm) {
+  const MemberStatus* best = nullptr;
+  for (const MemberStatus* replica : replicas) {
+    if (!replica->departed && replica->leaving == leaving &&
+        replica->active_pause_term < pause_term &&
+        (best == nullptr || IsBetterCandidate(*replica, *best))) {
+      best = replica;
+    }
+  }
+  return best;
+}
+
+// Whether the old primary answers as a replica and no other replica has a longer log. An old
+// primary that has lost its log also answers as a replica, but its log is shorter than the others'.
+bool OldPrimaryHasLongestLog(const std::vector<const MemberStatus*>& replicas,
+                             const std::string& old_primary) {
+  const MemberStatus* old_primary_status = nullptr;
+  LogPosition longest;
+  for (const MemberStatus* replica : replicas) {
+    longest = std::max(longest, replica->received);
+    old_primary_status = replica->id == old_primary ? replica : old_primary_status;
+  }
+  return old_primary_status != nullptr && old_primary_status->received >= longest;
+}
+
+// Returns the registered member that reports itself as primary, or null.
+const MemberStatus* FindPrimary(const std::vector<MemberStatus>& members) {
+  const auto found = std::find_if(members.begin(), members.end(), [](const MemberStatus& member) {
+    return member.reachable && member.is_primary && !member.departed;
+  });
+  return found == members.end() ? nullptr : &*found;
+}
+
+bool IsRunning(const std::vector<MemberStatus>& members, const std::string& id) {
+  return std::any_of(members.begin(), members.end(), [&id](const MemberStatus& member) {
+    return member.id == id && (member.reachable || member.refused);
+  });
+}
+
+}  // namespace
+
+TakeoverStep NextTakeoverStep(const TakeoverView& view) {
+  const MemberStatus* primary = nullptr;
+  std::vector<const MemberStatus*> replicas;
+  const MemberStatus* unreachable_replica = nullptr;
+  for (const MemberStatus& member : view.members) {
+    const bool leads = member.reachable && member.is_primary;
+    if (leads && member.id != view.old_primary && !member.departed) {
+      return {Kind::kAbandon, member.id, "another member is already the primary"};
+    }
+    if (leads || (member.id == view.old_primary && !member.reachable)) {
+      primary = primary == nullptr || leads ? &member : primary;
+    } else if (member.reachable) {
+      replicas.push_back(&member);
+    } else {
+      unreachable_replica = &member;
+    }
+  }
+  for (const MemberStatus& member : view.members) {
+    // The log of a former primary is unknown as well when a departed member leads.
+    if (&member != primary && member.id == view.old_primary && !member.reachable) {
+      unreachable_replica = &member;
+    }
+  }
+  const bool primary_answers = primary != nullptr && primary->reachable;
+  const bool stepped_down = OldPrimaryHasLongestLog(replicas, view.old_primary);
+  if (primary_answers && !primary->departed && view.reason == TakeoverReason::kPrimaryLost) {
+    return {Kind::kAbandon, primary->id, "the primary answers"};
+  }
+  // A status may be older than the answer to another replica's pause order, so the longest log known
+  // can be that of a paused replica although the other one has received more since.
+  const MemberStatus* candidate =
+      primary_answers ? BestReplica(replicas, false, view.pause_term) : nullptr;
+  candidate = candidate == nullptr ? BestReplica(replicas, false) : candidate;
+  const MemberStatus* leaving = BestReplica(replicas, true);
+  if (!primary_answers && leaving != nullptr &&
+      (candidate == nullptr || leaving->received > candidate->received)) {
+    // Without a primary, the commits that only the leaving replica has cannot reach another
+    // replica, so the leaving replica becomes the candidate.
+    candidate = leaving;
+  }
+  if (candidate == nullptr) {
+    return {Kind::kWait, "", "no replica answers"};
+  }
+  if (unreachable_replica != nullptr && !stepped_down) {
+    // The replica that does not answer may hold acknowledged commits that the candidate lacks. No
+    // such commit lies beyond the end of the primary's log, and only the primary can report this
+    // end.
+    if (!primary_answers) {
+      return {Kind::kWait, unreachable_replica->id,
+              "a replica with an unknown log does not answer"};
+    }
+    return {Kind::kStepDown, primary->id, "a replica with an unknown log does not answer"};
+  }
+  if (view.resume_pending && !stepped_down) {
+    // A command of an earlier takeover to resume replication may still reach a replica and undo
+    // this takeover's pause of that replica. The primary could then acknowledge commits that only
+    // the primary and that replica have, and the promotion of another replica would lose them. So
+    // the primary must step down first. If it does not answer, it cannot be told to, and the
+    // takeover waits.
+    if (!primary_answers) {
+      return {Kind::kWait, candidate->id, "a resume order of an earlier takeover may be pending"};
+    }
+    return {Kind::kStepDown, primary->id, "a resume order of an earlier takeover may be pending"};
+  }
+  for (const MemberStatus* replica : replicas) {
+    if (replica != candidate && replica->active_pause_term < view.pause_term) {
+      return {Kind::kPause, replica->id, "a replica still receives log entries"};
+    }
+  }
+  for (const MemberStatus* replica : replicas) {
+    if (replica->received > candidate->received) {
+      if (primary_answers && view.catch_up_failed) {
+        return {Kind::kAbandon, candidate->id, "the candidate does not receive log entries"};
+      }
+      return {Kind::kWait, candidate->id, "the candidate has not caught up with a paused replica",
+              true};
+    }
+  }
+  if (primary_answers && candidate->active_pause_term != 0) {
+    return {Kind::kStepDown, primary->id, "every replica is paused"};
+  }
+  return {Kind::kPromote, candidate->id, "the candidate holds every acknowledged commit"};
+}
+
+TakeoverStep NextPromotionGuardStep(const TakeoverView& view, const std::string& candidate) {
+  for (const MemberStatus& member : view.members) {
+    // A member in the pause term or a later one already follows the promoted endpoint.
+    if (member.reachable && !member.is_primary && member.id != candidate &&
+        member.active_pause_term < view.pause_term && member.term < view.pause_term) {
+      return {Kind::kPause, member.id, "a replica receives log entries during the promotion"};
+    }
+  }
+  return {Kind::kWait, candidate, "all replicas but the candidate are paused"};
+}
+
+std::vector<std::string> MembersToForget(const std::vector<MemberStatus>& first,
+                                         const std::vector<MemberStatus>& second) {
+  const MemberStatus* primary = FindPrimary(first);
+  const MemberStatus* still_primary = FindPrimary(second);
+  if (primary == nullptr || still_primary == nullptr || still_primary->id != primary->id ||
+      still_primary->term != primary->term) {
+    return {};
+  }
+  size_t replicas = 0;
+  std::vector<std::string> silent;
+  for (const MemberStatus& member : second) {
+    if (member.departed) {
+      if (!IsRunning(first, member.id) && !IsRunning(second, member.id)) {
+        silent.push_back(member.id);
+      }
+    } else if (member.id != primary->id) {
+      if (!member.reachable || member.received < primary->received) {
+        return {};
+      }
+      ++replicas;
+    }
+  }
+  return replicas == 0 ? std::vector<std::string>() : silent;
+}
+
+}  // namespace poplarmoor
--- a/session/takeover_controller.h
+++ b/session/takeover_controller.h
@@ -52,21 +52,27 @@
   boost::asio::awaitable<void> RunTakeover(ServiceGroup* group, TakeoverReason reason);
   boost::asio::awaitable<void> TryTakeover(ServiceGroup* group, TakeoverReason reason);
   boost::asio::awaitable<bool> ClaimTakeover(ServiceGroup* group, TakeoverReason reason);
+  struct Takeover;
   boost::asio::awaitable<void> RunTakeoverSteps(ServiceGroup* group,
                                                 TakeoverReason reason,
                                                 TakeoverClaim held);
-  boost::asio::awaitable<bool> Promote(ServiceGroup* group,
-                                       std::string endpoint,
-                                       TakeoverClaim held);
-  boost::asio::awaitable<void> AbandonTakeover(ServiceGroup* group,
-                                               TakeoverClaim held,
-                                               std::vector<std::string> paused,
-                                               uint64_t term);
+  // Orders the promotion of an endpoint and waits until the endpoint leads.
+  // @returns Whether the platform has accepted the order.
+  boost::asio::awaitable<bool> Promote(std::shared_ptr<Takeover> takeover, std::string endpoint);
+  boost::asio::awaitable<bool> OrderPromotion(std::shared_ptr<Takeover> takeover,
+                                              std::string endpoint);
+  // Pauses the replicas that join or restart until the promotion has ended.
+  boost::asio::awaitable<void> GuardPromotion(std::shared_ptr<Takeover> takeover,
+                                              std::string candidate);
+  boost::asio::awaitable<void> AbandonTakeover(std::shared_ptr<Takeover> takeover);
   // Sends a pause or step-down order to a member and copies its answer into the view.
   // @returns Whether the member answered.
   boost::asio::awaitable<bool> OrderMember(ServiceGroup* group,
                                            TakeoverStep step,
                                            TakeoverView* view);
+  // Whether the view describes exactly the present members of the group. Members join and leave
+  // while their statuses are collected and while orders are sent.
+  static bool IsCurrent(const TakeoverView& view, const ServiceGroup& group);
   // Writes this daemon's takeover claim to the store if the store still has the revision that this
   // daemon knows. If the answer is lost, reads the claim back.
   // @returns The claim's new revision; number 0 when it was not stored. Then another daemon's claim
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -1,7 +1,9 @@
 #include "session/takeover_controller.h"
 
 #include <algorithm>
+#include <optional>
 
+#include "session/background_task.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
 #include "session/object_store.h"
@@ -27,8 +29,13 @@
 // Delay before a promotion order that the platform did not answer is sent again; each promotion
 // order costs money.
 constexpr Duration kPromotionRetryDelay = 100ms;
-// Interval of status calls to the promoted endpoint.
+// A candidate that lacks entries of a paused replica for this time does not receive the primary's
+// log; replication takes some milliseconds.
+constexpr Duration kCatchUpTimeout = 500ms;
+// Interval of status calls to all members during a promotion.
 constexpr Duration kPromotionPollInterval = 100ms;
+// Interval at which a takeover checks during a promotion whether the group has new members.
+constexpr Duration kMembershipCheckInterval = 10ms;
 // Each daemon waits for a random time up to this one before it claims a takeover, so that usually
 // only one daemon makes the store call, which costs money. A takeover is planned when the primary
 // leaves, and unplanned otherwise.
@@ -147,19 +154,43 @@
   co_return StoreRevision();
 }
 
+// A takeover that this daemon runs.
+struct TakeoverController::Takeover {
+  ServiceGroup* group;
+  TakeoverClaim held;  // The claim under which the takeover runs.
+  TakeoverView view;
+  std::vector<std::string> paused;  // Ids of the replicas that were ordered to pause.
+  bool promoting = false;           // The promotion has not ended.
+  bool guarding = false;            // GuardPromotion() runs.
+
+  // Whether no other daemon has claimed the takeover meanwhile.
+  bool IsHeld() const { return this->group->claim.nonce == this->held.nonce; }
+};
+
+bool TakeoverController::IsCurrent(const TakeoverView& view, const ServiceGroup& group) {
+  return view.members.size() == group.members.size() &&
+         std::all_of(view.members.begin(), view.members.end(), [&group](const auto& status) {
+           const auto member = group.members.find(status.id);
+           return member != group.members.end() && member->second->departed == status.departed &&
+                  member->second->record().leaving == status.leaving;
+         });
+}
+
 asio::awaitable<void> TakeoverController::RunTakeoverSteps(ServiceGroup* group,
                                                            TakeoverReason reason,
                                                            TakeoverClaim held) {
-  const uint64_t token = FencingToken(held.revision);
-  TakeoverView view;
+  const auto takeover = std::make_shared<Takeover>();
+  takeover->group = group;
+  takeover->held = std::move(held);
+  TakeoverView& view = takeover->view;
   view.reason = reason;
   view.old_primary = group->old_primary;
-  std::vector<std::string> paused;
   const TimePoint deadline = BootNow() + kTakeoverTimeout;
   std::string last_cause;
+  std::optional<TimePoint> behind_since;
   bool outdated = true;
-  while (BootNow() < deadline && group->claim.nonce == held.nonce) {
-    if (outdated) {
+  while (BootNow() < deadline && takeover->IsHeld()) {
+    if (outdated || !IsCurrent(view, *group)) {
       view.members = co_await this->CollectStatuses(group, kOrderTimeout);
       outdated = false;
       uint64_t newest = group->term;
@@ -167,9 +198,18 @@
         newest = std::max(newest, member.term);
       }
       view.pause_term = std::max(view.pause_term, newest + 1);
+      if (!IsCurrent(view, *group)) {
+        continue;
+      }
     }
     view.resume_pending = BootNow() < group->resume_pending_until;
+    view.catch_up_failed = behind_since && BootNow() - *behind_since > kCatchUpTimeout;
     const TakeoverStep step = NextTakeoverStep(view);
+    if (!step.catching_up) {
+      behind_since.reset();
+    } else if (!behind_since) {
+      behind_since = BootNow();
+    }
     if (step.cause != last_cause) {
       last_cause = step.cause;
       Log(LogLevel::kInfo, "takeover step",
@@ -178,19 +218,19 @@
            {"cause", step.cause},
            {"members", DescribeMembers(view.members)},
            {"term", view.pause_term},
-           {"token", token}});
+           {"token", FencingToken(takeover->held.revision)}});
     }
     if (step.kind == TakeoverStep::Kind::kAbandon) {
       break;
     }
     if (step.kind == TakeoverStep::Kind::kPromote) {
-      if (co_await this->Promote(group, step.endpoint, held)) {
+      if (co_await this->Promote(takeover, step.endpoint)) {
         co_return;
       }
       break;
     }
     if (step.kind == TakeoverStep::Kind::kPause) {
-      paused.push_back(step.endpoint);
+      takeover->paused.push_back(step.endpoint);
     }
     // Whether the member has answered a pause or step-down order. The answer contains the member's
     // status, so no new round of status calls is needed.
@@ -203,7 +243,7 @@
       outdated = true;
     }
   }
-  co_await this->AbandonTakeover(group, std::move(held), std::move(paused), view.pause_term);
+  co_await this->AbandonTakeover(takeover);
 }
 
 asio::awaitable<bool> TakeoverController::OrderMember(ServiceGroup* group,
@@ -236,13 +276,13 @@
   co_return false;
 }
 
-asio::awaitable<void> TakeoverController::AbandonTakeover(ServiceGroup* group,
-                                                          TakeoverClaim held,
-                                                          std::vector<std::string> paused,
-                                                          uint64_t term) {
+asio::awaitable<void> TakeoverController::AbandonTakeover(std::shared_ptr<Takeover> takeover) {
+  ServiceGroup* group = takeover->group;
+  const std::vector<std::string>& paused = takeover->paused;
+  const uint64_t term = takeover->view.pause_term;
   Log(LogLevel::kInfo, "takeover abandoned",
       {{"service", group->name}, {"paused", paused.size()}, {"holder", group->claim.holder}});
-  if (group->claim.nonce != held.nonce) {
+  if (!takeover->IsHeld()) {
     // The holder of the newer takeover claim decides about the paused replicas. If the store was
     // restored without this claim, an order of this daemon to promote may still be carried out.
     co_return;
@@ -252,7 +292,7 @@
   // the other daemon relies on. The phase also tells the next holder of the claim that the endpoint
   // may still carry out such an order if its answer is lost.
   while (!paused.empty() && !co_await this->PublishPhase(group, TakeoverPhase::kResuming, "")) {
-    if (group->claim.nonce != held.nonce || this->stopping) {
+    if (!takeover->IsHeld() || this->stopping) {
       Log(LogLevel::kInfo, "replicas stay paused: the takeover is no longer this daemon's",
           {{"service", group->name}, {"holder", group->claim.holder}});
       co_return;
@@ -294,15 +334,29 @@
   co_return true;
 }
 
-asio::awaitable<bool> TakeoverController::Promote(ServiceGroup* group,
-                                                  std::string endpoint,
-                                                  TakeoverClaim held) {
-  const uint64_t token = FencingToken(held.revision);
+asio::awaitable<bool> TakeoverController::Promote(std::shared_ptr<Takeover> takeover,
+                                                  std::string endpoint) {
+  takeover->promoting = takeover->guarding = true;
+  SpawnTask(this->executor, "guard a promotion", this->GuardPromotion(takeover, endpoint),
+            [takeover] { takeover->guarding = false; });
+  const bool accepted = co_await this->OrderPromotion(takeover, std::move(endpoint));
+  takeover->promoting = false;
+  // A pause order that is still in progress must not follow the orders to resume.
+  while (takeover->guarding) {
+    co_await Pause(kMembershipCheckInterval);
+  }
+  co_return accepted;
+}
+
+asio::awaitable<bool> TakeoverController::OrderPromotion(std::shared_ptr<Takeover> takeover,
+                                                         std::string endpoint) {
+  ServiceGroup* group = takeover->group;
+  const uint64_t token = FencingToken(takeover->held.revision);
   // A promotion order without an answer may be carried out later. The replicas stay paused until a
   // promotion order is answered, or until the token of a newer takeover claim makes the order
   // invalid.
   PromotionOutcome outcome = PromotionOutcome::kUnknown;
-  while (group->claim.nonce == held.nonce) {
+  while (takeover->IsHeld()) {
     outcome = co_await this->promotions->Promote(group->name, endpoint, token);
     Log(LogLevel::kInfo, "promotion ordered",
         {{"service", group->name},
@@ -344,4 +398,34 @@
   co_return true;
 }
 
+asio::awaitable<void> TakeoverController::GuardPromotion(std::shared_ptr<Takeover> takeover,
+                                                         std::string candidate) {
+  ServiceGroup* group = takeover->group;
+  TakeoverView view = takeover->view;
+  TimePoint next_round = BootNow() + kPromotionPollInterval;
+  while (takeover->promoting && takeover->IsHeld()) {
+    if (IsCurrent(view, *group) && BootNow() < next_round) {
+      co_await Pause(kMembershipCheckInterval);
+      continue;
+    }
+    view.members = co_await this->CollectStatuses(group, kOrderTimeout);
+    next_round = BootNow() + kPromotionPollInterval;
+    for (TakeoverStep step = NextPromotionGuardStep(view, candidate);
+         step.kind == TakeoverStep::Kind::kPause && takeover->promoting && takeover->IsHeld();
+         step = NextPromotionGuardStep(view, candidate)) {
+      Log(LogLevel::kWarn, "replica joined during a promotion",
+          {{"service", group->name},
+           {"endpoint", step.endpoint},
+           {"candidate", candidate},
+           {"members", DescribeMembers(view.members)},
+           {"term", view.pause_term}});
+      takeover->paused.push_back(step.endpoint);
+      const bool ordered = co_await this->OrderMember(group, step, &view);
+      if (!ordered) {
+        break;
+      }
+    }
+  }
+}
+
 }  // namespace poplarmoor
--- a/tests/kernel/takeover_plan_test.cc
+++ b/tests/kernel/takeover_plan_test.cc
@@ -99,6 +99,118 @@
   CHECK(step.endpoint == "a");
 }
 
+// Guards against commits that a primary acknowledges through a replica which joins during the
+// promotion: it can do so only while it cannot reach the candidate.
+TEST_CASE("a takeover does not pause the candidate for promotion while the primary leads") {
+  auto view = View(TakeoverReason::kPrimaryLeaving,
+                   {Primary(true, true), Replica("a", 100), Replica("b", 99)});
+  TakeoverStep step = NextTakeoverStep(view);
+  CHECK(step.kind == Kind::kPause);
+  CHECK(step.endpoint == "b");
+  // The answer to the pause order is newer than the status of the candidate.
+  view.members[2].active_pause_term = 4;
+  view.members[2].received.index = 102;
+  step = NextTakeoverStep(view);
+  CHECK(step.kind == Kind::kWait);
+  CHECK(step.catching_up);
+  CHECK(step.endpoint == "a");
+  view.members[1].received.index = 102;
+  step = NextTakeoverStep(view);
+  CHECK(step.kind == Kind::kPromote);
+  CHECK(step.endpoint == "a");
+}
+
+// Guards against a takeover that waits for ever for a candidate that receives nothing.
+TEST_CASE("a takeover is abandoned when its candidate does not catch up with a paused replica") {
+  MemberStatus paused = Replica("b", 102);
+  paused.active_pause_term = 4;
+  auto view =
+      View(TakeoverReason::kPrimaryLeaving, {Primary(true, true), Replica("a", 100), paused});
+  view.catch_up_failed = true;
+  CHECK(NextTakeoverStep(view).kind == Kind::kAbandon);
+}
+
+// Guards against commits that a replica without a pause receives while all others are paused.
+TEST_CASE("a primary steps down before a promotion if the candidate is paused") {
+  MemberStatus paused = Replica("a", 100);
+  paused.active_pause_term = 4;
+  const auto view = View(TakeoverReason::kPrimaryLeaving, {Primary(true, true), paused});
+  CHECK(NextTakeoverStep(view).kind == Kind::kStepDown);
+}
+
+// Guards against commits that only a replica has received which joined or restarted while the
+// platform carried out the promotion.
+TEST_CASE("a replica that joins or restarts during a promotion is paused") {
+  MemberStatus paused = Replica("b", 100);
+  paused.active_pause_term = 4;
+  auto view =
+      View(TakeoverReason::kPrimaryLeaving, {Primary(true, true), Replica("a", 100), paused});
+  CHECK(NextPromotionGuardStep(view, "a").kind == Kind::kWait);
+  view.members.push_back(Replica("joined", 101));
+  TakeoverStep step = NextPromotionGuardStep(view, "a");
+  CHECK(step.kind == Kind::kPause);
+  CHECK(step.endpoint == "joined");
+  view.members[3].active_pause_term = 4;
+  CHECK(NextPromotionGuardStep(view, "a").kind == Kind::kWait);
+  view.members[2].active_pause_term = 0;
+  CHECK(NextPromotionGuardStep(view, "a").endpoint == "b");
+  // A replica of the new term follows the promoted endpoint and must not be paused.
+  view.members[2].term = 4;
+  CHECK(NextPromotionGuardStep(view, "a").kind == Kind::kWait);
+}
+
+// The statuses of a takeover are read one after the other while the primary commits, a replica
+// joins at a random step, and the platform needs 20 steps for the promotion. The takeover learns of
+// the new replica two steps later.
+TEST_CASE("in random takeovers, no commit that only a joining replica has received is lost") {
+  constexpr size_t kPromotionSteps = 20;
+  constexpr size_t kRegistrationSteps = 2;
+  for (uint64_t seed = 0; seed < 3000; ++seed) {
+    RandomEngine random(seed);
+    std::vector<MemberStatus> members{Primary(true, true), Replica("a", 100), Replica("b", 100)};
+    auto view = View(TakeoverReason::kPrimaryLeaving, members);
+    uint64_t acknowledged = 100;
+    std::string candidate;
+    size_t promoted_at = 0;
+    const size_t joins_at = RandomBelow(&random, kPromotionSteps);
+    for (size_t step = 0; candidate.empty() || step < promoted_at; ++step) {
+      REQUIRE(step < 500);
+      if (step == joins_at) {
+        members.push_back(Replica("joined", members[0].received.index));
+      }
+      if (step == joins_at + kRegistrationSteps) {
+        view.members.push_back(members.back());
+      }
+      members[0].received.index += RandomBelow(&random, 3);
+      for (size_t i = 1; i < members.size(); ++i) {
+        if (members[i].active_pause_term == 0) {
+          members[i].received.index = members[0].received.index;
+          acknowledged = members[0].received.index;
+        }
+      }
+      const TakeoverStep next =
+          candidate.empty() ? NextTakeoverStep(view) : NextPromotionGuardStep(view, candidate);
+      if (next.kind == Kind::kPromote) {
+        candidate = next.endpoint;
+        promoted_at = step + kPromotionSteps;
+      }
+      // An order returns the status of its endpoint; a wait reads that of all members.
+      for (size_t i = 0; i < view.members.size(); ++i) {
+        if (next.kind == Kind::kPause && members[i].id == next.endpoint) {
+          members[i].active_pause_term = 4;
+        }
+        if (next.kind == Kind::kWait || members[i].id == next.endpoint) {
+          view.members[i] = members[i];
+        }
+      }
+    }
+    for (const MemberStatus& member : members) {
+      INFO("seed " << seed);
+      CHECK((member.id != candidate || member.received.index >= acknowledged));
+    }
+  }
+}
+
 TEST_CASE("a takeover does not promote a leaving replica if another replica has the same log") {
   MemberStatus leaving = Replica("a", 95);
   leaving.leaving = true;
--- a/tests/platform/fake_line_endpoint.cc
+++ b/tests/platform/fake_line_endpoint.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <sstream>
+#include <utility>
 
 #include "net/address.h"
 
@@ -155,6 +156,9 @@
     this->active_pause_term = word == "PAUSE"    ? std::stoull(name)
                               : word == "RESUME" ? 0
                                                  : this->active_pause_term;
+    if (word == "PAUSE" && this->on_pause) {
+      std::exchange(this->on_pause, nullptr)();
+    }
     return std::string("ROW ") + (acts_as_primary ? "primary " : "replica ") +
            std::to_string(this->group->term) + " " + std::to_string(this->group->term) + "." +
            std::to_string(this->group->index - this->lag) + " " +
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <limits>
 #include <stdexcept>
 
 #include "net/address.h"
@@ -127,6 +128,22 @@
     this->cluster.ApplyEndpoint(record);
   }
 
+  // Adds a replica to the group.
+  FakeLineEndpoint& Join(const char* id) {
+    this->endpoints.push_back(
+        std::make_unique<FakeLineEndpoint>(this->context.get_executor(), id, &this->group));
+    this->Register(*this->endpoints.back());
+    return *this->endpoints.back();
+  }
+
+  // Records that the primary p announces its stop.
+  void AnnouncePrimaryLeaves() {
+    EndpointRecord record = this->cluster.FindEndpoint("p")->record();
+    record.leaving = true;
+    record.revision = this->store.NextRevision();
+    this->cluster.ApplyEndpoint(record);
+  }
+
   // Crashes the primary p and makes the daemon probe it, as a statement that fails there does.
   void LosePrimary() {
     this->endpoints[0]->Crash();
@@ -555,6 +572,43 @@
   }
 }
 
+// Guards against the loss of commits that a leaving primary acknowledges through a replica which
+// joins after the takeover has paused the others, while the platform carries out the promotion.
+TEST_CASE("replicas that join or restart during a promotion are paused until it has ended") {
+  Fixture fixture;
+  fixture.promotions.unanswered_orders = std::numeric_limits<int>::max();
+  fixture.takeover_controller.Start();
+  fixture.AnnouncePrimaryLeaves();
+  fixture.RunUntil([&] { return !fixture.promotions.endpoints.empty(); });
+  const bool promotes_a = fixture.promotions.endpoints.front() == "a";
+  FakeLineEndpoint& candidate = *fixture.endpoints[promotes_a ? 1 : 2];
+  FakeLineEndpoint& other = *fixture.endpoints[promotes_a ? 2 : 1];
+  CHECK(candidate.active_pause_term == 0);
+  FakeLineEndpoint& joined = fixture.Join("c");
+  fixture.RunUntil([&] { return joined.active_pause_term == 2; });
+  other.active_pause_term = 0;  // A restart ends the pause.
+  fixture.RunUntil([&] { return other.active_pause_term == 2; });
+  CHECK(candidate.active_pause_term == 0);
+  fixture.promotions.unanswered_orders = 0;
+  const ServiceGroup* group = fixture.cluster.FindGroup("ledger");
+  fixture.RunUntil([&] { return group->Primary()->record().id == candidate.id; });
+  fixture.RunUntil([&] { return !group->taking_over; });
+}
+
+// Guards against a promotion that is ordered although a replica has joined since the comparison.
+TEST_CASE("a takeover compares the log of a replica that joins while the others are paused") {
+  Fixture fixture;
+  fixture.endpoints[1]->lag = 1;
+  fixture.endpoints[2]->lag = 1;
+  fixture.takeover_controller.Start();
+  FakeLineEndpoint* joined = nullptr;
+  fixture.endpoints[2]->on_pause = [&] { joined = &fixture.Join("c"); };
+  fixture.LosePrimary();
+  fixture.RunUntil([&] { return !fixture.promotions.endpoints.empty(); });
+  REQUIRE(joined != nullptr);
+  CHECK(fixture.promotions.endpoints.front() == "c");
+}
+
 // Guards against takeovers that wait for an endpoint that has left for good.
 TEST_CASE("a replica that has left is forgotten once the other replicas have the primary's log") {
   Fixture fixture;
