--- a/session/caller_session.cc
+++ b/session/caller_session.cc
@@ -1,5 +1,6 @@
 #include "session/caller_session.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -66,6 +67,9 @@
   this->socket.non_blocking(true, ignored);
   if (co_await this->Open()) {
     while (!(this->draining && this->IsIdle())) {
+      if (this->ending_transactions) {
+        this->RollBack();
+      }
       auto line = co_await this->ReadLine();
       if (!line) {
         break;
@@ -123,15 +127,23 @@
   return !this->transaction && this->buffer.empty();
 }
 
-void CallerSession::Drain() {
+void CallerSession::Drain(TimePoint answer_by) {
   this->draining = true;
+  this->answer_by = answer_by;
   if (this->waiting && this->IsIdle()) {
     this->socket.cancel();
   }
 }
 
-void CallerSession::EndTransaction() {
-  if (this->waiting && this->transaction && !this->transaction->finished) {
+void CallerSession::EndTransactions() {
+  this->ending_transactions = true;
+  if (this->waiting) {
+    this->RollBack();
+  }
+}
+
+void CallerSession::RollBack() {
+  if (this->transaction && !this->transaction->finished) {
     this->runner->Discard(&*this->transaction);
   }
 }
@@ -172,7 +184,9 @@
         if (self->opened) {
           Log(LogLevel::kInfo, "idle transaction rolled back",
               {{"database", self->database}, {"session", self->state.session}});
-          self->EndTransaction();
+          if (self->waiting) {
+            self->RollBack();
+          }
         } else {
           self->socket.cancel();
         }
@@ -261,7 +275,7 @@
                                                                 const DatabaseRoute& route) {
   StatementJob job;
   job.arrived = BootNow();
-  job.deadline = job.arrived + route.statement_timeout;
+  job.deadline = std::min(job.arrived + route.statement_timeout, this->answer_by);
   job.id = std::move(message.id);
   job.route = &route;
   job.writes = message.verb == StatementVerb::kWrite;
@@ -302,7 +316,7 @@
   } else if (commit) {
     StatementJob job;
     job.arrived = BootNow();
-    job.deadline = job.arrived + route.statement_timeout;
+    job.deadline = std::min(job.arrived + route.statement_timeout, this->answer_by);
     job.id = std::move(message.id);
     job.text = std::move(message.text);
     job.route = &route;
--- a/session/caller_session.h
+++ b/session/caller_session.h
@@ -32,13 +32,14 @@
 
   /// Closes the session as soon as every request of the caller has been answered and no transaction
   /// is open.
-  void Drain();
+  /// @param answer_by Time by which later requests are answered, even if their time limit is
+  /// longer.
+  void Drain(TimePoint answer_by);
 
-  /// Rolls back the session's transaction if one is open and none of its statements is running.
-  /// The caller's next statement or commit gets an error.
-  void EndTransaction();
-
-  bool InTransaction() const { return this->transaction.has_value(); }
+  /// Rolls back the session's transaction, now or, if one of its statements is running, after the
+  /// answer to this statement. The same holds for transactions that the caller begins later. The
+  /// caller's next statement or commit gets an error.
+  void EndTransactions();
 
  private:
   boost::asio::awaitable<bool> Open();
@@ -50,6 +51,8 @@
   boost::asio::awaitable<StatementAnswer> AnswerTransactionEnd(CallerMessage message,
                                                                const DatabaseRoute& route);
   StatementAnswer AnswerSetting(CallerMessage message);
+  // Rolls back the open transaction, if any. None of its statements may be running.
+  void RollBack();
   TransactionState State() const;
   bool IsIdle() const;
 
@@ -67,6 +70,8 @@
   bool opened = false;
   bool waiting = false;  // The session waits for the caller's next message.
   bool draining = false;
+  bool ending_transactions = false;
+  TimePoint answer_by = TimePoint::max();
 };
 
 }  // namespace poplarmoor
--- a/session/relay_server.cc
+++ b/session/relay_server.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <charconv>
+#include <utility>
 
 #include "net/peer_network.h"
 #include "session/boot_clock.h"
@@ -148,7 +149,7 @@
       answer.newest_age_us = static_cast<uint64_t>((BootNow() - newest->sent).count());
     }
   }
-  const bool keep = request.transaction &&
+  const bool keep = request.transaction && !this->ending_transactions &&
                     attempt.outcome == StatementAttempt::Outcome::kAnswered &&
                     attempt.answer.state == TransactionState::kOpen;
   if (keep) {
@@ -216,6 +217,13 @@
   co_return PeerMessage(kRelayOrderMessage, std::move(body));
 }
 
+void RelayServer::EndTransactions() {
+  this->ending_transactions = true;
+  for (auto& [number, leased] : std::exchange(this->transactions, {})) {
+    this->EndLease(leased.pool, std::move(leased.lease), true);
+  }
+}
+
 void RelayServer::EndOrphanedTransactions() {
   const Duration limit = this->cluster->routes().transaction_idle_limit + kOrphanedTransactionGrace;
   const TimePoint now = BootNow();
--- a/session/relay_server.h
+++ b/session/relay_server.h
@@ -30,6 +30,10 @@
   /// are refused as not run, so that these daemons use another gateway. Open transactions go on.
   void Drain() { this->draining = true; }
 
+  /// Rolls back the open transactions of other daemons; those in which a statement is running
+  /// follow after its answer.
+  void EndTransactions();
+
   /// @returns Number of statements of other daemons that run and of their open transactions.
   size_t in_progress() const { return this->running + this->transactions.size(); }
 
@@ -61,6 +65,7 @@
   std::map<uint64_t, LeasedConnection> transactions;
   size_t running = 0;     // Number of statements of other daemons that run.
   bool draining = false;  // The daemon is about to stop.
+  bool ending_transactions = false;
 };
 
 }  // namespace poplarmoor
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -36,6 +36,9 @@
 constexpr Duration kBalancerRemovalDelay = 2200ms;
 // The process exits this long before the end of its stop grace period, at which it would be killed.
 constexpr Duration kStopMargin = 500ms;
+// Time before the exit of a stopping process by which the last requests are answered, so that their
+// answers can still be sent.
+constexpr Duration kLastAnswersTime = 100ms;
 constexpr Duration kStopPollInterval = 20ms;
 // File descriptors reserved for connections to endpoints and the store, and for files; sessions
 // cannot use them.
@@ -243,13 +246,14 @@
   SpawnTask(this->context->get_executor(), "remove the daemon entry",
             this->components->sync.RemoveDaemonEntry());
   co_await Pause(std::min<Duration>(kBalancerRemovalDelay, grace / 3));
-  this->components->server.Drain();
+  this->components->server.Drain(stop_time + grace - kStopMargin - kLastAnswersTime);
   bool transactions_ended = false;
   while (this->components->server.size() + relays.in_progress() > 0 &&
          BootNow() - stop_time < grace - kStopMargin) {
     if (!transactions_ended && BootNow() - stop_time > grace / 2) {
       transactions_ended = true;
-      this->components->server.EndIdleTransactions();
+      this->components->server.EndTransactions();
+      relays.EndTransactions();
     }
     co_await Pause(kStopPollInterval);
   }
--- a/session/session_server.cc
+++ b/session/session_server.cc
@@ -54,6 +54,9 @@
       co_await Pause(kAcceptRetry);
       continue;
     }
+    if (!this->acceptor.is_open()) {
+      co_return;  // Drain() came between the connection and this line.
+    }
     if (this->sessions.size() >= max_sessions) {
       Log(LogLevel::kWarn, "caller's connection closed: session limit reached",
           {{"limit", max_sessions}});
@@ -68,17 +71,17 @@
   }
 }
 
-void SessionServer::Drain() {
+void SessionServer::Drain(TimePoint answer_by) {
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
   for (const auto& [number, session] : this->sessions) {
-    session->Drain();
+    session->Drain(answer_by);
   }
 }
 
-void SessionServer::EndIdleTransactions() {
+void SessionServer::EndTransactions() {
   for (const auto& [number, session] : this->sessions) {
-    session->EndTransaction();
+    session->EndTransactions();
   }
 }
 
--- a/session/session_server.h
+++ b/session/session_server.h
@@ -36,10 +36,13 @@
 
   /// Stops accepting connections. Each session is closed as soon as it has neither an unanswered
   /// request nor an open transaction.
-  void Drain();
+  /// @param answer_by Time by which later requests are answered, even if their time limit is
+  /// longer.
+  void Drain(TimePoint answer_by);
 
-  /// Rolls back the sessions' open transactions, except those in which a statement is running.
-  void EndIdleTransactions();
+  /// Rolls back the sessions' open transactions; those in which a statement is running follow after
+  /// its answer.
+  void EndTransactions();
 
   /// @returns Number of open sessions.
   size_t size() const { return this->sessions.size(); }
--- a/tests/platform/fake_line_endpoint.cc
+++ b/tests/platform/fake_line_endpoint.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "net/address.h"
+#include "session/wait_list.h"
 
 namespace poplarmoor::platform {
 
@@ -77,6 +78,9 @@
     const std::string line = connection->buffer.substr(0, size - 2);
     connection->buffer.erase(0, size);
     const std::string answer = this->Answer(connection.get(), line, &close);
+    while (this->holds_answers) {
+      co_await Pause(1ms);
+    }
     co_await asio::async_write(connection->socket, asio::buffer(answer),
                                asio::redirect_error(asio::use_awaitable, error));
   }
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -200,6 +200,25 @@
   CHECK(fixture.group.executed.size() == executed);
 }
 
+// Guards against a planned stop that cuts off the statements of relayed transactions which go on
+// until the gateway ends.
+TEST_CASE("a gateway rolls the transactions of other daemons back before it ends") {
+  RelayFixture fixture;
+  SessionState state;
+  state.session = 7;
+  SessionTransaction transaction;
+  const auto first = fixture.Await(fixture.entry.runner.RunInTransaction(
+      fixture.Job("w1", "WRITE 1 x", true), &state, &transaction));
+  CHECK_FALSE(first.error);
+  fixture.gate.server.Drain();
+  fixture.gate.server.EndTransactions();
+  CHECK(fixture.gate.server.in_progress() == 0);
+  const auto second = fixture.Await(fixture.entry.runner.RunInTransaction(
+      fixture.Job("w2", "WRITE 2 x", true), &state, &transaction));
+  CHECK(second.error == StatementError::kAborted);
+  CHECK(fixture.group.executed.size() == 1);
+}
+
 // Failure: a gateway has lost power or is cut off. Connections to the gateway can be opened, but it
 // answers no call.
 TEST_CASE(
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -128,6 +128,15 @@
     this->cluster.ApplyEndpoint(record);
   }
 
+  // Raises the limits of the configuration beyond the time that RunUntil() waits.
+  void RaiseTimeLimits() {
+    RouteTable table = this->cluster.routes();
+    ++table.version;
+    table.transaction_idle_limit = 1h;
+    table.routes["orders"].statement_timeout = 1h;
+    this->cluster.ApplyRoutes(table);
+  }
+
   // Adds a replica to the group.
   FakeLineEndpoint& Join(const char* id) {
     this->endpoints.push_back(
@@ -511,12 +520,50 @@
   busy.Receive();
   busy.Query("BEGIN");
   busy.Query("WRITE 1 x");
-  fixture.server.Drain();
+  fixture.server.Drain(TimePoint::max());
   fixture.RunUntil([&] { return fixture.server.size() == 1; });
   CHECK(busy.Query("COMMIT").starts_with("COMPLETE signed."));
   fixture.RunUntil([&] { return fixture.server.size() == 0; });
 }
 
+// Guards against a planned stop that lets a busy transaction go on until the process ends and cuts
+// its last statement off.
+TEST_CASE(
+    "when open transactions are ended, one with a running statement ends after the answer to this "
+    "statement") {
+  Fixture fixture;
+  fixture.RaiseTimeLimits();
+  Caller busy(&fixture, "orders");
+  busy.Receive();
+  busy.Query("BEGIN");
+  busy.Query("READ 1");
+  FakeLineEndpoint& primary = *fixture.endpoints[0];
+  primary.holds_answers = true;
+  busy.Send("QUERY running READ 2");
+  fixture.RunUntil([&] { return fixture.group.executed.back().id == "running"; });
+  fixture.server.Drain(TimePoint::max());
+  fixture.server.EndTransactions();
+  primary.holds_answers = false;
+  CHECK(busy.Receive().find("COMPLETE signed.running") != std::string::npos);
+  fixture.RunUntil([&] { return primary.rolled_back == 1; });
+  CHECK(busy.Query("READ 3").starts_with("ERROR ABORTED"));
+  CHECK(fixture.group.executed.back().id == "running");
+  busy.Query("ROLLBACK");
+  fixture.RunUntil([&] { return fixture.server.size() == 0; });
+}
+
+// Guards against a request that still waits for a primary when a stopping process ends.
+TEST_CASE("a request that reaches a stopping daemon is answered before the daemon ends") {
+  Fixture fixture;
+  Caller caller(&fixture, "orders");
+  caller.Receive();
+  fixture.RaiseTimeLimits();
+  caller.Query("BEGIN");
+  fixture.endpoints[0]->max_connections = 0;
+  fixture.server.Drain(BootNow() + 200ms);
+  CHECK(caller.Query("WRITE 1 x").starts_with("ERROR BUSY"));
+}
+
 // Guards against the loss of acknowledged commits: the registry drops an endpoint that it cannot
 // hear, and that endpoint may be the only one with the latest commits.
 TEST_CASE(
