takeover: no replica is paused after the promotion has taken effect

Cause: a promotion ends all pauses. GuardPromotion read the status of a replica that had not heard of the new primary yet, took it for one that had joined, and sent it a pause order of the new term. A replica that carries such an order out before it has heard of the new primary would stay paused until the next promotion.

Change: the guard ends once the candidate leads, and pauses a replica only if the candidate, asked after that replica, does not lead. One more round of status calls for each replica that joins.

Test failed before: 'no replica is paused once the candidate leads' (1 == 0).

--- a/kernel/takeover_plan.cc
+++ b/kernel/takeover_plan.cc
@@ -152,7 +152,16 @@
   return {Kind::kPromote, candidate->id, "the candidate holds every acknowledged commit"};
 }
 
+bool LeadsIn(const std::vector<MemberStatus>& members, const std::string& id) {
+  return std::any_of(members.begin(), members.end(), [&id](const MemberStatus& member) {
+    return member.id == id && member.reachable && member.is_primary;
+  });
+}
+
 TakeoverStep NextPromotionGuardStep(const TakeoverView& view, const std::string& candidate) {
+  if (LeadsIn(view.members, candidate)) {
+    return {Kind::kWait, candidate, "the candidate leads"};
+  }
   for (const MemberStatus& member : view.members) {
     // A member in the pause term or a later one already follows the promoted endpoint.
     if (member.reachable && !member.is_primary && member.id != candidate &&
--- a/kernel/takeover_plan.h
+++ b/kernel/takeover_plan.h
@@ -83,6 +83,9 @@
 /// @returns The step.
 TakeoverStep NextTakeoverStep(const TakeoverView& view);
 
+/// @returns Whether the member answered as the primary.
+bool LeadsIn(const std::vector<MemberStatus>& members, const std::string& id);
+
 /// Decides the next order while the platform carries out a promotion. Until the candidate leads, a
 /// replica that joins or restarts receives the old primary's log, so that commits could be
 /// acknowledged which the candidate lacks.
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -410,6 +410,14 @@
     }
     view.members = co_await this->CollectStatuses(group, kOrderTimeout);
     next_round = BootNow() + kPromotionPollInterval;
+    if (NextPromotionGuardStep(view, candidate).kind == TakeoverStep::Kind::kPause) {
+      // The promotion ends all pauses. A replica that has not heard of the new primary yet would
+      // stay paused, so the candidate must not lead after the replica's status was read.
+      const auto later = co_await this->CollectStatuses(group, kOrderTimeout);
+      if (LeadsIn(later, candidate)) {
+        co_return;
+      }
+    }
     for (TakeoverStep step = NextPromotionGuardStep(view, candidate);
          step.kind == TakeoverStep::Kind::kPause && takeover->promoting && takeover->IsHeld();
          step = NextPromotionGuardStep(view, candidate)) {
--- a/tests/kernel/takeover_plan_test.cc
+++ b/tests/kernel/takeover_plan_test.cc
@@ -159,6 +159,17 @@
   CHECK(NextPromotionGuardStep(view, "a").kind == Kind::kWait);
 }
 
+// Guards against replicas that stay paused after a promotion because they had not heard of the new
+// primary when the guard read their status.
+TEST_CASE("no replica is paused once the candidate leads") {
+  MemberStatus promoted = Replica("a", 100);
+  promoted.is_primary = true;
+  promoted.term = 4;
+  const auto view =
+      View(TakeoverReason::kPrimaryLeaving, {Replica("p", 100), promoted, Replica("b", 100)});
+  CHECK(NextPromotionGuardStep(view, "a").kind == Kind::kWait);
+}
+
 // The statuses of a takeover are read one after the other while the primary commits, a replica
 // joins at a random step, and the platform needs 20 steps for the promotion. The takeover learns of
 // the new replica two steps later.
