takeover: the candidate of a silent primary is not paused as long as it catches up

A primary that does not answer the daemon that runs the takeover may only be slow or behind a partition, and goes on committing. The candidate was still switched there to a paused replica whose answer was newer, and all replicas were paused, so that a replica that joined could acknowledge alone.

During a promotion, a primary that answers although the candidate is paused steps down. The log line is named 'takeover step during a promotion' now.

Tests: 'a takeover pauses the candidate of a silent primary only if it does not catch up' failed before (4 checks).

--- a/kernel/takeover_plan.cc
+++ b/kernel/takeover_plan.cc
@@ -24,14 +24,14 @@
 constexpr uint64_t kAnyPauseTerm = std::numeric_limits<uint64_t>::max();
 
 // Returns the best candidate among the registered replicas whose `leaving` field is as given and
-// that no takeover has paused at `pause_term` or later, or null.
+// that no takeover has paused at `pause_limit` or later, or null.
 const MemberStatus* BestReplica(const std::vector<const MemberStatus*>& replicas,
                                 bool leaving,
-                                uint64_t pause_term = kAnyPauseTerm) {
+                                uint64_t pause_limit = kAnyPauseTerm) {
   const MemberStatus* best = nullptr;
   for (const MemberStatus* replica : replicas) {
     if (!replica->departed && replica->leaving == leaving &&
-        replica->active_pause_term < pause_term &&
+        replica->active_pause_term < pause_limit &&
         (best == nullptr || IsBetterCandidate(*replica, *best))) {
       best = replica;
     }
@@ -98,10 +98,12 @@
   }
   // A status may be older than the answer to another replica's pause order, so the longest log
   // known can be that of a paused replica although the other one has received more since.
-  const MemberStatus* candidate =
-      primary_answers ? BestReplica(replicas, false, view.pause_term) : nullptr;
+  // A silent primary may still lead and send its log to the replicas.
+  const bool can_catch_up = primary != nullptr && (primary_answers || !view.catch_up_failed);
+  const uint64_t pause_limit = can_catch_up ? view.pause_term : kAnyPauseTerm;
+  const MemberStatus* candidate = BestReplica(replicas, false, pause_limit);
   candidate = candidate == nullptr ? BestReplica(replicas, false) : candidate;
-  const MemberStatus* leaving = BestReplica(replicas, true);
+  const MemberStatus* leaving = BestReplica(replicas, true, pause_limit);
   if (!primary_answers && leaving != nullptr &&
       (candidate == nullptr || leaving->received > candidate->received)) {
     // Without a primary, the commits that only the leaving replica has cannot reach another
@@ -162,6 +164,14 @@
   if (LeadsIn(view.members, candidate)) {
     return {Kind::kWait, candidate, "the candidate leads"};
   }
+  const MemberStatus* primary = FindPrimary(view.members);
+  const bool paused =
+      std::any_of(view.members.begin(), view.members.end(), [&](const MemberStatus& member) {
+        return member.id == candidate && member.active_pause_term != 0;
+      });
+  if (primary != nullptr && paused) {
+    return {Kind::kStepDown, primary->id, "the candidate is paused, and the primary answers again"};
+  }
   for (const MemberStatus& member : view.members) {
     // A member in the pause term or a later one already follows the promoted endpoint.
     if (member.reachable && !member.is_primary && member.id != candidate &&
--- a/kernel/takeover_plan.h
+++ b/kernel/takeover_plan.h
@@ -91,7 +91,8 @@
 /// acknowledged which the candidate lacks.
 /// @param view Latest statuses of all members.
 /// @param candidate Id of the endpoint that is being promoted.
-/// @returns A step of kind kPause for a replica that is not paused, otherwise kWait.
+/// @returns A step of kind kPause for a replica that is not paused, of kind kStepDown if the old
+///     primary answers and the candidate is paused, otherwise kWait.
 TakeoverStep NextPromotionGuardStep(const TakeoverView& view, const std::string& candidate);
 
 /// Decides which departed members later takeovers need not compare. A departed member that does not
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -419,15 +419,18 @@
       }
     }
     for (TakeoverStep step = NextPromotionGuardStep(view, candidate);
-         step.kind == TakeoverStep::Kind::kPause && takeover->promoting && takeover->IsHeld();
+         step.kind != TakeoverStep::Kind::kWait && takeover->promoting && takeover->IsHeld();
          step = NextPromotionGuardStep(view, candidate)) {
-      Log(LogLevel::kWarn, "replica joined during a promotion",
+      Log(LogLevel::kWarn, "takeover step during a promotion",
           {{"service", group->name},
            {"endpoint", step.endpoint},
            {"candidate", candidate},
+           {"cause", step.cause},
            {"members", DescribeMembers(view.members)},
            {"term", view.pause_term}});
-      takeover->paused.push_back(step.endpoint);
+      if (step.kind == TakeoverStep::Kind::kPause) {
+        takeover->paused.push_back(step.endpoint);
+      }
       const bool ordered = co_await this->OrderMember(group, step, &view);
       if (!ordered) {
         break;
--- a/tests/kernel/takeover_plan_test.cc
+++ b/tests/kernel/takeover_plan_test.cc
@@ -120,6 +120,29 @@
   CHECK(step.endpoint == "a");
 }
 
+// Guards against the same with a primary that is only silent, for example behind a partition.
+TEST_CASE("a takeover pauses the candidate of a silent primary only if it does not catch up") {
+  MemberStatus paused = Replica("b", 102);
+  paused.active_pause_term = 4;
+  auto view = View(TakeoverReason::kPrimaryLost, {Primary(false), Replica("a", 100), paused});
+  TakeoverStep step = NextTakeoverStep(view);
+  CHECK(step.kind == Kind::kWait);
+  CHECK(step.catching_up);
+  view.catch_up_failed = true;
+  step = NextTakeoverStep(view);
+  CHECK(step.kind == Kind::kPause);
+  CHECK(step.endpoint == "a");
+  view.members[1].active_pause_term = 4;
+  step = NextTakeoverStep(view);
+  CHECK(step.kind == Kind::kPromote);
+  CHECK(step.endpoint == "b");
+  // The primary was only silent, and could commit through a replica that joins.
+  view.members[0] = Primary(true);
+  step = NextPromotionGuardStep(view, "b");
+  CHECK(step.kind == Kind::kStepDown);
+  CHECK(step.endpoint == "p");
+}
+
 // Guards against a takeover that waits for ever for a candidate that receives nothing.
 TEST_CASE("a takeover is abandoned when its candidate does not catch up with a paused replica") {
   MemberStatus paused = Replica("b", 102);
@@ -448,7 +471,8 @@
 }
 
 // The primary and the departed member are on the same side of a partition and go on with commits,
-// until the primary crashes and the partition heals.
+// until the primary crashes and the partition heals. After 10 waiting steps a candidate counts as
+// unable to catch up.
 TEST_CASE("in random takeovers, no commit that only a departed member has received is lost") {
   for (uint64_t seed = 0; seed < 2000; ++seed) {
     RandomEngine random(seed);
@@ -459,6 +483,7 @@
     const size_t healing = RandomBelow(&random, 20);
     const size_t registration = healing + RandomBelow(&random, 20);
     std::string promoted;
+    size_t waited = 0;
     for (size_t step = 0; step < 200 && promoted.empty(); ++step) {
       MemberStatus& departed = members[3];
       departed.reachable = step >= healing;
@@ -467,7 +492,10 @@
         departed.received.index += RandomBelow(&random, 3);
         acknowledged = departed.received.index;
       }
-      const TakeoverStep next = NextTakeoverStep(View(TakeoverReason::kPrimaryLost, members));
+      auto view = View(TakeoverReason::kPrimaryLost, members);
+      view.catch_up_failed = waited > 10;
+      const TakeoverStep next = NextTakeoverStep(view);
+      waited = next.catching_up ? waited + 1 : 0;
       for (MemberStatus& member : members) {
         if (member.id != next.endpoint) {
           continue;
