--- a/config/deployment_check.cc
+++ b/config/deployment_check.cc
@@ -8,7 +8,7 @@
 
 #include "config/address_check.h"
 #include "config/json_file.h"
-#include "kernel/admission_queue.h"
+#include "kernel/admission/admission_queue.h"
 #include "kernel/rank.h"
 #include "kernel/registry.h"
 #include "kernel/routing_policy.h"
--- a/daemon/endpoint_owner.h
+++ b/daemon/endpoint_owner.h
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "daemon/endpoint_load.h"
-#include "kernel/admission_queue.h"
-#include "kernel/concurrency_limit.h"
+#include "kernel/admission/admission_queue.h"
+#include "kernel/admission/concurrency_limit.h"
 #include "kernel/connection_pool.h"
 #include "kernel/endpoint_info.h"
 #include "kernel/service_settings.h"
--- a/daemon/service_state.h
+++ b/daemon/service_state.h
@@ -5,8 +5,8 @@
 #include <mutex>
 #include <string>
 
+#include "kernel/admission/retry_budget.h"
 #include "kernel/group_view.h"
-#include "kernel/retry_budget.h"
 #include "kernel/routing_policy.h"
 #include "kernel/time.h"
 
--- a/kernel/concurrency_limit.cc
+++ b/kernel/admission/concurrency_limit.cc
@@ -1,4 +1,4 @@
-#include "kernel/concurrency_limit.h"
+#include "kernel/admission/concurrency_limit.h"
 
 #include <algorithm>
 #include <utility>
--- a/kernel/load_shedder.cc
+++ b/kernel/admission/load_shedder.cc
@@ -1,4 +1,4 @@
-#include "kernel/load_shedder.h"
+#include "kernel/admission/load_shedder.h"
 
 #include <algorithm>
 #include <cmath>
--- a/kernel/ranked_admission.cc
+++ b/kernel/admission/ranked_admission.cc
@@ -1,4 +1,4 @@
-#include "kernel/ranked_admission.h"
+#include "kernel/admission/ranked_admission.h"
 
 #include <algorithm>
 #include <cassert>
--- a/kernel/ranked_admission.h
+++ b/kernel/admission/ranked_admission.h
@@ -5,8 +5,8 @@
 #include <unordered_map>
 #include <utility>
 
-#include "kernel/admission_queue.h"
-#include "kernel/site_queues.h"
+#include "kernel/admission/admission_queue.h"
+#include "kernel/admission/site_queues.h"
 
 namespace poplarmoor {
 
--- a/kernel/retry_budget.cc
+++ b/kernel/admission/retry_budget.cc
@@ -1,4 +1,4 @@
-#include "kernel/retry_budget.h"
+#include "kernel/admission/retry_budget.h"
 
 #include <algorithm>
 
--- a/kernel/site_queues.cc
+++ b/kernel/admission/site_queues.cc
@@ -1,4 +1,4 @@
-#include "kernel/site_queues.h"
+#include "kernel/admission/site_queues.h"
 
 #include <cassert>
 
--- a/kernel/site_queues.h
+++ b/kernel/admission/site_queues.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "kernel/admission_queue.h"
+#include "kernel/admission/admission_queue.h"
 
 namespace poplarmoor {
 
--- a/kernel/statement_queue.cc
+++ b/kernel/admission/statement_queue.cc
@@ -1,4 +1,4 @@
-#include "kernel/statement_queue.h"
+#include "kernel/admission/statement_queue.h"
 
 #include <algorithm>
 
--- a/kernel/bench_main.cc
+++ b/kernel/bench_main.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "kernel/admission_queue.h"
+#include "kernel/admission/admission_queue.h"
 #include "kernel/request_machine.h"
 #include "kernel/routing_policy.h"
 
--- a/kernel/peer_health.h
+++ b/kernel/peer_health.h
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-#include "kernel/gateway_plan.h"
+#include "kernel/placement/gateway_plan.h"
 #include "kernel/random.h"
 #include "kernel/time.h"
 
--- a/kernel/gateway_plan.cc
+++ b/kernel/placement/gateway_plan.cc
@@ -1,4 +1,4 @@
-#include "kernel/gateway_plan.h"
+#include "kernel/placement/gateway_plan.h"
 
 #include <algorithm>
 #include <set>
--- a/kernel/read_placement.cc
+++ b/kernel/placement/read_placement.cc
@@ -1,4 +1,4 @@
-#include "kernel/read_placement.h"
+#include "kernel/placement/read_placement.h"
 
 #include <algorithm>
 #include <utility>
--- a/kernel/request_machine.h
+++ b/kernel/request_machine.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "kernel/admission/retry_budget.h"
 #include "kernel/group_view.h"
 #include "kernel/log_position.h"
-#include "kernel/retry_budget.h"
 #include "kernel/routing_policy.h"
 #include "kernel/statement_request.h"
 #include "kernel/statement_result.h"
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "kernel/gateway_plan.h"
+#include "kernel/placement/gateway_plan.h"
 #include "kernel/route_table.h"
 #include "session/relay_router.h"
 #include "session/service_group.h"
--- a/session/daemon_entry.h
+++ b/session/daemon_entry.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <string>
 
-#include "kernel/gateway_plan.h"
+#include "kernel/placement/gateway_plan.h"
 
 namespace poplarmoor {
 
--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -7,7 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "kernel/startup_limit.h"
+#include "kernel/admission/startup_limit.h"
 #include "net/random_bits.h"
 #include "session/boot_clock.h"
 #include "session/direct_channel.h"
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -10,11 +10,11 @@
 #include <string>
 #include <vector>
 
+#include "kernel/admission/load_shedder.h"
+#include "kernel/admission/statement_queue.h"
 #include "kernel/endpoint_record.h"
-#include "kernel/load_shedder.h"
 #include "kernel/name_table.h"
 #include "kernel/session_state.h"
-#include "kernel/statement_queue.h"
 #include "session/endpoint_channel.h"
 #include "session/session_codec.h"
 
--- a/session/evidence_exchange.h
+++ b/session/evidence_exchange.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "kernel/gateway_plan.h"
+#include "kernel/placement/gateway_plan.h"
 #include "kernel/time.h"
 
 namespace poplarmoor {
--- a/session/relay_router.h
+++ b/session/relay_router.h
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "kernel/endpoint_record.h"
-#include "kernel/gateway_plan.h"
 #include "kernel/peer_health.h"
+#include "kernel/placement/gateway_plan.h"
 #include "kernel/random.h"
 #include "session/endpoint_channel.h"
 #include "session/session_codec.h"
--- a/session/service_group.h
+++ b/session/service_group.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "kernel/freshness_log.h"
-#include "kernel/read_placement.h"
+#include "kernel/placement/read_placement.h"
 #include "session/endpoint_pool.h"
 #include "session/takeover_claim.h"
 #include "session/wait_list.h"
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "kernel/change_schedule.h"
-#include "kernel/gateway_plan.h"
+#include "kernel/placement/gateway_plan.h"
 #include "kernel/random.h"
 #include "session/object_store.h"
 #include "session/process_settings.h"
--- a/tests/kernel/admission_test.cc
+++ b/tests/kernel/admission_test.cc
@@ -1,7 +1,7 @@
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
-#include "kernel/admission_queue.h"
+#include "kernel/admission/admission_queue.h"
 #include "tests/kernel/fixtures.h"
 
 namespace poplarmoor {
--- a/tests/kernel/gateway_plan_test.cc
+++ b/tests/kernel/gateway_plan_test.cc
@@ -1,4 +1,4 @@
-#include "kernel/gateway_plan.h"
+#include "kernel/placement/gateway_plan.h"
 
 #include <catch2/catch.hpp>
 #include <map>
--- a/tests/kernel/owner_limits_test.cc
+++ b/tests/kernel/owner_limits_test.cc
@@ -1,9 +1,9 @@
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
-#include "kernel/concurrency_limit.h"
+#include "kernel/admission/concurrency_limit.h"
+#include "kernel/admission/retry_budget.h"
 #include "kernel/connection_pool.h"
-#include "kernel/retry_budget.h"
 #include "tests/kernel/fixtures.h"
 
 namespace poplarmoor {
--- a/tests/kernel/startup_limit_test.cc
+++ b/tests/kernel/startup_limit_test.cc
@@ -1,4 +1,4 @@
-#include "kernel/startup_limit.h"
+#include "kernel/admission/startup_limit.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
