--- a/kernel/placement/gateway_plan.h
+++ b/kernel/placement/gateway_plan.h
@@ -8,11 +8,13 @@
 
 namespace poplarmoor {
 
-/// Name, address and failure domain of a daemon.
+/// Name, address, failure domain and capacity of a daemon.
 struct Peer {
   std::string daemon;
   std::string address;  // Address of the daemon's peer listener, "IP:port".
   std::string failure_domain;
+  // Processor share of the daemon, in cores; 0: unknown.
+  double capacity = 0;
 };
 
 /// Decides which daemons connect to an endpoint. If the endpoint accepts at least 1.5 connections
--- a/kernel/route_table.h
+++ b/kernel/route_table.h
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "kernel/name_table.h"
+#include "kernel/organisation/organisation_table.h"
 #include "kernel/time.h"
 
 namespace poplarmoor {
@@ -35,6 +37,8 @@
   // A read may miss only commits that are younger than this; 0: a read sees every commit.
   Duration max_staleness{};
   int rank = 0;  // Priority of the statements; 0 is the most urgent.
+  // Whether callers need an API key, if the configuration has organisations.
+  bool requires_key = true;
 };
 
 /// Connection limit and other settings of one service.
@@ -54,6 +58,8 @@
   std::map<std::string, PooledService, std::less<>> services;
   // Longest time that a transaction may wait for its next statement. Then it may be rolled back.
   Duration transaction_idle_limit = 3s;
+  // Organisations and their keys; empty: callers need no key and have no limits.
+  std::optional<OrganisationTable> organisations;
 
   /// Sets each service's shortest_latency_objective from the routes that use the service.
   void SetShortestObjectives() {
--- a/kernel/session_state.h
+++ b/kernel/session_state.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "kernel/log_position.h"
+#include "kernel/organisation/organisation_table.h"
 #include "kernel/time.h"
 
 namespace poplarmoor {
@@ -31,7 +32,9 @@
 /// connection must have the session's values and, if the statement is a prepared one, this prepared
 /// statement.
 struct SessionState {
-  uint64_t session = 0;  // Session id, unique among all daemons.
+  uint64_t session = 0;      // Session id, unique among all daemons.
+  std::string organisation;  // Organisation of the caller; empty: none.
+  KeyId key = 0;             // Fingerprint of the caller's API key; 0: none.
   SessionValues values;
   // Prepared statements by the name that the caller gave them.
   std::map<std::string, PreparedStatement, std::less<>> prepared;
--- a/session/caller_message.h
+++ b/session/caller_message.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "kernel/name_table.h"
+#include "kernel/organisation/organisation_table.h"
 
 namespace poplarmoor {
 
@@ -39,6 +40,7 @@
 
   Kind kind = Kind::kMalformed;
   std::string database;  // Name of the database that the caller wants to use; set for kOpen.
+  KeyId key = 0;         // Fingerprint of the caller's API key; set for kOpen, 0 if there is none.
   std::string id;        // Statement id that the caller chose; set for kStatement.
   std::string text;      // Statement text as the caller sent it; set for kStatement.
   StatementVerb verb = StatementVerb::kUnknown;
--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -154,7 +154,7 @@
       std::make_unique<EndpointSession>(this->executor, this->codec, this->current.address);
   try {
     const StatementAnswer answer =
-        co_await connection->Open(this->current.service, this->current.id, limit);
+        co_await connection->Open(this->current.service, std::string(), this->current.id, limit);
     if (!answer.error) {
       this->open_pause = {};
       this->down = false;
@@ -250,7 +250,8 @@
         std::make_unique<EndpointSession>(this->executor, this->codec, this->current.address);
     StatementAnswer opened;
     try {
-      opened = co_await opening->Open(this->current.service, this->current.id, limit);
+      opened =
+          co_await opening->Open(this->current.service, std::string(), this->current.id, limit);
     } catch (const EndpointSessionError& error) {
       if (error.kind == EndpointSessionError::Kind::kClosed) {
         this->NoteLimitReached();
--- a/session/endpoint_session.cc
+++ b/session/endpoint_session.cc
@@ -39,6 +39,7 @@
 }
 
 asio::awaitable<StatementAnswer> EndpointSession::Open(std::string service,
+                                                       std::string organisation,
                                                        std::string endpoint,
                                                        Duration limit) {
   boost::system::error_code error;
@@ -51,7 +52,7 @@
   }
   this->open = true;
   this->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
-  const std::string opening_message = this->codec->EncodeOpen(service, endpoint);
+  const std::string opening_message = this->codec->EncodeOpen(service, organisation, endpoint);
   co_await asio::async_write(this->stream, asio::buffer(opening_message),
                              asio::redirect_error(asio::use_awaitable, error));
   if (error) {
--- a/session/endpoint_session.h
+++ b/session/endpoint_session.h
@@ -43,12 +43,14 @@
 
   /// Connects and sends the opening message.
   /// @param service Service that the endpoint must belong to.
+  /// @param organisation Organisation whose statements the connection will carry; empty: none.
   /// @param endpoint Id that the endpoint must have.
   /// @param limit Time limit for establishing the connection and receiving the answer together.
   /// @returns The endpoint's answer to the opening message. If it is an error, the connection has
   ///     been closed.
   /// @throws EndpointSessionError.
   boost::asio::awaitable<StatementAnswer> Open(std::string service,
+                                               std::string organisation,
                                                std::string endpoint,
                                                Duration limit);
 
--- a/session/process_settings.h
+++ b/session/process_settings.h
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 
 namespace poplarmoor {
@@ -14,6 +16,14 @@
   std::chrono::milliseconds endpoints{7000};
 };
 
+/// Tolerance of the limits of organisations: in every window, an organisation may run
+/// (rate * window + burst) * (1 + excess_share) + slack operations.
+struct LimitTolerance {
+  std::chrono::seconds window{5};
+  double excess_share = 0.1;
+  double slack = 20;  // Operations.
+};
+
 /// Settings that a session daemon reads from its platform at its start and on a reload.
 struct ProcessSettings {
   std::string daemon;  // Name of this daemon.
@@ -27,6 +37,13 @@
   std::chrono::seconds stop_grace{6};  // Time from the stop signal until the process is killed.
   ApplyBounds bounds;
   uint32_t max_descriptors = 1024;  // Largest number of open file descriptors.
+  // Time after which no statement may run with an API key that the store has withdrawn, also in a
+  // daemon that is cut off; empty: there is no such bound.
+  std::optional<std::chrono::milliseconds> revocation_bound;
+  LimitTolerance limit_tolerance;
+  double capacity = 0;   // Processor share of this daemon, in cores; 0: unknown.
+  double link_mbps = 0;  // Bandwidth of the VM's link, Mbit/s; 0: unknown.
+  std::map<std::string, std::string> regions;  // Region of each failure domain.
 };
 
 }  // namespace poplarmoor
--- a/session/relay_channel.cc
+++ b/session/relay_channel.cc
@@ -95,6 +95,8 @@
   request.rank = this->rank;
   request.transaction = this->transaction;
   request.session = state.session;
+  request.organisation = state.organisation;
+  request.key = state.key;
   request.values.insert(state.values.begin(), state.values.end());
   if (spec.prepared) {
     request.has_prepared = true;
--- a/session/relay_server.cc
+++ b/session/relay_server.cc
@@ -38,6 +38,8 @@
 SessionState ToState(const RelayRequest& request) {
   SessionState state;
   state.session = request.session;
+  state.organisation = request.organisation;
+  state.key = request.key;
   state.values.insert(request.values.begin(), request.values.end());
   return state;
 }
--- a/session/session_codec.h
+++ b/session/session_codec.h
@@ -55,8 +55,11 @@
 
   // --- Messages to and from endpoints ---
 
+  /// @param organisation Organisation whose statements the connection will carry; empty: none.
   /// @returns Opening message to an endpoint.
-  virtual std::string EncodeOpen(std::string_view service, std::string_view endpoint) const = 0;
+  virtual std::string EncodeOpen(std::string_view service,
+                                 std::string_view organisation,
+                                 std::string_view endpoint) const = 0;
 
   /// @param id Statement id that the caller chose, or empty for this daemon's own statements.
   /// @param text Text of the statement.
--- a/session/statement_error.h
+++ b/session/statement_error.h
@@ -17,12 +17,13 @@
   kTimeout,             // The statement exceeded the endpoint's time limit and may have run.
   kInDoubt,             // The answer was lost; the statement may have run.
   kUnknownDatabase,     // No route exists for the database name.
+  kUnauthorised,        // The statement did not run: no organisation has the caller's API key.
   kTooLarge,            // The message exceeds the size limit.
   kMalformed,           // The message is malformed or not allowed in the session's state.
   kOther,               // The endpoint sent an error code that this program does not know.
 };
 
-inline constexpr NameTable<StatementError, 14> kStatementErrorNames{{{
+inline constexpr NameTable<StatementError, 15> kStatementErrorNames{{{
     {StatementError::kOverloaded, "overloaded"},
     {StatementError::kAborted, "aborted"},
     {StatementError::kBehind, "behind"},
@@ -34,6 +35,7 @@
     {StatementError::kTimeout, "timeout"},
     {StatementError::kInDoubt, "in_doubt"},
     {StatementError::kUnknownDatabase, "unknown_database"},
+    {StatementError::kUnauthorised, "unauthorised"},
     {StatementError::kTooLarge, "too_large"},
     {StatementError::kMalformed, "malformed"},
     {StatementError::kOther, "other"},
@@ -51,6 +53,7 @@
     case StatementError::kAborted:
     case StatementError::kWrongEndpoint:
     case StatementError::kTooManyConnections:
+    case StatementError::kUnauthorised:
       return true;
     default:
       return false;
--- a/tests/platform/line_codec_test.cc
+++ b/tests/platform/line_codec_test.cc
@@ -129,5 +129,16 @@
   CHECK(holds);
 }
 
+// Guards against API keys that reach an endpoint.
+TEST_CASE(
+    "an opening message to an endpoint names the organisation, and no key is decoded to text") {
+  const LineCodec codec;
+  CHECK(codec.EncodeOpen("ledger", "north", "i-1") == "OPEN ledger north i-1\r\n");
+  CHECK(codec.EncodeOpen("ledger", "", "i-1") == "OPEN ledger poplarmoor i-1\r\n");
+  CHECK(codec.DecodeCaller("OPEN orders u3f1").key == KeyIdOf("u3f1"));
+  CHECK(codec.DecodeCaller("OPEN orders").key == 0);
+  CHECK(codec.EncodeRefusal(StatementError::kUnauthorised, "x") == "ERROR AUTHFAIL x\r\n");
+}
+
 }  // namespace
 }  // namespace poplarmoor::platform
--- a/tests/platform/platform_registry_codec_test.cc
+++ b/tests/platform/platform_registry_codec_test.cc
@@ -123,5 +123,70 @@
   }
 }
 
+StoredObject MakeConfiguration(const Json& organisations) {
+  StoredObject object;
+  object.name = "main";
+  object.value = Json{{"version", 7},
+                      {"routes",
+                       {{{"name", "r"},
+                         {"host", "orders"},
+                         {"kind", "primary"},
+                         {"timeoutMs", 800},
+                         {"sloMs", 150},
+                         {"priority", 0},
+                         {"service", "ledger"},
+                         {"noAuth", true}}}},
+                      {"services", {{{"name", "ledger"}, {"maxConns", 56}}}},
+                      {"limits", Json::object()},
+                      {"tenants", organisations}}
+                     .dump();
+  return object;
+}
+
+Json MakeOrganisation() {
+  return {{"name", "miny420"},
+          {"apiKeys", {"k1", "k2"}},
+          {"priority", 1},
+          {"ratePerS", 2.6},
+          {"burst", 3}};
+}
+
+TEST_CASE("decoding a configuration does not lose the organisations, their keys or their limits") {
+  const RouteTable table =
+      PlatformRegistryCodec().DecodeRoutes(MakeConfiguration(Json::array({MakeOrganisation()})));
+  REQUIRE(table.organisations);
+  const Organisation* organisation = table.organisations->FindByKeyId(KeyIdOf("k2"));
+  REQUIRE(organisation != nullptr);
+  CHECK(organisation->name == "miny420");
+  CHECK(organisation->rate == 2.6);
+  CHECK(organisation->burst == 3);
+  CHECK_FALSE(table.Find("orders")->requires_key);
+}
+
+// Guards against a configuration that is applied in part, without some of the organisations.
+TEST_CASE("a configuration with a malformed organisation is refused as a whole") {
+  for (const auto& [field, value] : std::vector<std::pair<std::string, Json>>{{"name", ""},
+                                                                              {"name", "a b"},
+                                                                              {"name", 5},
+                                                                              {"apiKeys", "k1"},
+                                                                              {"apiKeys", {1}},
+                                                                              {"ratePerS", 0},
+                                                                              {"ratePerS", -3},
+                                                                              {"ratePerS", "5"},
+                                                                              {"burst", 0}}) {
+    INFO(field << " " << value.dump());
+    Json wrong = MakeOrganisation();
+    wrong[field] = value;
+    CHECK_THROWS_AS(PlatformRegistryCodec().DecodeRoutes(
+                        MakeConfiguration(Json::array({MakeOrganisation(), wrong}))),
+                    std::runtime_error);
+  }
+  Json same_key = MakeOrganisation();
+  same_key["name"] = "other";
+  CHECK_THROWS_AS(PlatformRegistryCodec().DecodeRoutes(
+                      MakeConfiguration(Json::array({MakeOrganisation(), same_key}))),
+                  std::runtime_error);
+}
+
 }  // namespace
 }  // namespace poplarmoor::platform
--- a/tests/wire/relay_codec_test.cc
+++ b/tests/wire/relay_codec_test.cc
@@ -23,6 +23,10 @@
   request.id = "5c0e";
   request.text = std::string("READ \0x", 7);
   request.limit_us = 800000;
+  request.organisation = "north";
+  request.key = ~uint64_t{1};
+  request.config_version = 7;
+  request.verified_age_us = 12;
   const RelayRequest decoded = DecodeRelayRequest(EncodeRelayRequest(request));
   CHECK(decoded.lease == 7);
   CHECK(decoded.transaction);
@@ -31,6 +35,10 @@
   CHECK(decoded.demanded == request.demanded);
   CHECK(decoded.text == request.text);
   CHECK(decoded.limit_us == 800000);
+  CHECK(decoded.organisation == "north");
+  CHECK(decoded.key == request.key);
+  CHECK(decoded.config_version == 7);
+  CHECK(decoded.verified_age_us == 12);
 }
 
 TEST_CASE("encoding a RelayAnswer does not lose rows, signature or log positions") {
--- a/wire/relay_codec.cc
+++ b/wire/relay_codec.cc
@@ -60,6 +60,10 @@
                                 Position,
                                 std::string,
                                 std::string,
+                                uint64_t,
+                                std::string,
+                                uint64_t,
+                                uint64_t,
                                 uint64_t>;
 using AnswerTuple = std::tuple<std::string,
                                std::string,
@@ -114,7 +118,8 @@
   return PackTuple(RequestTuple(
       request.lease, request.endpoint, request.rank, request.transaction, request.session,
       request.values, request.has_prepared, request.prepared_read_only, request.prepared_shape,
-      request.opening, Pack(request.demanded), request.id, request.text, request.limit_us));
+      request.opening, Pack(request.demanded), request.id, request.text, request.limit_us,
+      request.organisation, request.key, request.config_version, request.verified_age_us));
 }
 
 RelayRequest DecodeRelayRequest(std::string_view body) {
@@ -123,7 +128,9 @@
   Position demanded;
   std::tie(request.lease, request.endpoint, request.rank, request.transaction, request.session,
            request.values, request.has_prepared, request.prepared_read_only, request.prepared_shape,
-           request.opening, demanded, request.id, request.text, request.limit_us) = fields;
+           request.opening, demanded, request.id, request.text, request.limit_us,
+           request.organisation, request.key, request.config_version, request.verified_age_us) =
+      fields;
   request.demanded = Unpack(demanded);
   return request;
 }
--- a/wire/relay_codec.h
+++ b/wire/relay_codec.h
@@ -22,7 +22,12 @@
   // Whether the statement belongs to a transaction. The gateway then keeps the connection to the
   // endpoint until the transaction ends.
   bool transaction = false;
-  uint64_t session = 0;  // Session id, unique among the sessions of all daemons.
+  uint64_t session = 0;         // Session id, unique among the sessions of all daemons.
+  std::string organisation;     // Organisation of the caller; empty: none.
+  uint64_t key = 0;             // Fingerprint of the caller's API key; 0: none.
+  uint64_t config_version = 0;  // Configuration by which the sender has accepted the key.
+  // Time since the store last confirmed, for certain, that this configuration is the latest one.
+  uint64_t verified_age_us = 0;
   std::map<std::string, std::string> values;
   bool has_prepared = false;
   bool prepared_read_only = true;
