placement: regions; one active watcher for each failure domain

Change: with two or more regions in the settings, reads in another region count 40 ms more, positions cross regions through one daemon of each region, and two of a domain's three watchers stand by. The last also with a revocation bound.

The new tests of gateway_plan and read_placement do not compile without the change.

--- a/kernel/placement/gateway_plan.cc
+++ b/kernel/placement/gateway_plan.cc
@@ -1,7 +1,9 @@
 #include "kernel/placement/gateway_plan.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <string_view>
 #include <utility>
 
 #include "kernel/ownership.h"
@@ -135,6 +137,20 @@
   return this->WatchersOf(this->OwnDomain());
 }
 
+std::vector<Peer> GatewayPlan::WatchersToFollow() const {
+  if (this->EveryDaemonWatches()) {
+    return {};
+  }
+  std::vector<Peer> watchers = this->Watchers();
+  const auto own = std::find_if(watchers.begin(), watchers.end(), [this](const Peer& watcher) {
+    return watcher.daemon == this->self;
+  });
+  if (own != watchers.end()) {
+    watchers.erase(this->standby_watchers ? own : watchers.begin(), watchers.end());
+  }
+  return watchers;
+}
+
 std::vector<Peer> GatewayPlan::WatchersOf(const std::string& failure_domain) const {
   PeerPointers watchers;
   for (const Peer& peer : this->live_peers) {
@@ -157,18 +173,37 @@
 }
 
 std::vector<Peer> GatewayPlan::EvidenceSources(
+    const RegionMap& regions,
     const std::function<bool(const Peer&)>& usable) const {
   std::set<std::string> domains;
   for (const Peer& peer : this->live_peers) {
     domains.insert(peer.failure_domain);
   }
+  const std::string own_domain = this->OwnDomain();
   std::vector<Peer> sources;
+  std::map<std::string_view, Peer> region_leads;  // Lead watcher of each region's first domain.
   for (const std::string& domain : domains) {
     auto lead = this->LeadWatcher(domain, usable);
-    if (lead && lead->daemon != this->self) {
+    if (!lead) {
+      continue;
+    }
+    if (regions.HasSeveralRegions()) {
+      region_leads.try_emplace(regions.RegionOf(domain), *lead);
+    }
+    const bool same_region = regions.DistanceBetween(own_domain, domain) != Distance::kOtherRegion;
+    if (same_region && lead->daemon != this->self) {
       sources.push_back(std::move(*lead));
     }
   }
+  const std::string_view own_region = regions.RegionOf(own_domain);
+  const auto own_lead = region_leads.find(own_region);
+  if (own_lead != region_leads.end() && own_lead->second.daemon == this->self) {
+    for (const auto& [region, lead] : region_leads) {
+      if (region != own_region) {
+        sources.push_back(lead);
+      }
+    }
+  }
   return sources;
 }
 
--- a/kernel/placement/gateway_plan.h
+++ b/kernel/placement/gateway_plan.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "kernel/placement/region_map.h"
+
 namespace poplarmoor {
 
 /// Name, address, failure domain and capacity of a daemon.
@@ -61,6 +63,16 @@
   ///     fleet is too large for every daemon to watch it.
   std::vector<Peer> Watchers() const;
 
+  /// Sets whether only the first reachable watcher of each failure domain watches the object store
+  /// in a large fleet. The others then follow it, like all daemons, and watch the store themselves
+  /// only when it fails.
+  void SetStandbyWatchers(bool standby) { this->standby_watchers = standby; }
+  bool HasStandbyWatchers() const { return this->standby_watchers; }
+
+  /// @returns The daemons that this daemon asks for changes of the object store before it turns to
+  ///     the store itself, in the order in which they are asked; empty if it watches the store.
+  std::vector<Peer> WatchersToFollow() const;
+
   /// @returns The watchers of a failure domain, in the order in which they are asked.
   std::vector<Peer> WatchersOf(const std::string& failure_domain) const;
 
@@ -70,10 +82,14 @@
   std::optional<Peer> LeadWatcher(const std::string& failure_domain,
                                   const std::function<bool(const Peer&)>& usable) const;
 
+  /// @param regions Regions of the failure domains.
   /// @param usable Tells whether a daemon can be reached.
   /// @returns The daemons from which a watcher reads the log positions of all primaries: the lead
-  ///     watcher of each failure domain, without this daemon.
-  std::vector<Peer> EvidenceSources(const std::function<bool(const Peer&)>& usable) const;
+  ///     watcher of each failure domain in its region, without this daemon. One watcher of each
+  ///     region also reads from one of each other region, so that the traffic between regions does
+  ///     not grow with the number of watchers.
+  std::vector<Peer> EvidenceSources(const RegionMap& regions,
+                                    const std::function<bool(const Peer&)>& usable) const;
 
   /// @returns Name of this daemon.
   const std::string& Self() const { return this->self; }
@@ -111,6 +127,7 @@
 
   std::string self;
   std::vector<Peer> live_peers;
+  bool standby_watchers = false;
 };
 
 }  // namespace poplarmoor
--- a/kernel/placement/read_placement.cc
+++ b/kernel/placement/read_placement.cc
@@ -11,6 +11,9 @@
 // domains costs money, so a read leaves its domain only to save more queueing delay than this,
 // which is about the time of one short statement.
 constexpr Duration kCrossDomainPenalty = 10ms;
+// The same for a read in another region: the round trip between regions takes some 25 ms, and all
+// traffic between two regions shares one link.
+constexpr Duration kCrossRegionPenalty = 40ms;
 // Queueing delay that is added as a penalty for a read that another daemon forwards to the
 // endpoint: the read takes two more network hops and adds work to that daemon.
 constexpr Duration kRelayPenalty = 20ms;
@@ -21,8 +24,10 @@
 Duration ExpectedDelay(const ReadCandidate& candidate) {
   const auto limit = std::max<uint32_t>(candidate.limit, 1);
   Duration delay = candidate.service_time * (candidate.busy + limit) / limit;
-  if (!candidate.same_failure_domain) {
+  if (candidate.distance == Distance::kSameRegion) {
     delay += kCrossDomainPenalty;
+  } else if (candidate.distance == Distance::kOtherRegion) {
+    delay += kCrossRegionPenalty;
   }
   if (candidate.relayed) {
     delay += kRelayPenalty;
--- a/kernel/placement/read_placement.h
+++ b/kernel/placement/read_placement.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "kernel/placement/region_map.h"
 #include "kernel/time.h"
 
 namespace poplarmoor {
@@ -10,7 +11,7 @@
 /// State of an endpoint that may serve a read, as this daemon knows it.
 struct ReadCandidate {
   std::string id;
-  bool same_failure_domain = false;
+  Distance distance = Distance::kSameRegion;  // From this daemon.
   bool is_primary = false;
   bool usable = true;       // The endpoint is not leaving and is not known to lag.
   bool relayed = false;     // The read has to be sent through another daemon.
--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -240,7 +240,7 @@
 ServiceGroup* Cluster::EnsureGroup(const std::string& service) {
   auto& group = this->by_service[service];
   if (group == nullptr) {
-    group = std::make_unique<ServiceGroup>(this->executor, service);
+    group = std::make_unique<ServiceGroup>(this->executor, service, &this->region_map);
   }
   return group.get();
 }
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "kernel/placement/gateway_plan.h"
+#include "kernel/placement/region_map.h"
 #include "kernel/route_table.h"
 #include "session/relay_router.h"
 #include "session/service_group.h"
@@ -58,6 +59,10 @@
   /// to all endpoints directly. The network must outlive this object.
   void SetNetwork(PeerNetwork* network);
 
+  /// Sets the regions of the failure domains.
+  void SetRegions(RegionMap regions) { this->region_map = std::move(regions); }
+  const RegionMap& regions() const { return this->region_map; }
+
   RelayRouter& relays() { return this->router; }
 
   /// @param service Name of the service.
@@ -91,6 +96,7 @@
   boost::asio::any_io_executor executor;
   const SessionCodec* codec;
   std::string own_domain;
+  RegionMap region_map;
   RouteTable table;
   std::map<std::string, std::unique_ptr<ServiceGroup>> by_service;
   // By endpoint id: when this daemon found that the endpoint's registry entry was missing.
--- a/session/evidence_exchange.cc
+++ b/session/evidence_exchange.cc
@@ -22,6 +22,8 @@
 // old. With the following steps, positions reach all daemons well within a usual bound of 1.5 s.
 constexpr Duration kRefreshAge = 250ms;
 constexpr Duration kReadInterval = 300ms;  // Time between two reads from one lead watcher.
+// The same with several regions: positions of another region pass through one more daemon.
+constexpr Duration kRegionalReadInterval = 150ms;
 constexpr Duration kReadTimeout = 250ms;
 // Older positions are not told to other daemons: they would not serve a read any more.
 constexpr Duration kMaxAge = 5s;
@@ -79,9 +81,10 @@
     if (BootNow() < next_read) {
       continue;
     }
-    next_read = BootNow() + kReadInterval;
+    next_read = BootNow() + (this->cluster->regions().HasSeveralRegions() ? kRegionalReadInterval
+                                                                          : kReadInterval);
     const auto usable = [&relays](const Peer& peer) { return !relays.health().IsLost(peer); };
-    for (const Peer& source : plan.EvidenceSources(usable)) {
+    for (const Peer& source : plan.EvidenceSources(this->cluster->regions(), usable)) {
       if (this->reading.insert(source.daemon).second) {
         SpawnTask(this->executor, "read log positions", this->ReadFrom(source),
                   [this, source] { this->reading.erase(source.daemon); });
--- a/session/relay_router.h
+++ b/session/relay_router.h
@@ -58,6 +58,9 @@
   /// pinged at intervals until they answer. SetNetwork() must be called first.
   boost::asio::awaitable<void> WatchPeers();
 
+  /// See GatewayPlan::SetStandbyWatchers().
+  void SetStandbyWatchers(bool standby) { this->gateways.SetStandbyWatchers(standby); }
+
   const GatewayPlan& plan() const { return this->gateways; }
 
   /// @param endpoint Endpoint to reach.
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -29,8 +29,13 @@
 
 }  // namespace
 
-ServiceGroup::ServiceGroup(asio::any_io_executor executor, std::string name)
-    : name(std::move(name)), promotion_time(kInitialPromotionTime), changed(std::move(executor)) {}
+ServiceGroup::ServiceGroup(asio::any_io_executor executor,
+                           std::string name,
+                           const RegionMap* regions)
+    : name(std::move(name)),
+      regions(regions),
+      promotion_time(kInitialPromotionTime),
+      changed(std::move(executor)) {}
 
 std::shared_ptr<EndpointPool> ServiceGroup::Primary() const {
   const auto found = this->members.find(this->primary);
@@ -206,7 +211,7 @@
   for (const auto& [id, pool] : this->members) {
     ReadCandidate candidate;
     candidate.id = id;
-    candidate.same_failure_domain = pool->record().failure_domain == own_domain;
+    candidate.distance = this->regions->DistanceBetween(own_domain, pool->record().failure_domain);
     candidate.is_primary = id == this->primary;
     candidate.relayed = pool->UsesRelay() && !pool->is_relayed();
     candidate.usable = (!pool->down || pool->UsesRelay()) && !pool->record().leaving &&
--- a/session/service_group.h
+++ b/session/service_group.h
@@ -8,6 +8,7 @@
 
 #include "kernel/freshness_log.h"
 #include "kernel/placement/read_placement.h"
+#include "kernel/placement/region_map.h"
 #include "session/endpoint_pool.h"
 #include "session/takeover_claim.h"
 #include "session/wait_list.h"
@@ -18,7 +19,8 @@
 /// endpoints themselves refuse statements that only the primary may run.
 class ServiceGroup {
  public:
-  ServiceGroup(boost::asio::any_io_executor executor, std::string name);
+  /// @param regions Regions of the failure domains; must outlive this object.
+  ServiceGroup(boost::asio::any_io_executor executor, std::string name, const RegionMap* regions);
 
   /// @returns The endpoint believed to be the primary, or null.
   std::shared_ptr<EndpointPool> Primary() const;
@@ -104,6 +106,7 @@
   // known primary and an outage's estimate stay as they are.
   void AdoptRestoredClaim(TakeoverClaim restored);
 
+  const RegionMap* regions;
   std::string primary;              // Id of the primary; empty: unknown.
   StoreRevision registry_revision;  // Revision of the last registry entry that changed the primary.
   // Running average of the time from a promotion order until the promoted endpoint is the primary.
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -104,7 +104,15 @@
       components(
           std::make_unique<Components>(context->get_executor(), this->settings, this->adapter)),
       stop_signals(*context, SIGTERM, SIGINT),
-      reload_signals(*context, SIGHUP) {}
+      reload_signals(*context, SIGHUP) {
+  const RegionMap regions(this->settings.regions);
+  // With a revocation bound, watches of the configuration are short; with several regions, they
+  // pass the thin link between regions. Both make many watchers expensive.
+  const bool standby_watchers =
+      regions.HasSeveralRegions() || this->settings.revocation_bound.has_value();
+  this->components->cluster.relays().SetStandbyWatchers(standby_watchers);
+  this->components->cluster.SetRegions(regions);
+}
 
 SessionDaemon::~SessionDaemon() = default;
 
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -101,7 +101,7 @@
       co_await Pause(kPeerDiscoveryPoll);
       continue;
     }
-    const bool follows_watchers = has_peers && !plan.IsWatcher();
+    const bool follows_watchers = has_peers && !plan.WatchersToFollow().empty();
     bool succeeded = false;
     if (follows_watchers) {
       succeeded = co_await this->SyncFromWatchers(kind);
@@ -139,15 +139,18 @@
   // How long a watcher may wait for a change before it answers. After one watcher has failed, the
   // next ones are asked to answer immediately: waiting for several silent watchers in a row would
   // exceed the time bound of a change.
+  const TimePoint started = BootNow();
   Duration wait = kind->schedule.FollowWait();
-  std::vector<Peer> watchers = this->cluster->relays().plan().Watchers();
+  const GatewayPlan& plan = this->cluster->relays().plan();
+  const bool standby_watchers = plan.HasStandbyWatchers();
+  std::vector<Peer> watchers = plan.WatchersToFollow();
   // The watcher that answered last time is asked first, with the full wait. If the others were
   // asked first each time, immediate answers of two watchers would follow each other without any
-  // pause.
+  // pause. Standby watchers have an older copy than the first watcher, which is always asked first.
   const auto last = std::find_if(watchers.begin(), watchers.end(), [&kind](const Peer& watcher) {
     return watcher.daemon == kind->source;
   });
-  if (last != watchers.end()) {
+  if (last != watchers.end() && !standby_watchers) {
     std::rotate(watchers.begin(), last, watchers.end());
   }
   for (const Peer& watcher : watchers) {
@@ -159,7 +162,10 @@
       kind->source = watcher.daemon;
       co_return true;
     }
-    wait = Duration{};
+    // A first watcher that has lost the store says so at once, and a standby watcher is then asked
+    // to wait for what is left of the time.
+    const Duration left = kind->schedule.FollowWait() - (BootNow() - started);
+    wait = standby_watchers ? std::max(left, Duration{}) : Duration{};
   }
   co_return false;
 }
--- a/tests/kernel/gateway_plan_test.cc
+++ b/tests/kernel/gateway_plan_test.cc
@@ -178,7 +178,7 @@
     const auto peers = MakePeers(count, 13);
     GatewayPlan plan("d4");
     plan.SetPeers(peers);
-    const std::vector<Peer> sources = plan.EvidenceSources(IsReachable);
+    const std::vector<Peer> sources = plan.EvidenceSources(RegionMap(), IsReachable);
     std::set<std::string> domains;
     for (const Peer& source : sources) {
       CHECK(source.daemon != "d4");
@@ -189,5 +189,51 @@
   }
 }
 
+// Guards against store calls that grow with the watchers: three watchers of each of six failure
+// domains made 21 calls a second, the largest price of a calm day.
+TEST_CASE("with standby watchers, one daemon of each failure domain watches the object store") {
+  const std::vector<Peer> peers = MakePeers(66, 6);
+  std::map<std::string, int> watching;  // Daemons that watch the store, by failure domain.
+  for (const Peer& peer : peers) {
+    GatewayPlan plan(peer.daemon);
+    plan.SetPeers(peers);
+    plan.SetStandbyWatchers(true);
+    const std::vector<Peer> followed = plan.WatchersToFollow();
+    watching[peer.failure_domain] += followed.empty() ? 1 : 0;
+    for (const Peer& watcher : followed) {
+      CHECK(watcher.failure_domain == peer.failure_domain);
+      CHECK(watcher.daemon != peer.daemon);
+    }
+    plan.SetStandbyWatchers(false);
+    CHECK(plan.WatchersToFollow().empty() == plan.IsWatcher());
+  }
+  CHECK(watching.size() == 6);
+  for (const auto& [domain, count] : watching) {
+    CHECK(count == 1);
+  }
+}
+
+// Guards against traffic between regions that grows with the number of watchers.
+TEST_CASE("log positions of another region are read by one daemon of each region") {
+  const std::vector<Peer> peers = MakePeers(66, 6);
+  const RegionMap regions(
+      {{"fd0", "a"}, {"fd1", "b"}, {"fd2", "a"}, {"fd3", "b"}, {"fd4", "a"}, {"fd5", "b"}});
+  int between_regions = 0;
+  for (const Peer& peer : peers) {
+    GatewayPlan plan(peer.daemon);
+    plan.SetPeers(peers);
+    std::set<std::string> domains;
+    for (const Peer& source : plan.EvidenceSources(regions, IsReachable)) {
+      domains.insert(source.failure_domain);
+      between_regions += regions.DistanceBetween(peer.failure_domain, source.failure_domain) ==
+                                 Distance::kOtherRegion
+                             ? 1
+                             : 0;
+    }
+    CHECK(domains.size() >= 2);
+  }
+  CHECK(between_regions == 2);
+}
+
 }  // namespace
 }  // namespace poplarmoor
--- a/tests/kernel/read_placement_test.cc
+++ b/tests/kernel/read_placement_test.cc
@@ -8,7 +8,7 @@
 ReadCandidate MakeCandidate(const std::string& id, bool near, bool primary) {
   ReadCandidate candidate;
   candidate.id = id;
-  candidate.same_failure_domain = near;
+  candidate.distance = near ? Distance::kSameDomain : Distance::kSameRegion;
   candidate.is_primary = primary;
   candidate.limit = 2;
   candidate.service_time = 20ms;
@@ -41,5 +41,30 @@
   CHECK(OrderForRead({down}).empty());
 }
 
+// Guards against reads that cross the thin link between regions as readily as a short distance.
+TEST_CASE(
+    "reads of a burst overflow to the own region first, then to the other region, and return") {
+  ReadCandidate near = MakeCandidate("near", true, false);
+  ReadCandidate region = MakeCandidate("region", false, false);
+  ReadCandidate other = MakeCandidate("other", false, false);
+  other.distance = Distance::kOtherRegion;
+  CHECK(OrderForRead({other, region, near}) == std::vector<std::string>{"near", "region", "other"});
+  near.busy = region.busy = 4;
+  CHECK(OrderForRead({other, region, near}).front() == "near");
+  near.busy = region.busy = 12;
+  CHECK(OrderForRead({other, region, near}).front() == "other");
+}
+
+TEST_CASE("failure domains of unknown region count as one region") {
+  const RegionMap none;
+  CHECK_FALSE(none.HasSeveralRegions());
+  CHECK(none.DistanceBetween("a", "a") == Distance::kSameDomain);
+  CHECK(none.DistanceBetween("a", "b") == Distance::kSameRegion);
+  const RegionMap regions({{"a", "x"}, {"b", "y"}});
+  CHECK(regions.HasSeveralRegions());
+  CHECK(regions.DistanceBetween("a", "b") == Distance::kOtherRegion);
+  CHECK(regions.DistanceBetween("a", "c") == Distance::kSameRegion);
+}
+
 }  // namespace
 }  // namespace poplarmoor
