store sync: record when the store certainly confirmed the configuration

The existing time counts from the end of a call, before which the copy may have become outdated unnoticed. The new time is when the call began; from a peer it is the time of the request plus the time for which the peer held it, less the age of the peer's copy (new field of SyncAnswer). With a revocation bound, the first listing of the configuration is not a stale one, its watches wait at most 0.16 of the bound, followers are answered at each verification, and a daemon whose copy is older than 0.4 of the bound asks two other daemons each twentieth of the bound.

Requests to and from other daemons move to store_sync_peers.cc.

--- a/kernel/change_schedule.cc
+++ b/kernel/change_schedule.cc
@@ -20,6 +20,18 @@
 // A follower's call is short so that it soon notices that a watcher is gone.
 constexpr Duration kMaxFollowWait = 1s;
 constexpr int kFollowWaitDivisor = 5;
+// Wait of a watch call as a fraction of the revocation bound. An answer confirms the copy as of the
+// time when the call was sent, so a copy is up to two waits old. A daemon that loses all sources
+// must go on serving for 0.6 of the bound and stops at 0.975 of it: two waits and a slow answer
+// (0.24 s of 5 s) must fit into the difference.
+constexpr double kVerifiedWaitFraction = 0.16;
+// Age, as a fraction of the revocation bound, from which other daemons are asked; above the 0.37
+// that a copy reaches with a slow store.
+constexpr double kQueryAgeFraction = 0.4;
+// If one daemon of 300 has a young copy and each of the others asks two daemons a round, the copy
+// reaches all of them in about 8 rounds. These and the usual age must fit into the bound.
+constexpr int kQueryIntervalDivisor = 20;
+constexpr int kVerificationStepDivisor = 10;
 
 Duration Fraction(Duration time, double fraction) {
   return Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * fraction));
@@ -27,14 +39,22 @@
 
 }  // namespace
 
-ChangeSchedule::ChangeSchedule(Duration bound) : bound(bound) {}
+ChangeSchedule::ChangeSchedule(Duration bound, std::optional<Duration> revocation_bound)
+    : bound(bound), revocation_bound(revocation_bound) {}
+
+Duration ChangeSchedule::LimitWait(Duration wait) const {
+  return this->revocation_bound
+             ? std::min(wait, Fraction(*this->revocation_bound, kVerifiedWaitFraction))
+             : wait;
+}
 
 Duration ChangeSchedule::WatchWait() const {
-  return Fraction(this->bound, kWatchWaitFraction);
+  return this->LimitWait(Fraction(this->bound, kWatchWaitFraction));
 }
 
 Duration ChangeSchedule::WatcherWait() const {
-  return Fraction(this->WatchWait(), kWatcherWaitFraction);
+  const Duration usual = Fraction(this->bound, kWatchWaitFraction);
+  return this->LimitWait(Fraction(usual, kWatcherWaitFraction));
 }
 
 Duration ChangeSchedule::FollowWait() const {
@@ -49,4 +69,17 @@
   return std::clamp(this->MaxAge() - age, Duration{}, std::max(requested, Duration{}));
 }
 
+bool ChangeSchedule::NeedsYoungerCopy(std::optional<Duration> verified_age) const {
+  return this->revocation_bound &&
+         (!verified_age || *verified_age >= Fraction(*this->revocation_bound, kQueryAgeFraction));
+}
+
+Duration ChangeSchedule::QueryInterval() const {
+  return this->revocation_bound.value_or(this->bound) / kQueryIntervalDivisor;
+}
+
+Duration ChangeSchedule::VerificationStep() const {
+  return this->revocation_bound.value_or(this->bound) / kVerificationStepDivisor;
+}
+
 }  // namespace poplarmoor
--- a/kernel/change_schedule.h
+++ b/kernel/change_schedule.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "kernel/time.h"
 
 namespace poplarmoor {
@@ -16,7 +18,9 @@
 
   /// @param bound Time within which a change must be applied by every daemon that reaches the
   ///     store.
-  explicit ChangeSchedule(Duration bound);
+  /// @param revocation_bound Time after which a withdrawn API key must not be used, if the objects
+  ///     hold such keys; empty: they hold none.
+  explicit ChangeSchedule(Duration bound, std::optional<Duration> revocation_bound = std::nullopt);
 
   /// @returns Longest time that a watch call to the store waits for a change if every daemon
   ///     watches the store.
@@ -38,10 +42,28 @@
   ///     when the copy is too old for the follower, so that the follower soon asks another daemon.
   Duration AnswerWait(Duration requested, Duration age) const;
 
+  /// @returns Whether the objects hold API keys, so that the age of the copy is limited.
+  bool IsVerified() const { return this->revocation_bound.has_value(); }
+
+  /// @param verified_age Highest possible age of this daemon's copy; empty: the copy was never
+  ///     verified.
+  /// @returns Whether the daemon must ask other daemons for a younger copy, because its usual
+  ///     source has not confirmed the copy in time.
+  bool NeedsYoungerCopy(std::optional<Duration> verified_age) const;
+
+  /// @returns Interval at which a daemon that needs a younger copy asks other daemons.
+  Duration QueryInterval() const;
+
+  /// @returns A daemon answers a waiting follower when its own copy has become younger by this
+  ///     time.
+  Duration VerificationStep() const;
+
  private:
   Duration MaxAge() const;
+  Duration LimitWait(Duration wait) const;
 
   Duration bound;
+  std::optional<Duration> revocation_bound;
 };
 
 }  // namespace poplarmoor
--- a/kernel/session_state.h
+++ b/kernel/session_state.h
@@ -34,7 +34,9 @@
 struct SessionState {
   uint64_t session = 0;      // Session id, unique among all daemons.
   std::string organisation;  // Organisation of the caller; empty: none.
-  KeyId key = 0;             // Fingerprint of the caller's API key; 0: none.
+  // Fingerprint of the API key that the session's access depends on; 0: none, as for a database
+  // that needs no key.
+  KeyId key = 0;
   SessionValues values;
   // Prepared statements by the name that the caller gave them.
   std::map<std::string, PreparedStatement, std::less<>> prepared;
--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -62,6 +62,7 @@
     : executor(executor),
       codec(codec),
       own_domain(std::move(failure_domain)),
+      access_control(executor, &this->table),
       router(std::move(daemon), this->own_domain),
       changed(executor) {}
 
@@ -72,11 +73,13 @@
   Log(LogLevel::kInfo, "configuration in force",
       {{"version", table.version},
        {"previous", this->table.version},
-       {"routes", table.routes.size()}});
+       {"routes", table.routes.size()},
+       {"organisations", table.organisations ? table.organisations->Organisations().size() : 0}});
   this->table = std::move(table);
   this->table.SetShortestObjectives();
   this->SetAllLimits();
   this->changed.NotifyAll();
+  this->access_control.NotifyChange();
 }
 
 void Cluster::ApplyEndpoint(EndpointRecord record) {
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -9,6 +9,7 @@
 
 #include "kernel/placement/gateway_plan.h"
 #include "kernel/route_table.h"
+#include "session/access_control.h"
 #include "session/relay_router.h"
 #include "session/service_group.h"
 
@@ -73,6 +74,9 @@
   std::shared_ptr<EndpointPool> FindEndpoint(const std::string& id);
 
   const RouteTable& routes() const { return this->table; }
+
+  /// @returns Checks of API keys with the routes in force.
+  AccessControl& access() { return this->access_control; }
   std::map<std::string, std::unique_ptr<ServiceGroup>>& groups() { return this->by_service; }
   const std::string& failure_domain() const { return this->own_domain; }
 
@@ -92,6 +96,7 @@
   const SessionCodec* codec;
   std::string own_domain;
   RouteTable table;
+  AccessControl access_control;
   std::map<std::string, std::unique_ptr<ServiceGroup>> by_service;
   // By endpoint id: when this daemon found that the endpoint's registry entry was missing.
   std::map<std::string, TimePoint> missing_since;
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -71,7 +71,8 @@
              &this->cluster,
              Peer{settings.daemon, settings.peer_address, settings.failure_domain,
                   settings.capacity},
-             settings.bounds),
+             settings.bounds,
+             settings.revocation_bound),
         relay_server(executor, &this->cluster),
         takeover_controller(executor,
                             &this->cluster,
@@ -80,7 +81,10 @@
                             adapter.metrics,
                             settings.daemon),
         evidence(executor, &this->cluster, &this->runner),
-        server(executor, &this->cluster, &this->runner, adapter.sessions) {}
+        server(executor, &this->cluster, &this->runner, adapter.sessions) {
+    this->cluster.access().SetRevocationBound(settings.revocation_bound);
+    this->cluster.access().SetMetrics(adapter.metrics);
+  }
 
   Cluster cluster;
   StatementRunner runner;
@@ -156,6 +160,14 @@
                      static_cast<double>(this->components->server.size()));
         metrics->Set(Metric::kConfigRevision, {},
                      static_cast<double>(this->components->cluster.routes().version));
+        const RouteTable& routes = this->components->cluster.routes();
+        metrics->Set(Metric::kOrganisations, {},
+                     routes.organisations
+                         ? static_cast<double>(routes.organisations->Organisations().size())
+                         : 0.0);
+        const auto age = this->components->cluster.access().Age();
+        metrics->Set(Metric::kConfigAge, {},
+                     age ? std::chrono::duration<double>(*age).count() : -1.0);
         metrics->Set(Metric::kMembers, {"alive"},
                      static_cast<double>(this->components->cluster.relays().plan().size()));
         metrics->Set(Metric::kLogLinesDropped, {}, static_cast<double>(DroppedLogLines()));
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -6,17 +6,14 @@
 #include <set>
 
 #include "kernel/random.h"
-#include "net/peer_network.h"
 #include "session/background_task.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
 #include "session/daemon_entry.h"
-#include "session/evidence_exchange.h"
 #include "session/object_store.h"
 #include "session/registry_codec.h"
 #include "session/takeover_claim.h"
 #include "telemetry/log.h"
-#include "wire/relay_codec.h"
 
 namespace poplarmoor {
 
@@ -42,9 +39,7 @@
 // store: in a large fleet only a few daemons watch it.
 constexpr Duration kPeerDiscoveryTimeout = 3s;
 constexpr Duration kPeerDiscoveryPoll = 100ms;
-// Highest number of random peers that this daemon asks for changes after it could read them neither
-// from a watcher nor from the store.
-constexpr int kPeersPerRound = 3;
+
 }  // namespace
 
 StoreSync::StoreSync(asio::any_io_executor executor,
@@ -52,13 +47,15 @@
                      const RegistryCodec* registry,
                      Cluster* cluster,
                      Peer self,
-                     ApplyBounds bounds)
+                     ApplyBounds bounds,
+                     std::optional<std::chrono::milliseconds> revocation_bound)
     : executor(executor),
       store(store),
       registry(registry),
       cluster(cluster),
       self(std::move(self)),
       bounds(bounds),
+      revocation_bound(revocation_bound),
       store_recovered(executor),
       restored(std::move(executor)),
       random(std::random_device{}()) {}
@@ -69,9 +66,18 @@
 
 void StoreSync::Start() {
   const auto start_sync = [this](std::string name, Duration bound, Apply apply) {
-    auto kind = std::make_shared<KindState>(name, ChangeSchedule(bound), std::move(apply),
-                                            WaitList(this->executor));
+    const bool has_keys = this->revocation_bound && name == this->registry->routes_kind();
+    const ChangeSchedule schedule =
+        has_keys ? ChangeSchedule(bound, *this->revocation_bound) : ChangeSchedule(bound);
+    auto kind =
+        std::make_shared<KindState>(name, schedule, std::move(apply), WaitList(this->executor));
     this->kinds[name] = kind;
+    if (has_keys) {
+      // A stale listing may hold keys that were withdrawn before this daemon started.
+      kind->stale_ok = false;
+      SpawnService(this->executor, "seek younger copies of " + name,
+                   [this, kind] { return this->SeekYoungerCopies(kind); });
+    }
     SpawnService(this->executor, "read changes of " + name,
                  [this, kind] { return this->SyncKind(kind); });
   };
@@ -135,52 +141,6 @@
   }
 }
 
-asio::awaitable<bool> StoreSync::SyncFromWatchers(std::shared_ptr<KindState> kind) {
-  // How long a watcher may wait for a change before it answers. After one watcher has failed, the
-  // next ones are asked to answer immediately: waiting for several silent watchers in a row would
-  // exceed the time bound of a change.
-  Duration wait = kind->schedule.FollowWait();
-  std::vector<Peer> watchers = this->cluster->relays().plan().Watchers();
-  // The watcher that answered last time is asked first, with the full wait. If the others were
-  // asked first each time, immediate answers of two watchers would follow each other without any
-  // pause.
-  const auto last = std::find_if(watchers.begin(), watchers.end(), [&kind](const Peer& watcher) {
-    return watcher.daemon == kind->source;
-  });
-  if (last != watchers.end()) {
-    std::rotate(watchers.begin(), last, watchers.end());
-  }
-  for (const Peer& watcher : watchers) {
-    if (this->cluster->relays().health().IsLost(watcher)) {
-      continue;
-    }
-    const bool succeeded = co_await this->SyncFromPeer(kind, watcher, wait);
-    if (succeeded) {
-      kind->source = watcher.daemon;
-      co_return true;
-    }
-    wait = Duration{};
-  }
-  co_return false;
-}
-
-asio::awaitable<void> StoreSync::SyncFromPeers(std::shared_ptr<KindState> kind) {
-  for (int number = 0; number < kPeersPerRound; ++number) {
-    // This daemon has got the changes to objects of this kind neither from a watcher nor from the
-    // store, so it asks a random peer for them: the peer may reach the store or may have newer
-    // objects than this daemon.
-    const std::vector<Peer>& peers = this->cluster->relays().plan().Peers();
-    const Peer peer = peers[RandomBelow(&this->random, peers.size())];
-    if (peer.daemon == this->self.daemon || this->cluster->relays().health().IsLost(peer)) {
-      continue;
-    }
-    const bool up_to_date = co_await this->SyncFromPeer(kind, peer, Duration{});
-    if (up_to_date) {
-      co_return;
-    }
-  }
-}
-
 asio::awaitable<bool> StoreSync::SyncFromStore(std::shared_ptr<KindState> kind) {
   std::string cause;
   try {
@@ -218,7 +178,9 @@
 asio::awaitable<void> StoreSync::ListKind(std::shared_ptr<KindState> kind) {
   // The first listing after a start may be some seconds old: the watch that follows returns the
   // later changes.
-  const StoreSnapshot snapshot = co_await this->store->List(kind->name, kind->stale_ok);
+  const bool stale_ok = kind->stale_ok;
+  const TimePoint sent = BootNow();
+  const StoreSnapshot snapshot = co_await this->store->List(kind->name, stale_ok);
   kind->stale_ok = false;
   this->NoteEra(kind->name, snapshot.revision);
   if (snapshot.revision.era < *this->era) {
@@ -232,6 +194,9 @@
   }
   kind->confirmed = BootNow();
   this->Merge(kind.get(), snapshot, true);
+  if (!stale_ok) {
+    this->NoteVerified(kind.get(), sent);
+  }
 }
 
 asio::awaitable<void> StoreSync::ListAgain(std::shared_ptr<KindState> kind) {
@@ -251,6 +216,7 @@
   wait = kind->reachable ? wait : std::min<Duration>(wait, kUnreachableWatchWait);
   const StoreRevision since = kind->revision;
   kind->watching = true;
+  const TimePoint sent = BootNow();
   const StoreSnapshot snapshot = co_await this->store->Watch(
       kind->name, since.number, std::chrono::milliseconds(ToMillis(wait)));
   kind->watching = false;
@@ -267,6 +233,7 @@
   if (snapshot.revision.era == since.era && kind->revision.era == since.era) {
     kind->confirmed = BootNow();
     this->Merge(kind.get(), snapshot, false);
+    this->NoteVerified(kind.get(), sent);
     co_return;
   }
   // The store was restored since `since`: the number was given out again, and the answer lacks the
@@ -278,7 +245,20 @@
        {"known_revision", kind->revision.ToText()}});
 }
 
+void StoreSync::NoteVerified(KindState* kind, TimePoint verified) {
+  kind->verified = std::max(kind->verified, std::optional(verified));
+  if (kind->name == this->registry->routes_kind()) {
+    this->cluster->access().NoteVerified(*kind->verified);
+  }
+  if (kind->schedule.IsVerified()) {
+    kind->changed.NotifyAll();
+  }
+}
+
 void StoreSync::Merge(KindState* kind, const StoreSnapshot& snapshot, bool complete) {
+  if (snapshot.revision < kind->revision) {
+    return;  // A peer has sent later changes while the call was in progress.
+  }
   if (complete) {
     kind->objects.clear();
     kind->listed_at = snapshot.revision;
@@ -298,98 +278,6 @@
   }
 }
 
-// -----------------------------------------------------------------------------
-// Changes from and for other daemons
-
-asio::awaitable<bool> StoreSync::SyncFromPeer(std::shared_ptr<KindState> kind,
-                                              Peer peer,
-                                              Duration wait) {
-  SyncRequest request;
-  request.kind = kind->name;
-  request.since = kind->revision;
-  request.wait_us = static_cast<uint64_t>(wait.count());
-  std::string body = EncodeSyncRequest(request);
-  PeerMessage query(kSyncMessage, std::move(body));
-  const TimePoint sent = BootNow();
-  try {
-    const PeerMessage message = co_await this->cluster->relays().peers()->Call(
-        peer.address, std::move(query),
-        std::chrono::milliseconds(ToMillis(wait + ChangeSchedule::kPeerAnswerTimeout)),
-        wait > Duration{} ? PeerCallKind::kLongPoll : PeerCallKind::kRepeatable);
-    const SyncAnswer answer = DecodeSyncAnswer(message.body);
-    RecordEvidence(this->cluster, answer.evidence,
-                   sent + Duration(static_cast<int64_t>(answer.held_us)));
-    StoreSnapshot snapshot;
-    snapshot.revision = answer.revision;
-    for (const SyncObject& object : answer.objects) {
-      snapshot.objects.push_back({object.name, object.revision, object.value, object.deleted});
-    }
-    if (answer.revision > kind->revision) {
-      this->NoteEra(kind->name, answer.revision);
-      this->Merge(kind.get(), snapshot, answer.complete);
-      if (!answer.reachable) {
-        Log(LogLevel::kInfo, "changes read from a peer that cannot reach the store",
-            {{"peer", peer.daemon}, {"kind", kind->name}, {"revision", answer.revision.ToText()}});
-      }
-    }
-    const Duration age(static_cast<int64_t>(answer.age_us));
-    kind->confirmed = std::max(kind->confirmed, BootNow() - age);
-    const bool current = kind->schedule.IsCurrent(age);
-    const bool usable = answer.reachable && current;
-    if (answer.reachable && !current && kind->reachable) {
-      Log(LogLevel::kInfo, "a peer's copy of the store is too old",
-          {{"peer", peer.daemon}, {"kind", kind->name}, {"age_ms", ToMillis(age)}});
-    }
-    co_return usable;
-  } catch (const PeerError& error) {
-    Log(LogLevel::kInfo, "cannot read changes from a peer",
-        {{"peer", peer.daemon}, {"kind", kind->name}, {"cause", error.what()}});
-    this->cluster->relays().NoteLost(peer);
-  } catch (const std::runtime_error& error) {
-    Log(LogLevel::kInfo, "cannot read changes from a peer",
-        {{"peer", peer.daemon}, {"kind", kind->name}, {"cause", error.what()}});
-  }
-  co_return false;
-}
-
-void StoreSync::Attach(PeerNetwork* network) {
-  network->SetHandler(kSyncMessage, [this](std::string, PeerMessage message) {
-    return this->HandleSyncRequest(std::move(message));
-  });
-}
-
-asio::awaitable<PeerMessage> StoreSync::HandleSyncRequest(PeerMessage message) {
-  const TimePoint arrived = BootNow();
-  const SyncRequest request = DecodeSyncRequest(message.body);
-  SyncAnswer answer;
-  const auto found = this->kinds.find(request.kind);
-  if (found != this->kinds.end()) {
-    const std::shared_ptr<KindState> kind = found->second;
-    const TimePoint deadline = BootNow() + Duration(static_cast<int64_t>(request.wait_us));
-    while (kind->reachable && kind->revision <= request.since) {
-      const Duration wait = kind->schedule.AnswerWait(deadline - BootNow(), kind->Age());
-      if (wait == Duration{}) {
-        break;
-      }
-      co_await kind->changed.Wait(wait);
-    }
-    answer.reachable = kind->reachable && kind->revision.Exists();
-    answer.revision = kind->revision;
-    answer.age_us = static_cast<uint64_t>(kind->Age().count());
-    answer.complete = request.since < kind->listed_at;
-    for (const auto& [name, object] : kind->objects) {
-      if (answer.complete ? !object.deleted : object.revision > request.since) {
-        answer.objects.push_back({name, object.revision, object.value, object.deleted});
-      }
-    }
-  }
-  const TimePoint now = BootNow();
-  answer.held_us = static_cast<uint64_t>((now - arrived).count());
-  answer.evidence = CollectEvidence(this->cluster, now);
-  std::string body = EncodeSyncAnswer(answer);
-  co_return PeerMessage(kSyncMessage, std::move(body));
-}
-
 // -----------------------------------------------------------------------------
 // Applying changes
 
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -33,12 +33,15 @@
   /// @param store,registry,cluster Must outlive this object.
   /// @param self This daemon, with the address at which the others reach it.
   /// @param bounds Times within which this daemon must apply a change in the store.
+  /// @param revocation_bound Time after which no statement may run with a withdrawn API key; empty:
+  ///     there is no such bound.
   StoreSync(boost::asio::any_io_executor executor,
             ObjectStore* store,
             const RegistryCodec* registry,
             Cluster* cluster,
             Peer self,
-            ApplyBounds bounds);
+            ApplyBounds bounds,
+            std::optional<std::chrono::milliseconds> revocation_bound = std::nullopt);
 
   /// Starts to watch the store for changes.
   void Start();
@@ -81,13 +84,18 @@
     // Store revision at which all objects were last listed. This daemon does not know which objects
     // were deleted before this revision.
     StoreRevision listed_at;
-    bool stale_ok = true;   // The next listing may be some seconds old.
-    bool watching = false;  // A watch call to the store is in progress.
-    bool reachable = true;  // The last call to the store or to a watcher succeeded.
-    std::string source;     // Watcher whose copy was recent enough last time; empty: none yet.
+    bool stale_ok = true;     // The next listing may be some seconds old.
+    bool watching = false;    // A watch call to the store is in progress.
+    bool reachable = true;    // The last call to the store or to a watcher succeeded.
+    std::string source;       // Watcher whose copy was recent enough last time; empty: none yet.
+    std::string copy_source;  // Peer that last had a younger copy when one was needed.
     // When the store last answered that the copy is up to date, to this daemon or to the peer that
     // the changes were read from.
     TimePoint confirmed;
+    // A time at which this daemon's copy was certainly up to date: when the call began whose answer
+    // confirmed the copy. Delayed or repeated answers cannot make it later than the truth. Empty:
+    // no answer has confirmed the copy; a listing that may be stale does not.
+    std::optional<TimePoint> verified;
   };
 
   struct KeptObject {
@@ -102,6 +110,14 @@
   boost::asio::awaitable<bool> SyncFromWatchers(std::shared_ptr<KindState> kind);
   // Reads changes from random peers while the store is unreachable.
   boost::asio::awaitable<void> SyncFromPeers(std::shared_ptr<KindState> kind);
+  // Asks other daemons for younger copies of a kind whenever the usual source has not confirmed
+  // this daemon's copy in time: the daemon may be cut off from the store or turned away by it.
+  boost::asio::awaitable<void> SeekYoungerCopies(std::shared_ptr<KindState> kind);
+  // Chooses the peers to ask for a younger copy: the one that had one last time, and random others.
+  std::vector<Peer> CopySources(const KindState& kind);
+  // Records that the copy of the kind was up to date at a time. To be called after the changes
+  // until then were merged.
+  void NoteVerified(KindState* kind, TimePoint verified);
   // Lists all objects of the kind and merges them.
   // @throws StoreError, also if the listing is of an earlier era than the store's present one.
   boost::asio::awaitable<void> ListKind(std::shared_ptr<KindState> kind);
@@ -138,6 +154,7 @@
   Cluster* cluster;
   Peer self;
   ApplyBounds bounds;
+  std::optional<std::chrono::milliseconds> revocation_bound;
   std::map<std::string, std::shared_ptr<KindState>> kinds;  // Object kinds by name.
   // The only object kind for which this daemon retries calls while the store is unreachable; null
   // while the store is reachable.
--- /dev/null
+++ b/session/store_sync_peers.cc
@@ -0,0 +1,225 @@
+#include "session/store_sync.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "net/peer_network.h"
+#include "session/boot_clock.h"
+#include "session/cluster.h"
+#include "session/evidence_exchange.h"
+#include "telemetry/log.h"
+#include "wire/relay_codec.h"
+
+namespace poplarmoor {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Highest number of random peers that this daemon asks for changes after it could read them neither
+// from a watcher nor from the store.
+constexpr int kPeersPerRound = 3;
+// Number of peers that a daemon asks one after the other for a younger copy. With the interval of
+// the queries, this bounds a daemon's calls whatever the size of the fleet; see ChangeSchedule.
+constexpr size_t kSourcesPerQuery = 2;
+
+}  // namespace
+
+// -----------------------------------------------------------------------------
+// Changes from and for other daemons
+
+asio::awaitable<bool> StoreSync::SyncFromWatchers(std::shared_ptr<KindState> kind) {
+  // How long a watcher may wait for a change before it answers. After one watcher has failed, the
+  // next ones are asked to answer immediately: waiting for several silent watchers in a row would
+  // exceed the time bound of a change.
+  Duration wait = kind->schedule.FollowWait();
+  std::vector<Peer> watchers = this->cluster->relays().plan().Watchers();
+  // The watcher that answered last time is asked first, with the full wait. If the others were
+  // asked first each time, immediate answers of two watchers would follow each other without any
+  // pause.
+  const auto last = std::find_if(watchers.begin(), watchers.end(), [&kind](const Peer& watcher) {
+    return watcher.daemon == kind->source;
+  });
+  if (last != watchers.end()) {
+    std::rotate(watchers.begin(), last, watchers.end());
+  }
+  for (const Peer& watcher : watchers) {
+    if (this->cluster->relays().health().IsLost(watcher)) {
+      continue;
+    }
+    const bool succeeded = co_await this->SyncFromPeer(kind, watcher, wait);
+    if (succeeded) {
+      kind->source = watcher.daemon;
+      co_return true;
+    }
+    wait = Duration{};
+  }
+  co_return false;
+}
+
+asio::awaitable<void> StoreSync::SyncFromPeers(std::shared_ptr<KindState> kind) {
+  for (int number = 0; number < kPeersPerRound; ++number) {
+    // This daemon has got the changes to objects of this kind neither from a watcher nor from the
+    // store, so it asks a random peer for them: the peer may reach the store or may have newer
+    // objects than this daemon.
+    const std::vector<Peer>& peers = this->cluster->relays().plan().Peers();
+    const Peer peer = peers[RandomBelow(&this->random, peers.size())];
+    if (peer.daemon == this->self.daemon || this->cluster->relays().health().IsLost(peer)) {
+      continue;
+    }
+    const bool up_to_date = co_await this->SyncFromPeer(kind, peer, Duration{});
+    if (up_to_date) {
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<bool> StoreSync::SyncFromPeer(std::shared_ptr<KindState> kind,
+                                              Peer peer,
+                                              Duration wait) {
+  SyncRequest request;
+  request.kind = kind->name;
+  request.since = kind->revision;
+  request.wait_us = static_cast<uint64_t>(wait.count());
+  std::string body = EncodeSyncRequest(request);
+  PeerMessage query(kSyncMessage, std::move(body));
+  const TimePoint sent = BootNow();
+  try {
+    const PeerMessage message = co_await this->cluster->relays().peers()->Call(
+        peer.address, std::move(query),
+        std::chrono::milliseconds(ToMillis(wait + ChangeSchedule::kPeerAnswerTimeout)),
+        wait > Duration{} ? PeerCallKind::kLongPoll : PeerCallKind::kRepeatable);
+    const SyncAnswer answer = DecodeSyncAnswer(message.body);
+    RecordEvidence(this->cluster, answer.evidence,
+                   sent + Duration(static_cast<int64_t>(answer.held_us)));
+    StoreSnapshot snapshot;
+    snapshot.revision = answer.revision;
+    for (const SyncObject& object : answer.objects) {
+      snapshot.objects.push_back({object.name, object.revision, object.value, object.deleted});
+    }
+    if (answer.revision > kind->revision) {
+      this->NoteEra(kind->name, answer.revision);
+      this->Merge(kind.get(), snapshot, answer.complete);
+      if (!answer.reachable) {
+        Log(LogLevel::kInfo, "changes read from a peer that cannot reach the store",
+            {{"peer", peer.daemon}, {"kind", kind->name}, {"revision", answer.revision.ToText()}});
+      }
+    }
+    const Duration age(static_cast<int64_t>(answer.age_us));
+    kind->confirmed = std::max(kind->confirmed, BootNow() - age);
+    const TimePoint answered = sent + Duration(static_cast<int64_t>(answer.held_us));
+    if (const auto verified = VerifiedTime(answered, answer.verified_age_us)) {
+      this->NoteVerified(kind.get(), *verified);
+    }
+    const bool current = kind->schedule.IsCurrent(age);
+    const bool usable = answer.reachable && current;
+    if (answer.reachable && !current && kind->reachable) {
+      Log(LogLevel::kInfo, "a peer's copy of the store is too old",
+          {{"peer", peer.daemon}, {"kind", kind->name}, {"age_ms", ToMillis(age)}});
+    }
+    co_return usable;
+  } catch (const PeerError& error) {
+    Log(LogLevel::kInfo, "cannot read changes from a peer",
+        {{"peer", peer.daemon}, {"kind", kind->name}, {"cause", error.what()}});
+    this->cluster->relays().NoteLost(peer);
+  } catch (const std::runtime_error& error) {
+    Log(LogLevel::kInfo, "cannot read changes from a peer",
+        {{"peer", peer.daemon}, {"kind", kind->name}, {"cause", error.what()}});
+  }
+  co_return false;
+}
+
+void StoreSync::Attach(PeerNetwork* network) {
+  network->SetHandler(kSyncMessage, [this](std::string, PeerMessage message) {
+    return this->HandleSyncRequest(std::move(message));
+  });
+}
+
+asio::awaitable<PeerMessage> StoreSync::HandleSyncRequest(PeerMessage message) {
+  const TimePoint arrived = BootNow();
+  const SyncRequest request = DecodeSyncRequest(message.body);
+  SyncAnswer answer;
+  const auto found = this->kinds.find(request.kind);
+  if (found != this->kinds.end()) {
+    const std::shared_ptr<KindState> kind = found->second;
+    const TimePoint deadline = BootNow() + Duration(static_cast<int64_t>(request.wait_us));
+    const std::optional<TimePoint> known = kind->verified;
+    // Followers of a kind with API keys learn of each verification without waiting for a change.
+    const auto is_verified_again = [&kind, &known] {
+      return kind->schedule.IsVerified() && kind->verified &&
+             (!known || *kind->verified - *known >= kind->schedule.VerificationStep());
+    };
+    while (kind->reachable && kind->revision <= request.since && !is_verified_again()) {
+      const Duration wait = kind->schedule.AnswerWait(deadline - BootNow(), kind->Age());
+      if (wait == Duration{}) {
+        break;
+      }
+      co_await kind->changed.Wait(wait);
+    }
+    answer.reachable = kind->reachable && kind->revision.Exists();
+    answer.revision = kind->revision;
+    answer.age_us = static_cast<uint64_t>(kind->Age().count());
+    answer.verified_age_us = VerifiedAge(kind->verified, BootNow());
+    answer.complete = request.since < kind->listed_at;
+    for (const auto& [name, object] : kind->objects) {
+      if (answer.complete ? !object.deleted : object.revision > request.since) {
+        answer.objects.push_back({name, object.revision, object.value, object.deleted});
+      }
+    }
+  }
+  const TimePoint now = BootNow();
+  answer.held_us = static_cast<uint64_t>((now - arrived).count());
+  answer.evidence = CollectEvidence(this->cluster, now);
+  std::string body = EncodeSyncAnswer(answer);
+  co_return PeerMessage(kSyncMessage, std::move(body));
+}
+
+asio::awaitable<void> StoreSync::SeekYoungerCopies(std::shared_ptr<KindState> kind) {
+  const auto needs_younger = [kind] {
+    const auto& verified = kind->verified;
+    return kind->schedule.NeedsYoungerCopy(verified ? std::optional(BootNow() - *verified)
+                                                    : std::nullopt);
+  };
+  for (;;) {
+    co_await Pause(kind->schedule.QueryInterval());
+    if (this->cluster->relays().peers() == nullptr || !needs_younger()) {
+      continue;
+    }
+    for (const Peer& peer : this->CopySources(*kind)) {
+      const std::optional<TimePoint> known = kind->verified;
+      co_await this->SyncFromPeer(kind, peer, Duration{});
+      if (kind->verified > known) {
+        kind->copy_source = peer.daemon;
+      }
+      if (!needs_younger()) {
+        break;
+      }
+    }
+  }
+}
+
+std::vector<Peer> StoreSync::CopySources(const KindState& kind) {
+  std::vector<Peer> reachable;
+  for (const Peer& peer : this->cluster->relays().plan().Peers()) {
+    if (peer.daemon != this->self.daemon && !this->cluster->relays().health().IsLost(peer)) {
+      reachable.push_back(peer);
+    }
+  }
+  std::vector<Peer> sources;
+  const auto take = [&reachable, &sources](size_t place) {
+    sources.push_back(reachable[place]);
+    reachable.erase(reachable.begin() + static_cast<std::ptrdiff_t>(place));
+  };
+  const auto last = std::find_if(reachable.begin(), reachable.end(), [&kind](const Peer& peer) {
+    return peer.daemon == kind.copy_source;
+  });
+  if (last != reachable.end()) {
+    take(static_cast<size_t>(last - reachable.begin()));
+  }
+  while (sources.size() < kSourcesPerQuery && !reachable.empty()) {
+    take(RandomBelow(&this->random, reachable.size()));
+  }
+  return sources;
+}
+
+}  // namespace poplarmoor
--- a/telemetry/metric_table.h
+++ b/telemetry/metric_table.h
@@ -34,6 +34,9 @@
   kOwnedEndpoints,
   kConfigRevision,
   kConfigSeconds,
+  kConfigAge,
+  kOrganisations,
+  kAccessRefused,
   kPlatformCalls,
   kPlatformSeconds,
   kPlatformUp,
@@ -60,7 +63,7 @@
   std::string_view help;
 };
 
-inline constexpr size_t kMetricCount = 33;
+inline constexpr size_t kMetricCount = 36;
 
 /// Names, labels and meaning of all metrics, indexed by Metric.
 inline constexpr std::array<MetricRow, kMetricCount> kMetricTable{{
@@ -114,6 +117,12 @@
      "Highest platform revision of the configuration in force."},
     {Metric::kConfigSeconds, MetricType::kSummary, "poplarmoor_config_seconds", "",
      "Time from the first sight of a unit in the fleet to its arrival here."},
+    {Metric::kConfigAge, MetricType::kGauge, "poplarmoor_config_age_seconds", "",
+     "Highest possible age of this daemon's copy of the configuration; -1 before it is verified."},
+    {Metric::kOrganisations, MetricType::kGauge, "poplarmoor_organisations", "",
+     "Organisations in the configuration in force."},
+    {Metric::kAccessRefused, MetricType::kCounter, "poplarmoor_access_refused_total",
+     "subject,reason", "Sessions and statements refused because of their API key."},
     {Metric::kPlatformCalls, MetricType::kCounter, "poplarmoor_platform_calls_total",
      "operation,result", "Calls to the platform."},
     {Metric::kPlatformSeconds, MetricType::kSummary, "poplarmoor_platform_seconds", "operation",
--- a/wire/relay_codec.cc
+++ b/wire/relay_codec.cc
@@ -85,8 +85,14 @@
 using ObjectTuple = std::tuple<std::string, Revision, std::string, bool>;
 using EvidenceTuple = std::tuple<std::string, Position, uint64_t>;
 using EvidenceList = std::vector<EvidenceTuple>;
-using SyncAnswerTuple =
-    std::tuple<bool, bool, Revision, uint64_t, std::vector<ObjectTuple>, uint64_t, EvidenceList>;
+using SyncAnswerTuple = std::tuple<bool,
+                                   bool,
+                                   Revision,
+                                   uint64_t,
+                                   std::vector<ObjectTuple>,
+                                   uint64_t,
+                                   EvidenceList,
+                                   uint64_t>;
 
 Revision Pack(const StoreRevision& revision) {
   return {revision.era, revision.number};
@@ -203,7 +209,7 @@
   }
   return PackTuple(SyncAnswerTuple(answer.reachable, answer.complete, Pack(answer.revision),
                                    answer.age_us, objects, answer.held_us,
-                                   PackEvidence(answer.evidence)));
+                                   PackEvidence(answer.evidence), answer.verified_age_us));
 }
 
 SyncAnswer DecodeSyncAnswer(std::string_view body) {
@@ -213,7 +219,7 @@
   Revision revision;
   EvidenceList evidence;
   std::tie(answer.reachable, answer.complete, revision, answer.age_us, objects, answer.held_us,
-           evidence) = fields;
+           evidence, answer.verified_age_us) = fields;
   answer.evidence = UnpackEvidence(evidence);
   answer.revision = UnpackRevision(revision);
   for (const ObjectTuple& tuple : objects) {
--- a/wire/relay_codec.h
+++ b/wire/relay_codec.h
@@ -2,15 +2,36 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "kernel/log_position.h"
 #include "kernel/store_revision.h"
+#include "kernel/time.h"
 
 namespace poplarmoor {
 
+/// Value of a verified age: the copy was never verified.
+inline constexpr uint64_t kNeverVerified = ~uint64_t{0};
+
+/// @param verified A time at which a copy was certainly up to date; empty: not known.
+/// @returns The verified age at `now`, in microseconds.
+inline uint64_t VerifiedAge(std::optional<TimePoint> verified, TimePoint now) {
+  return verified ? static_cast<uint64_t>((now - *verified).count()) : kNeverVerified;
+}
+
+/// @param now Earliest possible time at which the other daemon's copy had the age.
+/// @param age_us Verified age, as VerifiedAge() returns it.
+/// @returns A time at which the copy was certainly up to date, or nothing.
+inline std::optional<TimePoint> VerifiedTime(TimePoint now, uint64_t age_us) {
+  // An age beyond the range of Duration would become a negative one, so it counts as unknown.
+  constexpr uint64_t kMaxAge = uint64_t{1} << 62U;
+  return age_us < kMaxAge ? std::optional(now - Duration(static_cast<int64_t>(age_us)))
+                          : std::nullopt;
+}
+
 /// Request by which a daemon asks a gateway to run a statement. `opening` holds the name of an enum
 /// value.
 struct RelayRequest {
@@ -26,8 +47,9 @@
   std::string organisation;     // Organisation of the caller; empty: none.
   uint64_t key = 0;             // Fingerprint of the caller's API key; 0: none.
   uint64_t config_version = 0;  // Configuration by which the sender has accepted the key.
-  // Time since the store last confirmed, for certain, that this configuration is the latest one.
-  uint64_t verified_age_us = 0;
+  // Time since the store last confirmed, for certain, that this configuration is the latest one;
+  // kNeverVerified: it has not confirmed this.
+  uint64_t verified_age_us = kNeverVerified;
   std::map<std::string, std::string> values;
   bool has_prepared = false;
   bool prepared_read_only = true;
@@ -116,6 +138,10 @@
   // those at the end of this time.
   uint64_t held_us = 0;
   std::vector<PositionEvidence> evidence;
+  // Highest possible age of the peer's copy at this answer: time since a call to the store began
+  // whose answer confirmed the copy. `age_us` counts from the end of such a call, before which the
+  // copy may have become outdated unnoticed. kNeverVerified: no answer has confirmed it.
+  uint64_t verified_age_us = kNeverVerified;
 };
 
 /// Encoders and decoders of the messages between peers. The decoders throw CodecError when the body
