sessions: check API keys before each statement, at the entry and at the gateway

Sessions and statements with an unknown key are answered as unauthorised, and with a copy of the configuration that is too old as overloaded; neither has run. The check is made at the opening message, before a wait, before each statement is sent and at the gateway before and after its queue. A new configuration that withdraws a key rolls back the transactions of its sessions, at the entry and at the gateway, and ends the waits of its statements. Without organisations nothing changes.

--- a/session/caller_session.cc
+++ b/session/caller_session.cc
@@ -67,7 +67,7 @@
   this->socket.non_blocking(true, ignored);
   if (co_await this->Open()) {
     while (!(this->draining && this->IsIdle())) {
-      if (this->ending_transactions) {
+      if (this->ending_transactions || this->cluster->access().IsWithdrawn(this->state)) {
         this->RollBack();
       }
       auto line = co_await this->ReadLine();
@@ -82,7 +82,7 @@
       const StatementAnswer answer = co_await this->Answer(std::move(message));
       std::string text = this->codec->EncodeAnswer(answer);
       const bool written = co_await this->Write(std::move(text));
-      if (!written) {
+      if (!written || answer.error == StatementError::kUnauthorised) {
         break;
       }
     }
@@ -117,12 +117,50 @@
     co_await this->Write(refusal);
     co_return false;
   }
+  if (auto denial = this->RefuseOpening(message)) {
+    co_await this->Write(std::move(*denial));
+    co_return false;
+  }
   this->database = message.database;
   this->opened = true;
   std::string text = this->codec->EncodeOpened();
   co_return co_await this->Write(std::move(text));
 }
 
+std::optional<std::string> CallerSession::RefuseOpening(const CallerMessage& message) {
+  const AccessControl& access = this->cluster->access();
+  this->presented_key = message.key;
+  access.Resolve(*this->cluster->routes().Find(message.database), message.key, &this->state);
+  const auto refusal = access.Check(this->state);
+  if (!refusal) {
+    return std::nullopt;
+  }
+  access.NoteRefusal("session", this->state.organisation, "", *refusal);
+  return this->codec->EncodeRefusal(refusal->error, refusal->cause);
+}
+
+std::optional<StatementAnswer> CallerSession::RefuseWithdrawnKey(const CallerMessage& message) {
+  const AccessControl& access = this->cluster->access();
+  const std::string organisation = this->state.organisation;
+  const DatabaseRoute* route = this->cluster->routes().Find(this->database);
+  if (!this->transaction && route != nullptr) {
+    access.Resolve(*route, this->presented_key, &this->state);
+  }
+  if (!access.IsWithdrawn(this->state)) {
+    return std::nullopt;
+  }
+  const AccessRefusal refusal{AccessVerdict::kUnknownKey, StatementError::kUnauthorised,
+                              "the API key was withdrawn"};
+  access.NoteRefusal("statement", organisation, message.id, refusal);
+  return Failure(refusal.error, refusal.cause, this->State());
+}
+
+void CallerSession::EndWithdrawnTransaction() {
+  if (this->waiting && this->cluster->access().IsWithdrawn(this->state)) {
+    this->RollBack();
+  }
+}
+
 bool CallerSession::IsIdle() const {
   return !this->transaction && this->buffer.empty();
 }
@@ -229,6 +267,9 @@
 // Statements
 
 asio::awaitable<StatementAnswer> CallerSession::Answer(CallerMessage message) {
+  if (auto refusal = this->RefuseWithdrawnKey(message)) {
+    co_return std::move(*refusal);
+  }
   if (message.kind != CallerMessage::Kind::kStatement) {
     co_return Failure(StatementError::kMalformed, "the message is not a statement", this->State());
   }
--- a/session/caller_session.h
+++ b/session/caller_session.h
@@ -41,6 +41,10 @@
   /// caller's next statement or commit gets an error.
   void EndTransactions();
 
+  /// Rolls back the session's transaction like EndTransactions() if the configuration in force has
+  /// withdrawn the session's API key. The caller's next statement is refused, and the session ends.
+  void EndWithdrawnTransaction();
+
  private:
   boost::asio::awaitable<bool> Open();
   boost::asio::awaitable<std::optional<std::string>> ReadLine();
@@ -51,6 +55,11 @@
   boost::asio::awaitable<StatementAnswer> AnswerTransactionEnd(CallerMessage message,
                                                                const DatabaseRoute& route);
   StatementAnswer AnswerSetting(CallerMessage message);
+  // Sets the session's key and organisation from its opening message.
+  // @returns The answer that refuses the session because of its key, or nothing.
+  std::optional<std::string> RefuseOpening(const CallerMessage& message);
+  // @returns The answer to a message if the configuration has withdrawn the session's key.
+  std::optional<StatementAnswer> RefuseWithdrawnKey(const CallerMessage& message);
   // Rolls back the open transaction, if any. None of its statements may be running.
   void RollBack();
   TransactionState State() const;
@@ -62,6 +71,7 @@
   StatementRunner* runner;
   const SessionCodec* codec;
   SessionState state;
+  KeyId presented_key = 0;  // Fingerprint of the key in the opening message; 0: none.
   std::string database;
   std::string buffer;
   std::optional<SessionTransaction> transaction;
--- a/session/endpoint_channel.h
+++ b/session/endpoint_channel.h
@@ -13,6 +13,8 @@
 
 namespace poplarmoor {
 
+class AccessControl;
+
 /// Why no connection to an endpoint was available.
 enum class AcquireFailure {
   kNone,
@@ -52,6 +54,8 @@
   Opening opening = Opening::kNone;
   LogPosition demanded;    // Log position that the endpoint must hold; {0, 0}: none.
   bool repeatable = true;  // The statement may be sent more than once, because it commits nothing.
+  // Checks the session's API key before each attempt to relay the statement; null: no check.
+  const AccessControl* access = nullptr;
 };
 
 /// Result of one attempt to run a statement at an endpoint.
--- a/session/relay_channel.cc
+++ b/session/relay_channel.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/this_coro.hpp>
 
 #include "net/peer_network.h"
+#include "session/access_control.h"
 #include "session/boot_clock.h"
 #include "session/relay_router.h"
 #include "telemetry/log.h"
@@ -57,6 +58,31 @@
   return attempt;
 }
 
+// Checks the session's API key and records in the request by which copy of the configuration.
+// @param attempt Receives the cause if the statement may not run.
+// @returns Whether the statement may run.
+bool MayRelay(const StatementSpec& spec,
+              const SessionState& state,
+              RelayRequest* request,
+              StatementAttempt* attempt) {
+  if (spec.access == nullptr) {
+    return true;
+  }
+  if (const auto refusal = spec.access->Check(state)) {
+    attempt->outcome = StatementAttempt::Outcome::kNotSent;
+    attempt->failure = AcquireFailure::kOverloaded;
+    if (refusal->error == StatementError::kUnauthorised) {
+      attempt->answer.error = refusal->error;
+    }
+    attempt->cause = refusal->cause;
+    return false;
+  }
+  request->config_version = spec.access->version();
+  const auto age = spec.access->Age();
+  request->verified_age_us = age ? static_cast<uint64_t>(age->count()) : kNeverVerified;
+  return true;
+}
+
 // Tells a gateway to roll back a relayed transaction that this daemon gives up without a commit.
 asio::awaitable<void> NotifyTransactionEnd(RelayRouter* router,
                                            std::string gateway,
@@ -124,6 +150,9 @@
     if (!this->gateway.empty() && peer.address != this->gateway) {
       continue;  // Another gateway holds the transaction's connection.
     }
+    if (!MayRelay(spec, state, &request, &attempt)) {
+      break;
+    }
     ++tries;
     request.limit_us = static_cast<uint64_t>((deadline - BootNow()).count());
     std::string body = EncodeRelayRequest(request);
--- a/session/relay_server.cc
+++ b/session/relay_server.cc
@@ -44,6 +44,11 @@
   return state;
 }
 
+RelayedAccess ToAccess(const RelayRequest& request) {
+  return {request.key, request.organisation, request.config_version,
+          VerifiedTime(BootNow(), request.verified_age_us)};
+}
+
 RelayAnswer ToAnswer(const StatementAttempt& attempt) {
   RelayAnswer answer;
   answer.outcome = kAttemptOutcomeNames.NameOf(attempt.outcome);
@@ -64,7 +69,9 @@
 }  // namespace
 
 RelayServer::RelayServer(asio::any_io_executor executor, Cluster* cluster)
-    : executor(std::move(executor)), cluster(cluster) {}
+    : executor(std::move(executor)), cluster(cluster) {
+  cluster->access().OnChange([this] { this->EndWithdrawnTransactions(); });
+}
 
 void RelayServer::RegisterHandlers(PeerNetwork* network) {
   network->SetHandler(kRelayMessage, [this](std::string, PeerMessage message) {
@@ -99,9 +106,18 @@
 asio::awaitable<RelayAnswer> RelayServer::Run(const RelayRequest& request) {
   const TimePoint deadline = BootNow() + Duration(static_cast<int64_t>(request.limit_us));
   const SessionState state = ToState(request);
+  const RelayedAccess access = ToAccess(request);
   StatementAttempt attempt;
   LeasedConnection leased;
   const auto existing = this->transactions.find(request.lease);
+  if (const auto refusal = this->Refuse(request, access)) {
+    if (existing != this->transactions.end()) {
+      leased = std::move(existing->second);
+      this->transactions.erase(existing);
+      this->EndLease(leased.pool, std::move(leased.lease), true);
+    }
+    co_return *refusal;
+  }
   if (existing != this->transactions.end()) {
     leased = std::move(existing->second);
     this->transactions.erase(existing);
@@ -120,8 +136,13 @@
                                        : "the gateway cannot reach the endpoint";
       co_return ToAnswer(attempt);
     }
-    leased.lease = co_await leased.pool->AcquireDirect(request.rank, request.transaction,
-                                                       deadline - BootNow(), state);
+    leased.lease = co_await this->Acquire(leased.pool, request, access, deadline - BootNow());
+    if (const auto refusal = this->Refuse(request, access)) {
+      if (leased.lease.connection != nullptr) {
+        leased.pool->Release(std::move(leased.lease));
+      }
+      co_return *refusal;
+    }
   }
   if (leased.lease.connection == nullptr) {
     attempt.failure = leased.lease.failure;
@@ -152,10 +173,12 @@
     }
   }
   const bool keep = request.transaction && !this->ending_transactions &&
+                    !this->cluster->access().IsWithdrawn(access) &&
                     attempt.outcome == StatementAttempt::Outcome::kAnswered &&
                     attempt.answer.state == TransactionState::kOpen;
   if (keep) {
     leased.last_used = BootNow();
+    leased.access = access;
     this->transactions[request.lease] = std::move(leased);
   } else {
     const bool open = spec.opening != Opening::kNone || request.transaction;
@@ -166,6 +189,56 @@
   co_return answer;
 }
 
+asio::awaitable<EndpointLease> RelayServer::Acquire(std::shared_ptr<EndpointPool> pool,
+                                                    const RelayRequest& request,
+                                                    const RelayedAccess& access,
+                                                    Duration limit) {
+  AccessControl& control = this->cluster->access();
+  const auto work = [](std::shared_ptr<EndpointPool> pool, int rank, bool transaction,
+                       Duration limit, SessionState state) -> asio::awaitable<EndpointLease> {
+    co_return co_await pool->AcquireDirect(rank, transaction, limit, state);
+  };
+  SessionState state;
+  state.session = request.session;
+  state.organisation = request.organisation;
+  state.key = request.key;
+  auto acquired = work(pool, request.rank, request.transaction, limit, std::move(state));
+  if (this->cluster->routes().organisations == std::nullopt) {
+    co_return co_await std::move(acquired);
+  }
+  std::function<bool()> allowed = [&control, access] { return !control.IsWithdrawn(access); };
+  std::function<void(EndpointLease)> discard = [pool](EndpointLease lease) {
+    if (lease.connection != nullptr) {
+      pool->Release(std::move(lease));
+    }
+  };
+  auto lease = co_await control.AwaitWhile<EndpointLease>(std::move(allowed), std::move(acquired),
+                                                          std::move(discard));
+  if (lease) {
+    co_return std::move(*lease);
+  }
+  EndpointLease refused;
+  refused.failure = AcquireFailure::kOverloaded;
+  co_return refused;
+}
+
+std::optional<RelayAnswer> RelayServer::Refuse(const RelayRequest& request,
+                                               const RelayedAccess& access) {
+  const auto refusal = this->cluster->access().CheckRelayed(access);
+  if (!refusal) {
+    return std::nullopt;
+  }
+  this->cluster->access().NoteRefusal("relayed_statement", request.organisation, request.id,
+                                      *refusal);
+  StatementAttempt attempt;
+  attempt.failure = AcquireFailure::kOverloaded;
+  if (refusal->error == StatementError::kUnauthorised) {
+    attempt.answer.error = refusal->error;
+  }
+  attempt.cause = refusal->cause;
+  return ToAnswer(attempt);
+}
+
 void RelayServer::EndLease(std::shared_ptr<EndpointPool> pool,
                            EndpointLease lease,
                            bool roll_back) {
@@ -226,6 +299,21 @@
   }
 }
 
+void RelayServer::EndWithdrawnTransactions() {
+  for (auto entry = this->transactions.begin(); entry != this->transactions.end();) {
+    if (!this->cluster->access().IsWithdrawn(entry->second.access)) {
+      ++entry;
+      continue;
+    }
+    Log(LogLevel::kInfo, "relayed transaction rolled back: its API key was withdrawn",
+        {{"endpoint", entry->second.pool->record().id},
+         {"organisation", entry->second.access.organisation},
+         {"config_version", this->cluster->routes().version}});
+    this->EndLease(entry->second.pool, std::move(entry->second.lease), true);
+    entry = this->transactions.erase(entry);
+  }
+}
+
 void RelayServer::EndOrphanedTransactions() {
   const Duration limit = this->cluster->routes().transaction_idle_limit + kOrphanedTransactionGrace;
   const TimePoint now = BootNow();
--- a/session/relay_server.h
+++ b/session/relay_server.h
@@ -5,8 +5,10 @@
 #include <boost/asio/awaitable.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "session/access_control.h"
 #include "session/endpoint_pool.h"
 
 namespace poplarmoor {
@@ -42,10 +44,15 @@
   /// died. To be called regularly.
   void EndOrphanedTransactions();
 
+  /// Rolls back the relayed transactions whose API key the configuration in force has withdrawn.
+  /// Called after each change of the configuration.
+  void EndWithdrawnTransactions();
+
  private:
   struct LeasedConnection {
     std::shared_ptr<EndpointPool> pool;
     EndpointLease lease;
+    RelayedAccess access;  // Access of the transaction's last statement.
     TimePoint last_used;
     bool busy = false;
   };
@@ -54,6 +61,14 @@
   boost::asio::awaitable<PeerMessage> OnEnd(PeerMessage message);
   boost::asio::awaitable<PeerMessage> OnOrder(PeerMessage message);
   boost::asio::awaitable<RelayAnswer> Run(const RelayRequest& request);
+  // Leases one of this daemon's connections for a relayed statement. The wait ends when the
+  // configuration withdraws the statement's API key.
+  boost::asio::awaitable<EndpointLease> Acquire(std::shared_ptr<EndpointPool> pool,
+                                                const RelayRequest& request,
+                                                const RelayedAccess& access,
+                                                Duration limit);
+  // Returns the answer that refuses a statement because of its API key, or nothing.
+  std::optional<RelayAnswer> Refuse(const RelayRequest& request, const RelayedAccess& access);
   // Ends the lease of a connection. If `roll_back` is true, first rolls back the connection's
   // transaction in the background.
   void EndLease(std::shared_ptr<EndpointPool> pool, EndpointLease lease, bool roll_back);
--- a/session/session_server.cc
+++ b/session/session_server.cc
@@ -7,6 +7,7 @@
 #include "net/address.h"
 #include "session/background_task.h"
 #include "session/caller_session.h"
+#include "session/cluster.h"
 #include "session/wait_list.h"
 #include "telemetry/log.h"
 
@@ -25,7 +26,9 @@
                              Cluster* cluster,
                              StatementRunner* runner,
                              const SessionCodec* codec)
-    : executor(executor), cluster(cluster), runner(runner), codec(codec), acceptor(executor) {}
+    : executor(executor), cluster(cluster), runner(runner), codec(codec), acceptor(executor) {
+  cluster->access().OnChange([this] { this->EndWithdrawnTransactions(); });
+}
 
 void SessionServer::Listen(const std::string& address, size_t max_sessions) {
   const auto endpoint = ParseAddress(address);
@@ -85,4 +88,10 @@
   }
 }
 
+void SessionServer::EndWithdrawnTransactions() {
+  for (const auto& [number, session] : this->sessions) {
+    session->EndWithdrawnTransaction();
+  }
+}
+
 }  // namespace poplarmoor
--- a/session/session_server.h
+++ b/session/session_server.h
@@ -44,6 +44,10 @@
   /// its answer.
   void EndTransactions();
 
+  /// Rolls back the open transactions of the sessions whose API key the configuration in force has
+  /// withdrawn. Called after each change of the configuration.
+  void EndWithdrawnTransactions();
+
   /// @returns Number of open sessions.
   size_t size() const { return this->sessions.size(); }
 
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -54,6 +54,12 @@
                                                         std::shared_ptr<EndpointPool> pool,
                                                         EndpointLease* lease,
                                                         Duration limit) {
+  if (!this->MayRun(job, state)) {
+    StatementAttempt refused;
+    refused.failure = AcquireFailure::kOverloaded;
+    refused.cause = job->refusal->cause;
+    co_return refused;
+  }
   ++job->attempts;
   EndpointChannel* channel = lease->connection.get();
   StatementSpec spec;
@@ -63,6 +69,7 @@
   spec.opening = opening;
   spec.demanded = demanded;
   spec.repeatable = !job->commits;
+  spec.access = &this->cluster->access();
   const TimePoint sent = BootNow();
   pool->OnSent(channel);
   if (job->commits) {
@@ -71,6 +78,13 @@
   StatementAttempt attempt = co_await channel->Run(spec, state, limit);
   pool->OnAnswered(channel);
   group->commits.erase(channel);
+  if (attempt.outcome == Outcome::kNotSent &&
+      attempt.answer.error == StatementError::kUnauthorised) {
+    // The gateway's configuration is newer than this daemon's.
+    job->refusal = AccessRefusal{AccessVerdict::kUnknownKey, StatementError::kUnauthorised,
+                                 "gateway: " + attempt.cause};
+    attempt.answer.error.reset();
+  }
   job->setup += attempt.setup;
   job->running += BootNow() - sent - attempt.setup;
   pool->suspected = pool->suspected || attempt.connection_failed;
@@ -112,6 +126,10 @@
                                       StatementError error,
                                       std::string_view cause,
                                       const EndpointPool* pool) {
+  if (job.refusal && HasNotRun(error)) {
+    cause = job.refusal->cause;
+    error = job.refusal->error == StatementError::kUnauthorised ? job.refusal->error : error;
+  }
   Log(LogLevel::kWarn, "statement not served",
       {{"request_id", job.id},
        {"service", job.route->service},
@@ -195,8 +213,14 @@
                                                         bool transaction,
                                                         const SessionState& state) {
   const TimePoint begun = BootNow();
-  EndpointLease lease =
-      co_await pool->Acquire(job->route->rank, transaction, job->TimeLeft(), state);
+  EndpointLease lease;
+  lease.failure = AcquireFailure::kOverloaded;
+  if (this->MayRun(job, state)) {
+    lease = co_await this->AwaitLease(pool, *job, transaction, state);
+    if (lease.connection == nullptr) {
+      this->MayRun(job, state);  // Records the refusal if the key was withdrawn during the wait.
+    }
+  }
   job->queued += BootNow() - begun;
   co_return lease;
 }
@@ -226,8 +250,12 @@
   PrimaryLease result;
   result.cause = std::move(last_cause);
   while (group != nullptr && job->deadline - BootNow() > 1ms) {
-    result.pool = co_await group->AwaitPrimary(job->TimeLeft());
+    if (!this->MayRun(job, state)) {
+      break;
+    }
+    result.pool = co_await this->AwaitPrimary(group, job->TimeLeft(), state);
     if (result.pool == nullptr) {
+      this->MayRun(job, state);  // Records the refusal if the key was withdrawn during the wait.
       result.cause = "no primary is expected in time; last: " + result.cause;
       break;
     }
@@ -317,7 +345,8 @@
       EndpointLease lease = co_await this->Acquire(&job, pool, false, *state);
       if (lease.connection == nullptr) {
         cause = kAcquireFailureNames.NameOf(lease.failure);
-        if (lease.failure == AcquireFailure::kOverloaded && pool == group->Primary()) {
+        const bool shed = lease.failure == AcquireFailure::kOverloaded && pool == group->Primary();
+        if (shed || job.refusal) {
           co_return this->Fail(job, StatementError::kOverloaded, cause, last);
         }
         continue;
@@ -331,7 +360,7 @@
       if (attempt.outcome != Outcome::kAnswered) {
         cause = attempt.cause;
         this->NoteAttempt(&job, *pool, BootNow() - demand->sent, cause);
-        if (WasShed(attempt) && pool == group->Primary()) {
+        if (job.refusal || (WasShed(attempt) && pool == group->Primary())) {
           co_return this->Fail(job, StatementError::kOverloaded, cause, last);
         }
         continue;
--- a/session/statement_runner.h
+++ b/session/statement_runner.h
@@ -9,6 +9,7 @@
 
 #include "kernel/route_table.h"
 #include "kernel/session_state.h"
+#include "session/access_control.h"
 #include "session/endpoint_pool.h"
 #include "session/service_group.h"
 #include "session/statement_answer.h"
@@ -43,6 +44,9 @@
   Duration running{};  // Time from sending the statement to its answer.
   int attempts = 0;    // Number of attempts on a leased connection, even if nothing was sent.
   int retries = 0;     // Number of failed attempts at the primary.
+  // Why the statement may not run with its session's API key; empty: it may. Once set, the
+  // statement is not sent any more.
+  std::optional<AccessRefusal> refusal;
   // Text for the log. For each failed attempt it has the endpoint, the age of the demanded log
   // position (reads only), the time since the statement's arrival, and the cause.
   std::string attempt_log;
@@ -165,6 +169,22 @@
                                                 std::shared_ptr<EndpointPool> pool,
                                                 bool transaction,
                                                 const SessionState& state);
+  // Checks the session's API key. A refusal is recorded in the job.
+  // @returns Whether the statement may be sent.
+  bool MayRun(StatementJob* job, const SessionState& state);
+
+  // Waits for a connection or for a primary. If the session has an API key, the wait ends when the
+  // configuration withdraws the key.
+  boost::asio::awaitable<EndpointLease> AwaitLease(std::shared_ptr<EndpointPool> pool,
+                                                   const StatementJob& job,
+                                                   bool transaction,
+                                                   const SessionState& state);
+  boost::asio::awaitable<std::shared_ptr<EndpointPool>> AwaitPrimary(ServiceGroup* group,
+                                                                     Duration limit,
+                                                                     const SessionState& state);
+  // Whether waits of the session must end when its API key is withdrawn.
+  bool DependsOnKey(const SessionState& state) const;
+
   void RollBackAndRelease(std::shared_ptr<EndpointPool> pool, EndpointLease lease);
 
   // First pause after an endpoint refused a statement because its queue is full: about the time
--- a/session/statement_runner_transactions.cc
+++ b/session/statement_runner_transactions.cc
@@ -100,6 +100,9 @@
       if (left <= 1ms) {
         break;
       }
+      if (job.refusal) {
+        break;
+      }
       EndpointLease lease = co_await this->Acquire(&job, pool, true, *state);
       if (lease.connection == nullptr) {
         this->NoteAttempt(&job, *pool, BootNow() - demand->sent,
