--- a/kernel/change_schedule.cc
+++ b/kernel/change_schedule.cc
@@ -22,11 +22,11 @@
 constexpr int kFollowWaitDivisor = 5;
 // Wait of a watch call as a fraction of the revocation bound. An answer confirms the copy as of the
 // time when the call was sent, so a copy is up to two waits old. A daemon that loses all sources
-// must go on serving for 0.6 of the bound and stops at 0.975 of it: two waits and a slow answer
-// (0.24 s of 5 s) must fit into the difference.
+// must go on serving for 0.6 of the bound and stops at 0.975 of it. Two waits leave 0.055 of the
+// bound for the answers.
 constexpr double kVerifiedWaitFraction = 0.16;
-// Age, as a fraction of the revocation bound, from which other daemons are asked; above the 0.37
-// that a copy reaches with a slow store.
+// Age, as a fraction of the revocation bound, from which other daemons are asked; above the 0.375
+// that a copy usually reaches.
 constexpr double kQueryAgeFraction = 0.4;
 // If one daemon of 300 has a young copy and each of the others asks two daemons a round, the copy
 // reaches all of them in about 8 rounds. These and the usual age must fit into the bound.
--- a/session/relay_channel.cc
+++ b/session/relay_channel.cc
@@ -78,8 +78,7 @@
     return false;
   }
   request->config_version = spec.access->version();
-  const auto age = spec.access->Age();
-  request->verified_age_us = age ? static_cast<uint64_t>(age->count()) : kNeverVerified;
+  request->verified_age_us = ToVerifiedAge(spec.access->Age());
   return true;
 }
 
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -83,6 +83,7 @@
     // The gateway's configuration is newer than this daemon's.
     job->refusal = AccessRefusal{AccessVerdict::kUnknownKey, StatementError::kUnauthorised,
                                  "gateway: " + attempt.cause};
+    this->cluster->access().NoteRefusal("statement", state.organisation, job->id, *job->refusal);
     attempt.answer.error.reset();
   }
   job->setup += attempt.setup;
@@ -126,24 +127,26 @@
                                       StatementError error,
                                       std::string_view cause,
                                       const EndpointPool* pool) {
-  if (job.refusal && HasNotRun(error)) {
+  const bool was_logged = job.refusal && HasNotRun(error);
+  if (was_logged) {
     cause = job.refusal->cause;
     error = job.refusal->error == StatementError::kUnauthorised ? job.refusal->error : error;
+  } else {
+    Log(LogLevel::kWarn, "statement not served",
+        {{"request_id", job.id},
+         {"service", job.route->service},
+         {"route", job.route->name},
+         {"rank", job.route->rank},
+         {"writes", job.writes},
+         {"outcome", kStatementErrorNames.NameOf(error)},
+         {"cause", cause},
+         {"attempts", job.attempt_log},
+         {"endpoint", pool == nullptr ? "" : pool->record().id},
+         {"queued_ms", ToMillis(job.queued)},
+         {"running_ms", ToMillis(job.running)},
+         {"elapsed_ms", ToMillis(BootNow() - job.arrived)},
+         {"config_version", this->cluster->routes().version}});
   }
-  Log(LogLevel::kWarn, "statement not served",
-      {{"request_id", job.id},
-       {"service", job.route->service},
-       {"route", job.route->name},
-       {"rank", job.route->rank},
-       {"writes", job.writes},
-       {"outcome", kStatementErrorNames.NameOf(error)},
-       {"cause", cause},
-       {"attempts", job.attempt_log},
-       {"endpoint", pool == nullptr ? "" : pool->record().id},
-       {"queued_ms", ToMillis(job.queued)},
-       {"running_ms", ToMillis(job.running)},
-       {"elapsed_ms", ToMillis(BootNow() - job.arrived)},
-       {"config_version", this->cluster->routes().version}});
   this->CountAnswer(job, error);
   StatementAnswer answer;
   answer.error = error;
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -64,6 +64,10 @@
   return BootNow() - this->confirmed;
 }
 
+std::optional<Duration> StoreSync::KindState::VerifiedAge() const {
+  return this->verified ? std::optional(BootNow() - *this->verified) : std::nullopt;
+}
+
 void StoreSync::Start() {
   const auto start_sync = [this](std::string name, Duration bound, Apply apply) {
     const bool has_keys = this->revocation_bound && name == this->registry->routes_kind();
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -75,6 +75,9 @@
     /// @returns Time since the store last confirmed this daemon's copy.
     Duration Age() const;
 
+    /// @returns Highest possible age of the copy; empty: it was never verified.
+    std::optional<Duration> VerifiedAge() const;
+
     std::string name;
     ChangeSchedule schedule;
     Apply apply;
@@ -113,7 +116,8 @@
   // Asks other daemons for younger copies of a kind whenever the usual source has not confirmed
   // this daemon's copy in time: the daemon may be cut off from the store or turned away by it.
   boost::asio::awaitable<void> SeekYoungerCopies(std::shared_ptr<KindState> kind);
-  // Chooses the peers to ask for a younger copy: the one that had one last time, and random others.
+  // Chooses the peers to ask for a younger copy: the one that had one last time and random ones of
+  // a small set.
   std::vector<Peer> CopySources(const KindState& kind);
   // Records that the copy of the kind was up to date at a time. To be called after the changes
   // until then were merged.
--- a/session/store_sync_peers.cc
+++ b/session/store_sync_peers.cc
@@ -22,6 +22,10 @@
 // Number of peers that a daemon asks one after the other for a younger copy. With the interval of
 // the queries, this bounds a daemon's calls whatever the size of the fleet; see ChangeSchedule.
 constexpr size_t kSourcesPerQuery = 2;
+// Number of reachable daemons among which these peers are chosen. They are the first ones in the
+// rendezvous order, so that a daemon needs few connections. Copies still reach every daemon: the
+// probability that a daemon is no source of any other one is about e^-12.
+constexpr size_t kCopySources = 12;
 
 }  // namespace
 
@@ -159,7 +163,7 @@
     answer.reachable = kind->reachable && kind->revision.Exists();
     answer.revision = kind->revision;
     answer.age_us = static_cast<uint64_t>(kind->Age().count());
-    answer.verified_age_us = VerifiedAge(kind->verified, BootNow());
+    answer.verified_age_us = ToVerifiedAge(kind->VerifiedAge());
     answer.complete = request.since < kind->listed_at;
     for (const auto& [name, object] : kind->objects) {
       if (answer.complete ? !object.deleted : object.revision > request.since) {
@@ -176,9 +180,7 @@
 
 asio::awaitable<void> StoreSync::SeekYoungerCopies(std::shared_ptr<KindState> kind) {
   const auto needs_younger = [kind] {
-    const auto& verified = kind->verified;
-    return kind->schedule.NeedsYoungerCopy(verified ? std::optional(BootNow() - *verified)
-                                                    : std::nullopt);
+    return kind->schedule.NeedsYoungerCopy(kind->VerifiedAge());
   };
   for (;;) {
     co_await Pause(kind->schedule.QueryInterval());
@@ -200,9 +202,9 @@
 
 std::vector<Peer> StoreSync::CopySources(const KindState& kind) {
   std::vector<Peer> reachable;
-  for (const Peer& peer : this->cluster->relays().plan().Peers()) {
-    if (peer.daemon != this->self.daemon && !this->cluster->relays().health().IsLost(peer)) {
-      reachable.push_back(peer);
+  for (Peer& peer : this->cluster->relays().plan().OtherDaemons(kind.name, std::string())) {
+    if (reachable.size() < kCopySources && !this->cluster->relays().health().IsLost(peer)) {
+      reachable.push_back(std::move(peer));
     }
   }
   std::vector<Peer> sources;
--- a/tests/platform/copy_age_test.cc
+++ b/tests/platform/copy_age_test.cc
@@ -186,7 +186,7 @@
         if (is_routes) {
           asked.push_back(BootNow());
         }
-        answer.verified_age_us = is_routes ? static_cast<uint64_t>(age.count()) : kNeverVerified;
+        answer.verified_age_us = ToVerifiedAge(is_routes ? std::optional(age) : std::nullopt);
         std::string body = EncodeSyncAnswer(answer);
         co_return PeerMessage(kSyncMessage, std::move(body));
       });
--- a/tests/wire/relay_codec_test.cc
+++ b/tests/wire/relay_codec_test.cc
@@ -78,6 +78,11 @@
   SyncAnswer answer;
   answer.reachable = true;
   answer.revision = {2, 6};
+  // Guards against an older daemon, which does not send the age: its copy must not seem young.
+  CHECK_FALSE(
+      VerifiedTime(TimePoint() + 9s, DecodeSyncAnswer(EncodeSyncAnswer({})).verified_age_us));
+  CHECK_FALSE(VerifiedTime(TimePoint() + 9s, 0));
+  answer.verified_age_us = ToVerifiedAge(3s);
   answer.objects = {{"main", {2, 5}, "{}", false}, {"old", {2, 6}, "", true}};
   const SyncAnswer decoded = DecodeSyncAnswer(EncodeSyncAnswer(answer));
   CHECK(decoded.reachable);
@@ -85,6 +90,10 @@
   REQUIRE(decoded.objects.size() == 2);
   CHECK(decoded.objects[0].revision == StoreRevision{2, 5});
   CHECK(decoded.objects[1].deleted);
+  const auto verified = VerifiedTime(TimePoint() + 9s, decoded.verified_age_us);
+  REQUIRE(verified);
+  CHECK(*verified <= TimePoint() + 6s);
+  CHECK(*verified > TimePoint() + 5s);
 }
 
 }  // namespace
--- a/wire/relay_codec.h
+++ b/wire/relay_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -13,23 +14,25 @@
 
 namespace poplarmoor {
 
-/// Value of a verified age: the copy was never verified.
-inline constexpr uint64_t kNeverVerified = ~uint64_t{0};
+/// Verified age of a copy that was never verified. It is 0 because a decoder sets fields that an
+/// older daemon does not send to 0.
+inline constexpr uint64_t kNeverVerified = 0;
 
-/// @param verified A time at which a copy was certainly up to date; empty: not known.
-/// @returns The verified age at `now`, in microseconds.
-inline uint64_t VerifiedAge(std::optional<TimePoint> verified, TimePoint now) {
-  return verified ? static_cast<uint64_t>((now - *verified).count()) : kNeverVerified;
+/// @param age Highest possible age of a copy; empty: the copy was never verified.
+/// @returns The age as a field of a message, in microseconds.
+inline uint64_t ToVerifiedAge(std::optional<Duration> age) {
+  return age ? static_cast<uint64_t>(std::max(*age, Duration{}).count()) + 1 : kNeverVerified;
 }
 
 /// @param now Earliest possible time at which the other daemon's copy had the age.
-/// @param age_us Verified age, as VerifiedAge() returns it.
+/// @param age_us Age as ToVerifiedAge() returns it.
 /// @returns A time at which the copy was certainly up to date, or nothing.
 inline std::optional<TimePoint> VerifiedTime(TimePoint now, uint64_t age_us) {
   // An age beyond the range of Duration would become a negative one, so it counts as unknown.
   constexpr uint64_t kMaxAge = uint64_t{1} << 62U;
-  return age_us < kMaxAge ? std::optional(now - Duration(static_cast<int64_t>(age_us)))
-                          : std::nullopt;
+  return age_us != kNeverVerified && age_us < kMaxAge
+             ? std::optional(now - Duration(static_cast<int64_t>(age_us)))
+             : std::nullopt;
 }
 
 /// Request by which a daemon asks a gateway to run a statement. `opening` holds the name of an enum
