admission: statement queue divides a gateway's connections among organisations

Cause: statements of all organisations wait in one queue per rank, so that a flood of one organisation delays or refuses those of all others, and idle transactions of one take all connections but one.

Change: SiteQueues is a template and serves both RankedAdmission and StatementQueue. With SetFair(true), the organisations of a rank take turns, each less urgent rank gets a tenth of the starts, an organisation with half of the connections starts no further transaction, and the predicted wait counts the organisation's own queue.

--- a/kernel/admission/ranked_admission.cc
+++ b/kernel/admission/ranked_admission.cc
@@ -89,7 +89,8 @@
     decision.retry_after = std::clamp<Duration>(excess, kMinRetryAfter, kMaxRetryAfter);
     return decision;
   }
-  const SiteQueues::Handle handle = queue.site_queues.Push(item, site, this->QuantumOf(site));
+  const SiteQueues<AdmissionItem>::Handle handle =
+      queue.site_queues.Push(item, site, this->QuantumOf(site));
   this->waiters.emplace(item.id, Waiter{index, handle});
   this->deadlines.emplace(item.deadline, item.id);
   ++this->waiting[static_cast<size_t>(item.rank)];
--- a/kernel/admission/ranked_admission.h
+++ b/kernel/admission/ranked_admission.h
@@ -38,7 +38,7 @@
  private:
   /// Queue and statistics of one rank, or of all items under fcfs.
   struct PriorityClass {
-    SiteQueues site_queues;
+    SiteQueues<AdmissionItem> site_queues;
     double floor_share = 0.0;
     size_t max_queue = 256;          // Maximum number of waiting items of each site.
     double mean_service_time = 0.0;  // Smoothed service time, microseconds; 0: not measured.
@@ -52,7 +52,7 @@
 
   struct Waiter {
     size_t class_index = 0;
-    SiteQueues::Handle handle;
+    SiteQueues<AdmissionItem>::Handle handle;
   };
 
   size_t ClassOf(Rank rank) const;
--- a/kernel/admission/statement_queue.cc
+++ b/kernel/admission/statement_queue.cc
@@ -14,6 +14,9 @@
 constexpr uint32_t kConnectionsForSingleStatements = 1;
 // Inverse of the weight of a new sample in the smoothed statement time.
 constexpr int kSmoothing = 8;
+// Share of the starts that each less urgent rank with waiting requests gets when connections are
+// divided among organisations. It is small because the most urgent rank has the shortest objective.
+constexpr double kRankFloor = 0.1;
 
 }  // namespace
 
@@ -22,7 +25,7 @@
   this->max_in_use = std::max(total_limit, this->max_single_statements);
 }
 
-bool StatementQueue::MayStart(int rank, bool transaction) const {
+bool StatementQueue::HasFreeConnection(int rank, bool transaction) const {
   if (this->single_statements + this->transactions >= this->max_in_use) {
     return false;
   }
@@ -37,49 +40,118 @@
          this->max_single_statements + (rank == 0 ? kUrgentExtraStatements : 0);
 }
 
-void StatementQueue::Start(bool transaction) {
-  ++(transaction ? this->transactions : this->single_statements);
+bool StatementQueue::IsAtOrganisationLimit(const std::string& organisation) const {
+  return this->fair && this->HeldBy(organisation) >= this->OrganisationLimit();
+}
+
+uint32_t StatementQueue::OrganisationLimit() const {
+  return std::max<uint32_t>(this->max_in_use / 2, 1);
+}
+
+uint32_t StatementQueue::HeldBy(const std::string& organisation) const {
+  const auto found = this->held.find(organisation);
+  return found == this->held.end() ? 0 : found->second;
+}
+
+const std::string& StatementQueue::SiteOf(const std::string& organisation) const {
+  static const std::string all;
+  return this->fair ? organisation : all;
+}
+
+bool StatementQueue::GoesFirst(int rank, const std::string& organisation) const {
+  // Requests of other organisations that could start have started before, so that only those wait
+  // that are at a limit. They do not delay this organisation.
+  return std::all_of(this->waiting.begin(), this->waiting.end(),
+                     [this, rank, &organisation](const auto& entry) {
+                       const Queues& queues = entry.second.queues;
+                       return entry.first > rank ||
+                              (this->fair ? queues.SizeOf(organisation) == 0 : queues.empty());
+                     });
+}
+
+void StatementQueue::Start(int rank, const Waiter& request) {
+  ++(request.transaction ? this->transactions : this->single_statements);
+  ++this->held[request.organisation];
+  for (auto& [waiting_rank, queue] : this->waiting) {
+    // Credit lapses when no request waits, so that later ones do not go ahead because of it.
+    const bool earns = waiting_rank > rank && !queue.queues.empty();
+    queue.credit = queue.queues.empty() ? 0.0 : queue.credit + (earns ? kRankFloor : 0.0);
+  }
 }
 
 StatementQueue::Decision StatementQueue::Enter(Ticket ticket,
                                                int rank,
                                                bool transaction,
-                                               Duration max_wait) {
-  bool is_first = true;
-  for (const auto& [waiting_rank, queue] : this->waiting) {
-    is_first = is_first && (waiting_rank > rank || queue.empty());
-  }
-  if (is_first && this->MayStart(rank, transaction)) {
-    this->Start(transaction);
+                                               Duration max_wait,
+                                               const std::string& organisation) {
+  Waiter request{ticket, transaction, organisation};
+  // A transaction keeps its connection until the caller ends it, so that the connection could not
+  // be given to another organisation that asks for one later. Its limit therefore applies even if
+  // no other organisation waits.
+  const bool over_limit = transaction && this->IsAtOrganisationLimit(organisation);
+  if (!over_limit && this->GoesFirst(rank, organisation) &&
+      this->HasFreeConnection(rank, transaction)) {
+    this->Start(rank, request);
     return Decision::kStart;
   }
-  if (this->PredictedWait(rank) > max_wait) {
+  if (this->PredictedWait(rank, transaction, organisation) > max_wait) {
     return Decision::kRefuse;
   }
-  this->waiting[rank].push_back({ticket, transaction});
+  const Queues::Handle handle =
+      this->waiting[rank].queues.Push(request, this->SiteOf(organisation), 1.0);
+  this->places[ticket] = {rank, handle};
   return Decision::kWait;
 }
 
 void StatementQueue::Withdraw(Ticket ticket) {
-  for (auto& [rank, queue] : this->waiting) {
-    std::erase_if(queue, [ticket](const Waiter& waiter) { return waiter.ticket == ticket; });
+  const auto found = this->places.find(ticket);
+  if (found != this->places.end()) {
+    this->waiting.at(found->second.rank).queues.Erase(found->second.handle);
+    this->places.erase(found);
   }
 }
 
-void StatementQueue::Leave(bool transaction, Duration held) {
+void StatementQueue::Leave(bool transaction, Duration held, const std::string& organisation) {
   --(transaction ? this->transactions : this->single_statements);
-  if (!transaction) {
-    this->smoothed_statement_time += (held - this->smoothed_statement_time) / kSmoothing;
+  const auto holder = this->held.find(organisation);
+  if (holder != this->held.end() && --holder->second == 0) {
+    this->held.erase(holder);
   }
+  Duration& smoothed =
+      transaction ? this->smoothed_transaction_time : this->smoothed_statement_time;
+  smoothed += (held - smoothed) / kSmoothing;
+}
+
+std::optional<StatementQueue::Ticket> StatementQueue::StartFrom(int rank,
+                                                                RankQueue* queue,
+                                                                bool over_limit) {
+  const auto request = queue->queues.TakeIf([this, rank, over_limit](const Waiter& waiter) {
+    const bool allowed =
+        (over_limit && !waiter.transaction) || !this->IsAtOrganisationLimit(waiter.organisation);
+    return allowed && this->HasFreeConnection(rank, waiter.transaction);
+  });
+  if (!request) {
+    return std::nullopt;
+  }
+  this->places.erase(request->ticket);
+  this->Start(rank, *request);
+  return request->ticket;
 }
 
 std::optional<StatementQueue::Ticket> StatementQueue::Next() {
   for (auto& [rank, queue] : this->waiting) {
-    for (auto waiter = queue.begin(); waiter != queue.end(); ++waiter) {
-      if (this->MayStart(rank, waiter->transaction)) {
-        const Ticket ticket = waiter->ticket;
-        this->Start(waiter->transaction);
-        queue.erase(waiter);
+    if (!this->fair || queue.credit < 1.0) {
+      continue;
+    }
+    if (const auto ticket = this->StartFrom(rank, &queue, false)) {
+      queue.credit = std::max(queue.credit - 1.0, 0.0);
+      return ticket;
+    }
+  }
+  // Single statements of organisations at their limit get what no other organisation can use.
+  for (const bool over_limit : {false, true}) {
+    for (auto& [rank, queue] : this->waiting) {
+      if (const auto ticket = this->StartFrom(rank, &queue, over_limit)) {
         return ticket;
       }
     }
@@ -87,18 +159,54 @@
   return std::nullopt;
 }
 
-Duration StatementQueue::PredictedWait(int rank) const {
-  size_t ahead = 1;
+Duration StatementQueue::PredictedWait(int rank,
+                                       bool transaction,
+                                       const std::string& organisation) const {
+  size_t more_urgent = 0;
+  size_t own_rank = 0;
   for (const auto& [waiting_rank, queue] : this->waiting) {
-    ahead += waiting_rank <= rank ? queue.size() : 0;
+    if (waiting_rank < rank) {
+      more_urgent += queue.queues.size();
+    } else if (waiting_rank == rank) {
+      own_rank = this->fair ? queue.queues.SizeAheadOf(organisation) : queue.queues.size();
+    }
+  }
+  const auto wait_behind = [this](size_t ahead) -> Duration {
+    return this->smoothed_statement_time * (ahead + 1) / this->max_single_statements;
+  };
+  Duration wait = wait_behind(more_urgent + own_rank);
+  if (!this->fair) {
+    return wait;
+  }
+  if (more_urgent > 0) {
+    // The guaranteed minimum of the rank bounds the wait behind more urgent requests.
+    wait = std::min(
+        wait, wait_behind(static_cast<size_t>(static_cast<double>(own_rank + 1) / kRankFloor)));
+  }
+  if (transaction && this->HeldBy(organisation) >= this->OrganisationLimit()) {
+    // One of the organisation's own connections has to become free first.
+    const auto found = this->waiting.find(rank);
+    const size_t own = found == this->waiting.end() ? 0 : found->second.queues.SizeOf(organisation);
+    const Duration own_wait =
+        this->smoothed_transaction_time * (own + 1) / this->OrganisationLimit();
+    wait = std::max(wait, own_wait);
+  }
+  return wait;
+}
+
+std::map<std::string, size_t> StatementQueue::WaitingByOrganisation() const {
+  std::map<std::string, size_t> sizes;
+  for (const auto& [rank, queue] : this->waiting) {
+    queue.queues.VisitSizes(
+        [&sizes](const std::string& organisation, size_t size) { sizes[organisation] += size; });
   }
-  return this->smoothed_statement_time * ahead / this->max_single_statements;
+  return sizes;
 }
 
 uint32_t StatementQueue::Busy() const {
   size_t count = this->single_statements + this->transactions;
   for (const auto& [rank, queue] : this->waiting) {
-    count += queue.size();
+    count += queue.queues.size();
   }
   return static_cast<uint32_t>(count);
 }
