session: connections by organisation, two gateways for each endpoint

Cause: all connections are opened without an organisation and are lent to any statement, and each of 13 gateways with four connections would need a connection of nearly every organisation.

Change, only where the configuration has organisations: connections are opened for the organisation of the lease and lent to no other; beyond the gateway's half an idle one is closed to make room; at most two are opened at a time, on demand. Each endpoint has two gateways, large VMs of its failure domain, and all daemons send an organisation's statements to the same one, also the other gateway. A gateway borrows only while the other one is lost. The loss of the gateway of a transaction no longer counts as the loss of the primary.

Shown by mutations of the code: with SetFair(false) the tests of a flood and of idle transactions fail; without the limit of openings four tests fail; when any idle connection is lent, all three tests with the fake endpoint (the connection's organisation, eviction, a gateway that dies) fail; without eviction, without the preference, without the choice by capacity, and when a lost gateway counts as a lost primary, one or two tests fail each. The test of a gateway that is stopping failed before the other gateway fell back to its own connections.

--- a/kernel/placement/gateway_plan.cc
+++ b/kernel/placement/gateway_plan.cc
@@ -27,10 +27,6 @@
 constexpr size_t kWatchersPerDomain = 3;
 constexpr char kWatchKey[] = "watch";
 
-uint32_t GatewayCount(uint32_t connections) {
-  return std::max(connections / kConnectionsPerGateway, kMinGateways);
-}
-
 using PeerPointers = std::vector<const Peer*>;
 
 // Reduces `peers` to the `count` peers with the highest rendezvous scores for `key`, sorted from
@@ -50,6 +46,20 @@
   }
 }
 
+// Removes the peers with less than half of the largest capacity, if at least two remain: a gateway
+// carries a large part of an endpoint's statements, which a small VM cannot.
+void KeepCapable(PeerPointers* peers) {
+  double largest = 0.0;
+  for (const Peer* peer : *peers) {
+    largest = std::max(largest, peer->capacity);
+  }
+  PeerPointers capable = *peers;
+  std::erase_if(capable, [largest](const Peer* peer) { return peer->capacity * 2.0 < largest; });
+  if (capable.size() >= kMinGateways) {
+    *peers = std::move(capable);
+  }
+}
+
 std::vector<Peer> Copy(const PeerPointers& peers) {
   std::vector<Peer> copies;
   copies.reserve(peers.size());
@@ -74,8 +84,14 @@
   }
 }
 
+uint32_t GatewayPlan::GatewayCount(uint32_t connections) const {
+  return this->by_organisation ? kMinGateways
+                               : std::max(connections / kConnectionsPerGateway, kMinGateways);
+}
+
 bool GatewayPlan::EveryDaemonConnects(uint32_t connections) const {
-  return static_cast<double>(this->live_peers.size()) * kMinConnectionsPerDaemon <= connections;
+  return !this->by_organisation &&
+         static_cast<double>(this->live_peers.size()) * kMinConnectionsPerDaemon <= connections;
 }
 
 std::vector<const Peer*> GatewayPlan::SelectGateways(const std::string& endpoint,
@@ -86,9 +102,15 @@
   for (const Peer& peer : this->live_peers) {
     (peer.failure_domain == failure_domain ? domain_peers : other_peers).push_back(&peer);
   }
-  const size_t count = GatewayCount(connections);
+  const size_t count = this->GatewayCount(connections);
+  if (this->by_organisation) {
+    KeepCapable(&domain_peers);
+  }
   KeepHighestScores(&domain_peers, endpoint, count);
   if (domain_peers.size() < kMinGateways) {
+    if (this->by_organisation) {
+      KeepCapable(&other_peers);
+    }
     KeepHighestScores(&other_peers, endpoint, count - domain_peers.size());
     domain_peers.insert(domain_peers.end(), other_peers.begin(), other_peers.end());
   }
@@ -189,7 +211,7 @@
   if (this->EveryDaemonConnects(connections)) {
     return std::max<uint32_t>(connections / static_cast<uint32_t>(this->live_peers.size()), 1);
   }
-  return std::max<uint32_t>(connections / GatewayCount(connections), 1);
+  return std::max<uint32_t>(connections / this->GatewayCount(connections), 1);
 }
 
 std::vector<const Peer*> GatewayPlan::SelectSubstitutes(
@@ -205,6 +227,9 @@
       others.push_back(&peer);
     }
   }
+  if (this->by_organisation) {
+    KeepCapable(&others);
+  }
   KeepHighestScores(&others, endpoint, kMinGateways);
   return others;
 }
@@ -212,19 +237,44 @@
 std::vector<Peer> GatewayPlan::GatewaysOf(const std::string& endpoint,
                                           const std::string& failure_domain,
                                           uint32_t connections,
-                                          const std::function<bool(const Peer&)>& usable) const {
+                                          const std::function<bool(const Peer&)>& usable,
+                                          const std::string& preference) const {
   if (this->EveryDaemonConnects(connections)) {
     return {};
   }
   PeerPointers selected_gateways = this->SelectGateways(endpoint, failure_domain, connections);
   const PeerPointers planned = selected_gateways;
   std::erase_if(selected_gateways, [&usable](const Peer* peer) { return !usable(*peer); });
+  PeerPointers substitutes;
   if (selected_gateways.size() < kMinGateways) {
-    const PeerPointers more = this->SelectSubstitutes(endpoint, failure_domain, planned, usable);
-    selected_gateways.insert(selected_gateways.end(), more.begin(), more.end());
+    substitutes = this->SelectSubstitutes(endpoint, failure_domain, planned, usable);
+  }
+  const std::string key = endpoint + "/" + (preference.empty() ? this->self : preference);
+  if (this->by_organisation) {
+    // A substitute has no connection of the organisation yet, unlike the remaining gateway.
+    KeepHighestScores(&selected_gateways, key, selected_gateways.size());
+    KeepHighestScores(&substitutes, key, substitutes.size());
+    selected_gateways.insert(selected_gateways.end(), substitutes.begin(), substitutes.end());
+  } else {
+    selected_gateways.insert(selected_gateways.end(), substitutes.begin(), substitutes.end());
+    KeepHighestScores(&selected_gateways, key, selected_gateways.size());
   }
-  KeepHighestScores(&selected_gateways, endpoint + "/" + this->self, selected_gateways.size());
   return Copy(selected_gateways);
 }
 
+bool GatewayPlan::IsLastGateway(const std::string& endpoint,
+                                const std::string& failure_domain,
+                                uint32_t connections,
+                                const std::function<bool(const Peer&)>& usable) const {
+  bool is_gateway = false;
+  for (const Peer* peer : this->SelectGateways(endpoint, failure_domain, connections)) {
+    if (peer->daemon == this->self) {
+      is_gateway = true;
+    } else if (usable(*peer)) {
+      return false;
+    }
+  }
+  return is_gateway;
+}
+
 }  // namespace poplarmoor
--- a/kernel/placement/gateway_plan.h
+++ b/kernel/placement/gateway_plan.h
@@ -22,6 +22,12 @@
 /// larger fleet, a daemon would have one connection at most, and an open transaction would block
 /// the daemon's other statements. Then only the gateways, a few daemons selected by rendezvous
 /// hashing, connect to the endpoint; they relay the statements of the other daemons.
+///
+/// In a deployment with organisations, each endpoint has two gateways whatever the number of its
+/// connections. They are chosen among the daemons with at least half of the largest capacity in
+/// the endpoint's failure domain, and an organisation's statements prefer the same one at every
+/// daemon: each connection belongs to one organisation, so that with more gateways each
+/// organisation would need more connections.
 class GatewayPlan {
  public:
   /// @param self Name of this daemon.
@@ -30,6 +36,12 @@
   /// @param live All live daemons; this daemon is added if it is missing.
   void SetPeers(std::vector<Peer> live);
 
+  /// Sets whether the deployment has organisations.
+  void SetOrganisations(bool organisations) { this->by_organisation = organisations; }
+
+  /// @returns Whether the deployment has organisations.
+  bool HasOrganisations() const { return this->by_organisation; }
+
   /// @returns Number of live daemons, including this one.
   size_t size() const { return this->live_peers.size(); }
 
@@ -89,12 +101,23 @@
   /// @param usable Returns whether this daemon can reach a peer. While fewer than two gateways are
   ///     usable, other usable daemons of the endpoint's failure domain replace the unusable ones,
   ///     in rendezvous order.
-  /// @returns The endpoint's usable gateways in this daemon's order of preference; empty when none
-  ///     is usable, or when every daemon has its own connections to the endpoint.
+  /// @param preference Key by which the gateways are sorted; empty: name of this daemon. With
+  ///     organisations, substitutes come after the endpoint's own gateways.
+  /// @returns The endpoint's usable gateways in the order of preference; empty when none is usable,
+  ///     or when every daemon has its own connections to the endpoint.
   std::vector<Peer> GatewaysOf(const std::string& endpoint,
                                const std::string& failure_domain,
                                uint32_t connections,
-                               const std::function<bool(const Peer&)>& usable) const;
+                               const std::function<bool(const Peer&)>& usable,
+                               const std::string& preference = {}) const;
+
+  /// @param usable Returns whether this daemon can reach a peer.
+  /// @returns Whether this daemon is the only usable one of the gateways that are planned for the
+  ///     endpoint.
+  bool IsLastGateway(const std::string& endpoint,
+                     const std::string& failure_domain,
+                     uint32_t connections,
+                     const std::function<bool(const Peer&)>& usable) const;
 
   /// @param connections Connections that an endpoint accepts from all daemons together.
   /// @returns Whether every daemon has its own connections to the endpoint, without gateways.
@@ -109,7 +132,10 @@
                                              const std::vector<const Peer*>& selected_gateways,
                                              const std::function<bool(const Peer&)>& usable) const;
 
+  uint32_t GatewayCount(uint32_t connections) const;
+
   std::string self;
+  bool by_organisation = false;
   std::vector<Peer> live_peers;
 };
 
--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -75,6 +75,7 @@
        {"routes", table.routes.size()}});
   this->table = std::move(table);
   this->table.SetShortestObjectives();
+  this->router.SetOrganisations(this->table.organisations.has_value());
   this->SetAllLimits();
   this->changed.NotifyAll();
 }
@@ -157,6 +158,9 @@
   const TimePoint now = BootNow();
   for (auto& [service, group] : this->by_service) {
     for (auto& [id, pool] : group->members) {
+      if (this->table.organisations && !pool->is_relayed()) {
+        this->SetLimits(pool.get());  // The other gateway may have been lost or regained.
+      }
       pool->CloseIdle(kSurplusIdleAge);
       if (!pool->departed) {
         pool->WarmUp();
@@ -226,10 +230,18 @@
                    !plan.IsGateway(record.id, record.failure_domain, usable));
   pool->SetStatementTimeLimit(service->second.shortest_latency_objective /
                               kStatementTimeLimitDivisor);
-  // The last argument is the number of connections that this daemon may open beyond its share. An
-  // open transaction occupies a connection even between its statements, but few daemons have many
-  // transactions at the same time, so each daemon may open half of its share in addition.
-  pool->SetLimits(std::min(share, statement_share), share, std::max<uint32_t>(share / 2, 1));
+  // Number of connections that this daemon may open beyond its share. An open transaction occupies
+  // a connection even between its statements, but few daemons have many transactions at the same
+  // time, so each daemon may open half of its share in addition.
+  uint32_t borrowed = std::max<uint32_t>(share / 2, 1);
+  const bool has_organisations = this->table.organisations.has_value();
+  if (has_organisations && !this->router.IsLastGateway(record)) {
+    // The other gateway keeps its share open for its organisations, so that the endpoint would
+    // refuse the additional connections.
+    borrowed = 0;
+  }
+  pool->SetOrganisations(has_organisations);
+  pool->SetLimits(std::min(share, statement_share), share, borrowed);
 }
 
 ServiceGroup* Cluster::FindGroup(const std::string& service) {
--- a/session/endpoint_channel.h
+++ b/session/endpoint_channel.h
@@ -113,7 +113,8 @@
   /// Closes the channel; a statement in progress fails.
   virtual void Close() = 0;
 
-  uint64_t used_by = 0;  // Session number of the caller's session that used the channel last.
+  std::string organisation;  // Organisation with which the connection was opened; empty: none.
+  uint64_t used_by = 0;      // Session number of the caller's session that used the channel last.
 };
 
 }  // namespace poplarmoor
--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -3,9 +3,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "kernel/admission/startup_limit.h"
 #include "net/random_bits.h"
@@ -21,9 +18,6 @@
 
 namespace {
 
-// Time limit for opening a connection. Opening takes two round trips and the endpoint's login time.
-// The limit does not allow for a lost packet, which would add a second.
-constexpr Duration kOpenLimit = 600ms;
 // For this time after an endpoint has refused a connection at its connection limit, this daemon
 // does not raise its number of connections: other daemons need the time to close idle connections.
 constexpr Duration kLimitHoldTime = 3s;
@@ -47,16 +41,13 @@
 // replica stays behind.
 constexpr Duration kFirstBehindPause = 50ms;
 constexpr Duration kMaxBehindPause = 400ms;
+// Largest number of connections that this daemon opens to the endpoint at the same time if the
+// deployment has organisations. Each opening takes 12 ms of one of the endpoint's four slots; with
+// two gateways, statements keep the slots while connections are opened after a loss of power.
+constexpr uint32_t kMaxOpenings = 2;
 
 }  // namespace
 
-struct EndpointPool::Waiter {
-  explicit Waiter(asio::any_io_executor executor) : timer(std::move(executor)) {}
-
-  asio::steady_timer timer;
-  bool granted = false;
-};
-
 EndpointPool::EndpointPool(asio::any_io_executor executor,
                            const SessionCodec* codec,
                            EndpointRecord record,
@@ -66,6 +57,7 @@
       current(std::move(record)),
       random(RandomBits()),
       relays(relays),
+      openings(kMaxOpenings),
       created(BootNow()),
       next_warm_up(this->created +
                    Duration(static_cast<int64_t>(RandomBits() %
@@ -73,165 +65,17 @@
 
 EndpointPool::~EndpointPool() = default;
 
-asio::awaitable<EndpointLease> EndpointPool::Acquire(int rank,
-                                                     bool transaction,
-                                                     Duration max_wait,
-                                                     const SessionState& session) {
-  if (!this->UsesRelay()) {
-    co_return co_await this->AcquireDirect(rank, transaction, max_wait, session);
-  }
-  // Relayed statements are queued or refused by the gateways; this daemon only counts those that
-  // are in progress.
-  EndpointLease lease;
-  lease.transaction = transaction;
-  lease.relayed = true;
-  lease.since = BootNow();
-  ++this->relayed_in_use;
-  lease.connection = this->relays->OpenChannel(this->current, rank, transaction);
-  co_return lease;
-}
-
 bool EndpointPool::UsesRelay() const {
   return this->relayed || (this->down && this->relays->HasPeers());
 }
 
 void EndpointPool::SetRelayed(bool relayed) {
   if (relayed != this->relayed) {
-    this->idle.clear();
+    this->idle.Clear();
   }
   this->relayed = relayed;
 }
 
-asio::awaitable<EndpointLease> EndpointPool::AcquireDirect(int rank,
-                                                           bool transaction,
-                                                           Duration max_wait,
-                                                           const SessionState& session) {
-  const auto self = this->shared_from_this();
-  const TimePoint entered = BootNow();
-  if (!this->shedder.Admits(rank, entered, &this->random)) {
-    EndpointLease refused;
-    refused.failure = AcquireFailure::kOverloaded;
-    co_return refused;
-  }
-  const StatementQueue::Ticket ticket = this->next_ticket++;
-  const auto decision = this->admission.Enter(ticket, rank, transaction, max_wait);
-  EndpointLease lease;
-  lease.transaction = transaction;
-  if (decision == StatementQueue::Decision::kRefuse) {
-    lease.failure = AcquireFailure::kOverloaded;
-    co_return lease;
-  }
-  if (decision == StatementQueue::Decision::kWait) {
-    Waiter waiter(this->executor);
-    waiter.timer.expires_after(max_wait);
-    this->waiters[ticket] = &waiter;
-    boost::system::error_code error;
-    co_await waiter.timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-    this->waiters.erase(ticket);
-    if (!waiter.granted) {
-      this->admission.Withdraw(ticket);
-      lease.failure = AcquireFailure::kOverloaded;
-      co_return lease;
-    }
-  }
-  lease.since = BootNow();
-  lease.connection = this->TakeIdle(session.session);
-  if (lease.connection != nullptr) {
-    co_return lease;
-  }
-  if (lease.since < this->next_open) {
-    lease.failure = AcquireFailure::kTooMany;
-    this->Leave(transaction, lease.since);
-    co_return lease;
-  }
-  const Duration left = max_wait - (lease.since - entered);
-  co_return co_await this->OpenConnection(std::move(lease),
-                                          std::clamp(left, Duration(1ms), kOpenLimit));
-}
-
-asio::awaitable<EndpointLease> EndpointPool::OpenConnection(EndpointLease lease, Duration limit) {
-  auto connection =
-      std::make_unique<EndpointSession>(this->executor, this->codec, this->current.address);
-  try {
-    const StatementAnswer answer =
-        co_await connection->Open(this->current.service, std::string(), this->current.id, limit);
-    if (!answer.error) {
-      this->open_pause = {};
-      this->down = false;
-      this->last_answer = BootNow();
-      ++this->opened;
-      lease.connection = std::make_unique<DirectChannel>(std::move(connection), this->codec);
-      co_return lease;
-    }
-    if (*answer.error == StatementError::kTooManyConnections) {
-      lease.failure = AcquireFailure::kTooMany;
-      this->NoteLimitReached();
-    } else if (*answer.error == StatementError::kWrongEndpoint) {
-      lease.failure = AcquireFailure::kWrongEndpoint;
-    } else {
-      lease.failure = AcquireFailure::kOverloaded;
-    }
-  } catch (const EndpointSessionError& error) {
-    // The failure is not logged here: the calling function logs it with the statement's id. An
-    // endpoint may close a connection above its connection limit without an answer, so a closed
-    // connection counts as a refusal at that limit.
-    if (error.kind == EndpointSessionError::Kind::kClosed) {
-      lease.failure = AcquireFailure::kTooMany;
-      this->NoteLimitReached();
-    } else {
-      lease.failure = AcquireFailure::kUnreachable;
-    }
-    this->suspected = true;
-  }
-  this->Leave(lease.transaction, lease.since);
-  co_return lease;
-}
-
-void EndpointPool::Release(EndpointLease lease) {
-  if (lease.relayed) {
-    --this->relayed_in_use;
-    return;
-  }
-  if (lease.connection != nullptr && lease.connection->is_open() && !this->relayed) {
-    this->idle.push_back({std::move(lease.connection), BootNow()});
-  }
-  this->Leave(lease.transaction, lease.since);
-}
-
-void EndpointPool::Leave(bool transaction, TimePoint since) {
-  const TimePoint now = BootNow();
-  this->admission.Leave(transaction, now - since);
-  if (!transaction) {
-    this->shedder.RecordStatementTime(this->admission.SmoothedStatementTime(), now);
-  }
-  this->WakeGranted();
-}
-
-void EndpointPool::WakeGranted() {
-  while (const auto ticket = this->admission.Next()) {
-    Waiter* waiter = this->waiters.at(*ticket);
-    waiter->granted = true;
-    waiter->timer.cancel();
-  }
-}
-
-std::unique_ptr<EndpointChannel> EndpointPool::TakeIdle(uint64_t session) {
-  while (!this->idle.empty()) {
-    auto place = std::find_if(
-        this->idle.begin(), this->idle.end(),
-        [session](const IdleConnection& entry) { return entry.connection->used_by == session; });
-    if (place == this->idle.end()) {
-      place = this->idle.end() - 1;
-    }
-    auto connection = std::move(place->connection);
-    this->idle.erase(place);
-    if (connection->IsReusable()) {
-      return connection;
-    }
-  }
-  return nullptr;
-}
-
 asio::awaitable<EndpointReport> EndpointPool::SendOrder(EndpointOrder order,
                                                         uint64_t term,
                                                         Duration limit,
@@ -240,7 +84,8 @@
   if (!fresh && this->UsesRelay()) {
     co_return co_await this->relays->SendOrder(this->current, order, term, limit);
   }
-  std::unique_ptr<EndpointChannel> channel = fresh ? nullptr : this->TakeIdle(0);
+  const SessionState own_work;
+  std::unique_ptr<EndpointChannel> channel = fresh ? nullptr : this->TakeIdle(own_work);
   if (channel == nullptr) {
     if (!fresh && BootNow() < this->next_open) {
       throw std::runtime_error(
@@ -273,7 +118,7 @@
   const StatementAnswer& answer = answers.front();
   const bool has_room = this->idle.size() + this->admission.InUse() < this->share;
   if (channel->is_open() && has_room && !this->relayed) {
-    this->idle.push_back({std::move(channel), BootNow()});
+    this->PutIdle(std::move(channel));
   }
   if (answer.error || answer.rows.empty()) {
     throw std::runtime_error(
@@ -290,7 +135,7 @@
                          record.address != this->current.address;
   this->current = record;
   if (restarted) {
-    this->idle.clear();
+    this->idle.Clear();
     this->down = false;
   }
 }
@@ -302,6 +147,11 @@
   this->ApplyLimits();
 }
 
+void EndpointPool::SetOrganisations(bool organisations) {
+  this->by_organisation = organisations;
+  this->admission.SetFair(organisations);
+}
+
 void EndpointPool::NoteLimitReached() {
   const uint32_t in_use = this->admission.InUse();
   this->observed_limit = static_cast<uint32_t>(this->idle.size()) + (in_use > 0 ? in_use - 1 : 0);
@@ -351,10 +201,10 @@
     this->startup_limited = now - this->created < kStartupLimitTime;
     this->ApplyLimits();
   }
-  const size_t kept = this->IdleTarget();
-  // The connection that has been idle for the longest time is the first entry.
-  while (this->idle.size() > kept && now - this->idle.front().since > age) {
-    this->idle.erase(this->idle.begin());
+  if (this->by_organisation) {
+    this->CloseExcess();
+  } else {
+    this->idle.CloseOlder(this->IdleTarget(), now - age);
   }
 }
 
@@ -371,8 +221,8 @@
   const uint32_t target = this->startup_limited ? 1 : this->IdleTarget();
   const TimePoint now = BootNow();
   const bool enough = this->idle.size() + this->admission.InUse() >= target;
-  if (this->warming || this->relayed || this->down || this->current.leaving || enough ||
-      now < this->next_warm_up || now < this->next_open) {
+  if (this->by_organisation || this->warming || this->relayed || this->down ||
+      this->current.leaving || enough || now < this->next_warm_up || now < this->next_open) {
     return;
   }
   const auto work = [](std::shared_ptr<EndpointPool> pool) -> asio::awaitable<void> {
@@ -390,7 +240,7 @@
 }
 
 void EndpointPool::CloseAll() {
-  this->idle.clear();
+  this->idle.Clear();
   for (auto& [connection, since] : this->in_progress) {
     connection->Close();
   }
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -11,9 +11,11 @@
 #include <vector>
 
 #include "kernel/admission/load_shedder.h"
+#include "kernel/admission/opening_limit.h"
 #include "kernel/admission/statement_queue.h"
 #include "kernel/endpoint_record.h"
 #include "kernel/name_table.h"
+#include "kernel/placement/idle_connections.h"
 #include "kernel/session_state.h"
 #include "session/endpoint_channel.h"
 #include "session/session_codec.h"
@@ -30,6 +32,7 @@
   // Statements run over a connection of a gateway (another daemon that relays them), not over one
   // of this daemon.
   bool relayed = false;
+  std::string organisation;                        // Organisation that the lease is for.
   TimePoint since;                                 // When the lease was granted.
   AcquireFailure failure = AcquireFailure::kNone;  // Why `connection` is null.
 };
@@ -47,8 +50,9 @@
   /// @param rank Urgency of the statement; 0 is the most urgent.
   /// @param transaction Whether the lease is for a whole transaction, not for one statement.
   /// @param max_wait Longest time that the call may wait for a connection.
-  /// @param session Session that will use the connection. An idle connection that this session was
-  ///     the last to use is preferred.
+  /// @param session Session that will use the connection. Only connections that were opened with
+  ///     the session's organisation are used; the one that the session was the last to use is
+  ///     preferred. Work of the daemon itself (session 0, without organisation) uses any idle one.
   /// @returns A lease. When its connection is null, its `failure` says why.
   boost::asio::awaitable<EndpointLease> Acquire(int rank,
                                                 bool transaction,
@@ -101,6 +105,11 @@
   ///     `share`; the endpoint may refuse them.
   void SetLimits(uint32_t single_statement_limit, uint32_t share, uint32_t borrowed);
 
+  /// Sets whether the deployment has organisations. If it has, connections are divided among them,
+  /// stay open while idle until another organisation needs their place, and are opened only when a
+  /// statement needs one.
+  void SetOrganisations(bool organisations);
+
   /// Sets the load limit: when statements at the endpoint take longer than `max_statement_time`,
   /// including their wait in the endpoint's queue, this daemon refuses less urgent statements.
   void SetStatementTimeLimit(Duration max_statement_time) {
@@ -108,9 +117,9 @@
   }
 
   /// Closes connections that have been idle for longer than `age`, except for those that are kept
-  /// ready for later statements. Also raises the limits of concurrent statements and of connections
-  /// again when the time is over for which they were reduced after this daemon's start or after a
-  /// refusal by the endpoint.
+  /// ready for later statements; with organisations, only those beyond the connection limit. Also
+  /// raises the limits of concurrent statements and of connections again when the time is over for
+  /// which they were reduced after this daemon's start or after a refusal by the endpoint.
   void CloseIdle(Duration age);
 
   /// Starts to open one connection in advance if this daemon has fewer connections than are to be
@@ -160,6 +169,9 @@
   uint32_t busy() const { return this->admission.Busy() + this->relayed_in_use; }
   const StatementQueue& queue() const { return this->admission; }
 
+  /// @returns Number of this daemon's connections, in use or idle, by organisation.
+  std::map<std::string, size_t> ConnectionsByOrganisation() const;
+
   // The endpoint has no registry entry any more. It gets no statements, but takeovers compare its
   // log until MembersToForget() names it.
   bool departed = false;
@@ -181,17 +193,35 @@
   // the endpoint stays behind.
   Duration behind_backoff{};
   uint64_t opened = 0;  // Number of connections to the endpoint that this daemon has opened so far.
+  // Number of idle connections that were closed so far because of the connection limit.
+  uint64_t evicted = 0;
 
  private:
   struct Waiter;
-  struct IdleConnection {
-    std::unique_ptr<EndpointChannel> connection;
-    TimePoint since;
-  };
+  // Time limit for opening a connection. Opening takes two round trips and the endpoint's login
+  // time. The limit does not allow for a lost packet, which would add a second.
+  static constexpr Duration kOpenLimit = 600ms;
+
+  using WaiterMap = std::map<StatementQueue::Ticket, Waiter*>;
 
   boost::asio::awaitable<EndpointLease> OpenConnection(EndpointLease lease, Duration limit);
-  std::unique_ptr<EndpointChannel> TakeIdle(uint64_t session);
-  void Leave(bool transaction, TimePoint since);
+  // Waits until the ticket's entry in `map` is granted or woken, or until `max_wait` has passed.
+  // Returns whether it was granted.
+  boost::asio::awaitable<bool> AwaitGrant(WaiterMap* map,
+                                          StatementQueue::Ticket ticket,
+                                          Duration max_wait);
+  // Waits until a connection may be opened; returns whether it may be. If a connection of the
+  // session's organisation becomes idle before, it is leased instead.
+  boost::asio::awaitable<bool> AwaitOpening(EndpointLease* lease,
+                                            StatementQueue::Ticket ticket,
+                                            const SessionState& session,
+                                            TimePoint deadline);
+  void FinishOpening();
+  std::unique_ptr<EndpointChannel> TakeIdle(const SessionState& session);
+  void PutIdle(std::unique_ptr<EndpointChannel> connection);
+  // Closes idle connections while all connections exceed the limit.
+  void CloseExcess();
+  void Leave(const EndpointLease& lease);
   void WakeGranted();
   uint32_t IdleTarget() const;
   void NoteLimitReached();
@@ -205,10 +235,13 @@
   RandomEngine random;
   RelayRouter* relays;
   bool relayed = false;
-  bool warming = false;         // A connection is being opened in advance.
-  uint32_t relayed_in_use = 0;  // Statements and transactions in progress through gateways.
-  std::vector<IdleConnection> idle;
-  std::map<StatementQueue::Ticket, Waiter*> waiters;
+  bool warming = false;          // A connection is being opened in advance.
+  uint32_t relayed_in_use = 0;   // Statements and transactions in progress through gateways.
+  bool by_organisation = false;  // The deployment has organisations.
+  IdleConnections<std::unique_ptr<EndpointChannel>> idle;
+  WaiterMap waiters;
+  OpeningLimit openings;
+  WaiterMap opening_waiters;  // Leases that wait until they may open a connection.
   // Send time of the statement in progress on each connection.
   std::map<EndpointChannel*, TimePoint> in_progress;
   TimePoint last_answer;
--- a/session/relay_channel.cc
+++ b/session/relay_channel.cc
@@ -79,12 +79,14 @@
                            EndpointRecord endpoint,
                            uint64_t lease,
                            int rank,
-                           bool transaction)
+                           bool transaction,
+                           bool reaches_endpoint)
     : router(router),
       endpoint(std::move(endpoint)),
       lease(lease),
       rank(rank),
-      transaction(transaction) {}
+      transaction(transaction),
+      reaches_endpoint(reaches_endpoint) {}
 
 asio::awaitable<StatementAttempt> RelayChannel::Run(const StatementSpec& spec,
                                                     const SessionState& state,
@@ -110,14 +112,22 @@
   request.limit_us = static_cast<uint64_t>(limit.count());
 
   StatementAttempt attempt;
-  attempt.failure = AcquireFailure::kUnreachable;
+  // The loss of the gateways that this channel may use does not mean that the endpoint is down if
+  // this daemon reaches the endpoint itself, or if the channel is bound to one gateway by its
+  // transaction. With two gateways for all statements, every daemon would otherwise take the
+  // primary for lost whenever a gateway dies.
+  const bool others_may_reach =
+      this->reaches_endpoint || (!this->gateway.empty() && this->router->plan().HasOrganisations());
+  attempt.failure = others_may_reach ? AcquireFailure::kTooMany : AcquireFailure::kUnreachable;
   attempt.cause = "no gateway of the endpoint is reachable";
   const auto executor = co_await asio::this_coro::executor;
   const TimePoint deadline = BootNow() + limit;
   const PeerCallKind kind =
       spec.repeatable ? PeerCallKind::kRepeatable : PeerCallKind::kNonRepeatable;
   int tries = 0;
-  for (const Peer& peer : this->router->UsableGateways(this->endpoint)) {
+  const std::vector<Peer> usable =
+      this->router->UsableGateways(this->endpoint, state.organisation, this->reaches_endpoint);
+  for (const Peer& peer : usable) {
     if (this->router->peers() == nullptr || tries == kMaxGatewayTries || BootNow() >= deadline) {
       break;
     }
@@ -136,12 +146,16 @@
       this->router->health().NoteAnswer(peer, BootNow());
       const bool not_sent = attempt.outcome == StatementAttempt::Outcome::kNotSent;
       const bool endpoint_unreachable = not_sent && attempt.failure == AcquireFailure::kUnreachable;
-      if (endpoint_unreachable) {
-        this->router->health().NoteUnreachable(this->endpoint.id, peer, BootNow());
-      }
       // If this gateway could open no connection because of the endpoint's connection limit,
-      // another gateway may still have an idle connection.
+      // another gateway may still have an idle connection. A daemon that reaches the endpoint
+      // itself uses its own connections for a while.
       const bool at_limit = not_sent && attempt.failure == AcquireFailure::kTooMany;
+      if (endpoint_unreachable || (at_limit && this->reaches_endpoint)) {
+        this->router->health().NoteUnreachable(this->endpoint.id, peer, BootNow());
+      }
+      if (endpoint_unreachable && this->reaches_endpoint) {
+        attempt.failure = AcquireFailure::kTooMany;
+      }
       if ((endpoint_unreachable || at_limit) && this->gateway.empty()) {
         continue;
       }
--- a/session/relay_channel.h
+++ b/session/relay_channel.h
@@ -15,11 +15,13 @@
  public:
   /// @param router Must outlive this object.
   /// @param lease Number that identifies the channel at the gateway; unique in the fleet.
+  /// @param reaches_endpoint Whether this daemon itself may send statements to the endpoint.
   RelayChannel(RelayRouter* router,
                EndpointRecord endpoint,
                uint64_t lease,
                int rank,
-               bool transaction);
+               bool transaction,
+               bool reaches_endpoint);
 
   boost::asio::awaitable<StatementAttempt> Run(const StatementSpec& spec,
                                                const SessionState& state,
@@ -35,6 +37,7 @@
   uint64_t lease;
   int rank;
   bool transaction;
+  bool reaches_endpoint;
   bool open = true;
   // Address of the gateway that runs the transaction; empty before the first answer.
   std::string gateway;
--- a/session/relay_router.cc
+++ b/session/relay_router.cc
@@ -47,27 +47,63 @@
 
 std::unique_ptr<EndpointChannel> RelayRouter::OpenChannel(const EndpointRecord& endpoint,
                                                           int rank,
-                                                          bool transaction) {
-  return std::make_unique<RelayChannel>(this, endpoint, this->random(), rank, transaction);
+                                                          bool transaction,
+                                                          bool reaches_endpoint) {
+  return std::make_unique<RelayChannel>(this, endpoint, this->random(), rank, transaction,
+                                        reaches_endpoint);
 }
 
-std::vector<Peer> RelayRouter::UsableGateways(const EndpointRecord& endpoint) {
+bool RelayRouter::IsUsable(const EndpointRecord& endpoint, const Peer& peer, TimePoint now) {
+  return !this->peer_health.IsLost(peer) &&
+         !this->peer_health.IsUnreachable(endpoint.id, peer, now);
+}
+
+std::vector<Peer> RelayRouter::UsableGateways(const EndpointRecord& endpoint,
+                                              const std::string& preference,
+                                              bool reaches_endpoint) {
   const auto connections = this->connections_by_service.find(endpoint.service);
   if (connections == this->connections_by_service.end()) {
     return {};
   }
   const TimePoint now = BootNow();
-  const auto usable = [this, &endpoint, now](const Peer& peer) {
-    return peer.daemon != this->self && !this->peer_health.IsLost(peer) &&
-           !this->peer_health.IsUnreachable(endpoint.id, peer, now);
+  const auto is_self = [this](const Peer& peer) { return peer.daemon == this->self; };
+  const auto usable = [this, &endpoint, now, &is_self, reaches_endpoint](const Peer& peer) {
+    return is_self(peer) ? reaches_endpoint : this->IsUsable(endpoint, peer, now);
   };
+  std::vector<Peer> usable_gateways;
   if (this->gateways.EveryDaemonConnects(connections->second)) {
-    std::vector<Peer> others = this->gateways.OtherDaemons(endpoint.id, endpoint.failure_domain);
-    std::erase_if(others, [&usable](const Peer& peer) { return !usable(peer); });
-    return others;
+    usable_gateways = this->gateways.OtherDaemons(endpoint.id, endpoint.failure_domain);
+    std::erase_if(usable_gateways, [&usable](const Peer& peer) { return !usable(peer); });
+  } else {
+    usable_gateways = this->gateways.GatewaysOf(endpoint.id, endpoint.failure_domain,
+                                                connections->second, usable, preference);
+  }
+  std::erase_if(usable_gateways, is_self);
+  return usable_gateways;
+}
+
+bool RelayRouter::PrefersOther(const EndpointRecord& endpoint, const std::string& organisation) {
+  const auto connections = this->connections_by_service.find(endpoint.service);
+  if (!this->gateways.HasOrganisations() || this->network == nullptr ||
+      connections == this->connections_by_service.end()) {
+    return false;
   }
-  return this->gateways.GatewaysOf(endpoint.id, endpoint.failure_domain, connections->second,
-                                   usable);
+  const TimePoint now = BootNow();
+  const std::vector<Peer> order = this->gateways.GatewaysOf(
+      endpoint.id, endpoint.failure_domain, connections->second,
+      [this, &endpoint, now](const Peer& peer) {
+        return peer.daemon == this->self || this->IsUsable(endpoint, peer, now);
+      },
+      organisation);
+  return !order.empty() && order.front().daemon != this->self;
+}
+
+bool RelayRouter::IsLastGateway(const EndpointRecord& endpoint) {
+  const auto connections = this->connections_by_service.find(endpoint.service);
+  return connections != this->connections_by_service.end() &&
+         this->gateways.IsLastGateway(
+             endpoint.id, endpoint.failure_domain, connections->second,
+             [this](const Peer& peer) { return !this->peer_health.IsLost(peer); });
 }
 
 // -----------------------------------------------------------------------------
--- a/session/relay_router.h
+++ b/session/relay_router.h
@@ -63,10 +63,24 @@
   /// @param endpoint Endpoint to reach.
   /// @param rank Urgency of the statement; 0 is the most urgent.
   /// @param transaction Whether the gateway keeps the connection until the transaction ends.
+  /// @param reaches_endpoint Whether this daemon itself may send statements to the endpoint.
   /// @returns A channel. It chooses its gateway when it is used for the first time.
   std::unique_ptr<EndpointChannel> OpenChannel(const EndpointRecord& endpoint,
                                                int rank,
-                                               bool transaction);
+                                               bool transaction,
+                                               bool reaches_endpoint);
+
+  /// @param organisation Organisation of a caller's session; empty: none.
+  /// @returns Whether the organisation's statements go to another gateway of the endpoint, although
+  ///     this daemon is one of its gateways. Always false in a deployment without organisations.
+  bool PrefersOther(const EndpointRecord& endpoint, const std::string& organisation);
+
+  /// @returns Whether no other gateway of the endpoint can be reached. Always false if this daemon
+  ///     is not a gateway of the endpoint.
+  bool IsLastGateway(const EndpointRecord& endpoint);
+
+  /// Sets whether the deployment has organisations.
+  void SetOrganisations(bool organisations) { this->gateways.SetOrganisations(organisations); }
 
   /// Sends an administrative order to an endpoint through a gateway.
   /// @throws std::runtime_error when no gateway delivered the endpoint's report.
@@ -79,9 +93,15 @@
   bool HasPeers() const { return this->network != nullptr && this->gateways.size() > 1; }
 
   /// Chooses gateways for an endpoint. In a small fleet every other daemon can be a gateway.
+  /// @param preference Organisation by which the gateways are sorted; empty: the order is this
+  ///     daemon's own.
+  /// @param reaches_endpoint Whether this daemon itself may send statements to the endpoint, so
+  ///     that no other daemon has to replace it as a gateway.
   /// @returns The gateways that are reachable from this daemon and expected to reach the endpoint,
   ///     best first.
-  std::vector<Peer> UsableGateways(const EndpointRecord& endpoint);
+  std::vector<Peer> UsableGateways(const EndpointRecord& endpoint,
+                                   const std::string& preference = {},
+                                   bool reaches_endpoint = false);
 
   PeerHealth& health() { return this->peer_health; }
 
@@ -94,6 +114,7 @@
   PeerNetwork* peers() const { return this->network; }
 
  private:
+  bool IsUsable(const EndpointRecord& endpoint, const Peer& peer, TimePoint now);
   // Pings a peer. If the peer does not answer, records it as unreachable and pings it once more.
   boost::asio::awaitable<void> Check(Peer peer);
   boost::asio::awaitable<bool> Ping(Peer peer, Duration limit);
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "kernel/ownership.h"
 #include "session/boot_clock.h"
 #include "telemetry/log.h"
 
@@ -200,7 +201,9 @@
 
 std::vector<std::shared_ptr<EndpointPool>> ServiceGroup::EndpointsForRead(
     const std::string& own_domain,
-    Duration demand_age) const {
+    Duration demand_age,
+    const std::string& organisation) const {
+  const std::string affinity_key = this->name + "/" + organisation;
   const TimePoint now = BootNow();
   std::vector<ReadCandidate> candidates;
   for (const auto& [id, pool] : this->members) {
@@ -214,6 +217,7 @@
                        now >= pool->avoid_until;
     candidate.busy = pool->busy();
     candidate.limit = pool->queue().SingleLimit();
+    candidate.affinity = organisation.empty() ? 0 : RendezvousScore(affinity_key, id);
     candidate.service_time = pool->queue().SmoothedStatementTime();
     candidates.push_back(std::move(candidate));
   }
--- a/session/service_group.h
+++ b/session/service_group.h
@@ -64,9 +64,13 @@
   /// @param own_domain Failure domain of this daemon.
   /// @param demand_age Age of the log position that the read demands: how long ago the primary's
   ///     log ended there.
+  /// @param organisation Organisation of the read; empty: none. Its reads prefer the same endpoint
+  ///     among those of similar delay, where a connection of the organisation is likely to exist.
   /// @returns Endpoints for a read, best first.
-  std::vector<std::shared_ptr<EndpointPool>> EndpointsForRead(const std::string& own_domain,
-                                                              Duration demand_age) const;
+  std::vector<std::shared_ptr<EndpointPool>> EndpointsForRead(
+      const std::string& own_domain,
+      Duration demand_age,
+      const std::string& organisation = {}) const;
 
   /// @returns Whether a member is not departed.
   bool HasRegisteredMember() const;
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -306,8 +306,8 @@
     if (!demand) {
       break;
     }
-    const auto order =
-        group->EndpointsForRead(this->cluster->failure_domain(), BootNow() - demand->sent);
+    const auto order = group->EndpointsForRead(this->cluster->failure_domain(),
+                                               BootNow() - demand->sent, state->organisation);
     for (const auto& pool : order) {
       const Duration left = job.deadline - BootNow();
       if (left <= 1ms) {
--- a/session/statement_runner_transactions.cc
+++ b/session/statement_runner_transactions.cc
@@ -94,8 +94,8 @@
   ServiceGroup* group = this->cluster->FindGroup(job.route->service);
   const auto demand = group == nullptr ? std::nullopt : this->EvidenceToDemand(job, *state, group);
   if (demand) {
-    for (const auto& pool :
-         group->EndpointsForRead(this->cluster->failure_domain(), BootNow() - demand->sent)) {
+    for (const auto& pool : group->EndpointsForRead(
+             this->cluster->failure_domain(), BootNow() - demand->sent, state->organisation)) {
       const Duration left = job.deadline - BootNow();
       if (left <= 1ms) {
         break;
--- a/tests/platform/fake_line_endpoint.cc
+++ b/tests/platform/fake_line_endpoint.cc
@@ -23,6 +23,7 @@
 
   tcp::socket socket;
   std::string buffer;
+  std::string organisation;
   std::map<std::string, std::string> values;
   // Kind and shape of each prepared statement, as "KIND shape", by the statement's name.
   std::map<std::string, std::string> prepared;
@@ -58,6 +59,7 @@
     }
     ++this->opened;
     if (this->connections.size() >= this->max_connections) {
+      ++this->refused;
       continue;  // The destructor of `socket` closes the connection.
     }
     auto connection = std::make_shared<Connection>(std::move(socket));
@@ -98,9 +100,8 @@
   const std::string position =
       std::to_string(this->group->term) + "." + std::to_string(this->group->index);
   if (word == "OPEN") {
-    std::string client;
     std::string expected;
-    words >> client >> expected;
+    words >> connection->organisation >> expected;
     *close = id != this->group->service || expected != this->id;
     return *close ? "ERROR WRONGNODE " + this->id + "\r\n" : "READY I " + position + "\r\n";
   }
@@ -197,8 +198,8 @@
   if ((writes && !acts_as_primary) || lost_primary_role) {
     return "ERROR READONLY " + this->id + "\r\n";
   }
-  this->group->executed.push_back(
-      {id, text, connection->values, connection->in_transaction, acts_as_primary});
+  this->group->executed.push_back({id, text, connection->values, connection->in_transaction,
+                                   acts_as_primary, connection->organisation});
   if (word == "COMMIT") {
     connection->in_transaction = false;
   }
--- a/tests/platform/fake_line_endpoint.h
+++ b/tests/platform/fake_line_endpoint.h
@@ -21,6 +21,7 @@
   std::map<std::string, std::string> values;
   bool in_transaction = false;
   bool as_primary = false;
+  std::string organisation;  // Organisation with which the connection was opened.
 };
 
 /// State that all fake endpoints of one group share: the log and which endpoint is the primary.
@@ -58,6 +59,7 @@
   uint64_t lag = 0;               // Number of log entries of the group that the endpoint lacks.
   size_t max_connections = 1000;  // Connections beyond this number are closed immediately.
   int opened = 0;                 // Number of connections accepted so far.
+  int refused = 0;                // Number of connections closed because of `max_connections`.
 
  private:
   struct Connection;
