--- a/session/takeover_controller.cc
+++ b/session/takeover_controller.cc
@@ -102,6 +102,7 @@
 asio::awaitable<void> TakeoverController::Run() {
   for (;;) {
     this->cluster->RunMaintenance();
+    this->connection_metrics.Publish(this->cluster, this->metrics, BootNow());
     for (auto& [service, group] : this->cluster->groups()) {
       this->CheckGroup(group.get());
     }
--- a/session/takeover_controller.h
+++ b/session/takeover_controller.h
@@ -10,6 +10,7 @@
 
 #include "kernel/random.h"
 #include "kernel/takeover_plan.h"
+#include "session/connection_metrics.h"
 #include "session/service_group.h"
 
 namespace poplarmoor {
@@ -101,6 +102,7 @@
   ObjectStore* store;
   PromotionApi* promotions;
   Metrics* metrics;
+  ConnectionMetrics connection_metrics;
   std::string daemon;
   RandomEngine random;
   bool stopping = false;
--- a/telemetry/metric_table.h
+++ b/telemetry/metric_table.h
@@ -22,6 +22,11 @@
   kEndpointConnections,
   kEndpointSeconds,
   kConnectSeconds,
+  kOpenConnections,
+  kConnectionsOpened,
+  kConnectionsEvicted,
+  kOrganisationConnections,
+  kOrganisationWaiting,
   kEndpointUp,
   kReplicaStaleness,
   kUnconfirmedWrites,
@@ -60,7 +65,7 @@
   std::string_view help;
 };
 
-inline constexpr size_t kMetricCount = 33;
+inline constexpr size_t kMetricCount = 38;
 
 /// Names, labels and meaning of all metrics, indexed by Metric.
 inline constexpr std::array<MetricRow, kMetricCount> kMetricTable{{
@@ -90,6 +95,16 @@
      "Time of one execution at an endpoint, as this owner sees it."},
     {Metric::kConnectSeconds, MetricType::kSummary, "poplarmoor_connect_seconds", "service",
      "Time to open a connection to an endpoint."},
+    {Metric::kOpenConnections, MetricType::kGauge, "poplarmoor_open_connections", "endpoint",
+     "Connections of this daemon to the endpoint, in use or idle, if there are organisations."},
+    {Metric::kConnectionsOpened, MetricType::kCounter, "poplarmoor_connections_opened_total",
+     "endpoint", "Connections that this daemon has opened, if there are organisations."},
+    {Metric::kConnectionsEvicted, MetricType::kCounter, "poplarmoor_connections_evicted_total",
+     "endpoint", "Idle connections that were closed to make room for other organisations."},
+    {Metric::kOrganisationConnections, MetricType::kGauge, "poplarmoor_organisation_connections",
+     "organisation", "Connections of the ten largest organisations and of all others (other)."},
+    {Metric::kOrganisationWaiting, MetricType::kGauge, "poplarmoor_organisation_waiting",
+     "organisation", "Waiting statements of the ten largest organisations and of all others."},
     {Metric::kEndpointUp, MetricType::kGauge, "poplarmoor_endpoint_up", "service,endpoint",
      "1 while the endpoint answers this monitor's probes, else 0."},
     {Metric::kReplicaStaleness, MetricType::kGauge, "poplarmoor_replica_staleness_seconds",
