admission: waiting transactions do not delay the organisation's own statements

Cause: with organisations, a single statement waited behind its organisation's transactions that wait at the limit, although a connection was free; credit of a less urgent rank grew without bound while its requests could not start; a withdrawal woke other requests also without organisations, where the order has to stay as it was.

Change: with organisations, a request starts whenever a connection is free and it is at no limit; credit is at most one start; only pools with organisations look for further starts after a withdrawal. The test of idle transactions checks the first point; the eviction test also checks the metrics.

--- a/kernel/admission/statement_queue.cc
+++ b/kernel/admission/statement_queue.cc
@@ -58,15 +58,13 @@
   return this->fair ? organisation : all;
 }
 
-bool StatementQueue::GoesFirst(int rank, const std::string& organisation) const {
-  // Requests of other organisations that could start have started before, so that only those wait
-  // that are at a limit. They do not delay this organisation.
-  return std::all_of(this->waiting.begin(), this->waiting.end(),
-                     [this, rank, &organisation](const auto& entry) {
-                       const Queues& queues = entry.second.queues;
-                       return entry.first > rank ||
-                              (this->fair ? queues.SizeOf(organisation) == 0 : queues.empty());
-                     });
+bool StatementQueue::GoesFirst(int rank) const {
+  // With organisations, all waiting requests are at a limit: those that could start have been
+  // started by Next(). They must not delay requests that are at none.
+  return this->fair ||
+         std::all_of(this->waiting.begin(), this->waiting.end(), [rank](const auto& entry) {
+           return entry.first > rank || entry.second.queues.empty();
+         });
 }
 
 void StatementQueue::Start(int rank, const Waiter& request) {
@@ -75,7 +73,8 @@
   for (auto& [waiting_rank, queue] : this->waiting) {
     // Credit lapses when no request waits, so that later ones do not go ahead because of it.
     const bool earns = waiting_rank > rank && !queue.queues.empty();
-    queue.credit = queue.queues.empty() ? 0.0 : queue.credit + (earns ? kRankFloor : 0.0);
+    const double credit = queue.credit + (earns ? kRankFloor : 0.0);
+    queue.credit = queue.queues.empty() ? 0.0 : std::min(credit, 1.0);
   }
 }
 
@@ -89,8 +88,7 @@
   // be given to another organisation that asks for one later. Its limit therefore applies even if
   // no other organisation waits.
   const bool over_limit = transaction && this->IsAtOrganisationLimit(organisation);
-  if (!over_limit && this->GoesFirst(rank, organisation) &&
-      this->HasFreeConnection(rank, transaction)) {
+  if (!over_limit && this->GoesFirst(rank) && this->HasFreeConnection(rank, transaction)) {
     this->Start(rank, request);
     return Decision::kStart;
   }
--- a/kernel/admission/statement_queue.h
+++ b/kernel/admission/statement_queue.h
@@ -56,7 +56,8 @@
   /// @param organisation Organisation that made the request, as passed to Enter().
   void Leave(bool transaction, Duration held, const std::string& organisation = {});
 
-  /// Starts the next waiting request that may start now.
+  /// Starts the next waiting request that may start now. To be called after SetLimits(), Leave()
+  /// and, with SetFair(true), Withdraw(), until it returns nothing.
   /// @returns The ticket of the request, or nothing when none may start.
   std::optional<Ticket> Next();
 
@@ -107,7 +108,7 @@
 
   bool HasFreeConnection(int rank, bool transaction) const;
   bool IsAtOrganisationLimit(const std::string& organisation) const;
-  bool GoesFirst(int rank, const std::string& organisation) const;
+  bool GoesFirst(int rank) const;
   uint32_t OrganisationLimit() const;
   uint32_t HeldBy(const std::string& organisation) const;
   void Start(int rank, const Waiter& request);
--- a/session/endpoint_pool_leases.cc
+++ b/session/endpoint_pool_leases.cc
@@ -76,7 +76,9 @@
     const bool granted = co_await this->AwaitGrant(&this->waiters, ticket, max_wait);
     if (!granted) {
       this->admission.Withdraw(ticket);
-      this->WakeGranted();
+      if (this->by_organisation) {
+        this->WakeGranted();
+      }
       lease.failure = AcquireFailure::kOverloaded;
       co_return lease;
     }
--- a/tests/kernel/organisation_connections_test.cc
+++ b/tests/kernel/organisation_connections_test.cc
@@ -255,6 +255,9 @@
   load.Demand(60, 10s, All);
   load.Run(500ms);
   CHECK(load.queue.HeldByOrganisation().at("idle") == kConnections / 2);
+  // The organisation's own statements do not wait for its transactions.
+  CHECK(load.queue.Enter(1'000'000, 0, false, 1200ms, "idle") == StatementQueue::Decision::kStart);
+  load.queue.Leave(false, kHold, "idle");
   load.Run(12s);
   for (const auto& [organisation, count] : load.counts) {
     if (organisation != "idle") {
--- a/tests/platform/organisation_connections_test.cc
+++ b/tests/platform/organisation_connections_test.cc
@@ -9,6 +9,7 @@
 #include "platform/line_codec.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
+#include "session/connection_metrics.h"
 #include "session/relay_server.h"
 #include "session/statement_runner.h"
 #include "telemetry/metrics.h"
@@ -172,13 +173,26 @@
   }
   fixture.CheckOrganisations();
   CHECK(fixture.endpoint.refused == 0);
-  CHECK(fixture.gate1.cluster.FindEndpoint("p")->evicted +
-            fixture.gate2.cluster.FindEndpoint("p")->evicted >=
-        4);
+  uint64_t evicted = 0;
+  double reported = 0;
+  double open = 0;
+  for (OrganisationFixture::Daemon* gate : {&fixture.gate1, &fixture.gate2}) {
+    ConnectionMetrics metrics;
+    metrics.Publish(&gate->cluster, &gate->metrics, BootNow());
+    evicted += gate->cluster.FindEndpoint("p")->evicted;
+    reported += gate->metrics.Value(Metric::kConnectionsEvicted, {"p"});
+    for (const std::string& name : OrganisationFixture::Names()) {
+      open += gate->metrics.Value(Metric::kOrganisationConnections, {name});
+    }
+  }
+  CHECK(evicted >= 4);
+  CHECK(reported == static_cast<double>(evicted));
+  // After its start, each gateway uses half of its two connections (StartupConnectionLimit).
+  CHECK(open == 2);
 }
 
-// Guards against callers of a gateway that wait for the other one, which is stopping, although their
-// own daemon reaches the endpoint.
+// Guards against callers of a gateway that wait for the other one, which is stopping, although
+// their own daemon reaches the endpoint.
 TEST_CASE("while a gateway is stopping, the other gateway serves all organisations itself") {
   OrganisationFixture fixture(22);
   fixture.route.statement_timeout = 2s;
