--- a/kernel/takeover_plan.cc
+++ b/kernel/takeover_plan.cc
@@ -60,6 +60,17 @@
   return found == members.end() ? nullptr : &*found;
 }
 
+// Returns whether the members whose logs are known have every acknowledged commit between them. A
+// member that does not answer has an unknown log. So does one with an empty log: it has just
+// joined, or has started again without the log that it had.
+bool KnownLogsSuffice(const TakeoverView& view) {
+  const auto unknown =
+      std::count_if(view.members.begin(), view.members.end(), [](const MemberStatus& member) {
+        return !member.reachable || member.received == LogPosition{};
+      });
+  return static_cast<size_t>(unknown) <= view.synchronous_replicas;
+}
+
 bool IsRunning(const std::vector<MemberStatus>& members, const std::string& id) {
   return std::any_of(members.begin(), members.end(), [&id](const MemberStatus& member) {
     return member.id == id && (member.reachable || member.refused);
@@ -99,7 +110,9 @@
   // A status may be older than the answer to another replica's pause order, so the longest log
   // known can be that of a paused replica although the other one has received more since.
   // A silent primary may still lead and send its log to the replicas.
-  const bool can_catch_up = primary != nullptr && (primary_answers || !view.catch_up_failed);
+  // So may any member that does not answer, if the former primary is not among the replicas.
+  const bool may_lead = primary != nullptr || (unreachable_replica != nullptr && !stepped_down);
+  const bool can_catch_up = may_lead && (primary_answers || !view.catch_up_failed);
   const uint64_t pause_limit = can_catch_up ? view.pause_term : kAnyPauseTerm;
   const MemberStatus* candidate = BestReplica(replicas, false, pause_limit);
   candidate = candidate == nullptr ? BestReplica(replicas, false) : candidate;
@@ -113,7 +126,8 @@
   if (candidate == nullptr) {
     return {Kind::kWait, "", "no replica answers"};
   }
-  if (unreachable_replica != nullptr && !stepped_down) {
+  const bool enough_logs = stepped_down || (!primary_answers && KnownLogsSuffice(view));
+  if (unreachable_replica != nullptr && !enough_logs) {
     // The replica that does not answer may hold acknowledged commits that the candidate lacks. No
     // such commit lies beyond the end of the primary's log, and only the primary can report this
     // end.
--- a/kernel/takeover_plan.h
+++ b/kernel/takeover_plan.h
@@ -49,6 +49,8 @@
   // True if an earlier takeover sent a replica the command to receive log entries again and this
   // command may not have arrived yet. It could undo this takeover's pause of that replica.
   bool resume_pending = false;
+  // Number of replicas that have a commit before it is acknowledged; 0: unknown.
+  uint32_t synchronous_replicas = 0;
   // True if the candidate has lacked entries of a paused replica for longer than replication takes.
   bool catch_up_failed = false;
 };
@@ -79,6 +81,9 @@
 /// paused replica has a longer log. The candidate itself is not paused while the primary leads:
 /// the primary could then acknowledge commits only through a replica that this takeover does not
 /// know yet.
+/// The logs of `synchronous_replicas` members may be unknown if no primary answers, whichever
+/// members these are: each acknowledged commit is in the log of one member more. This requires that
+/// the view contains all members that may have acknowledged commits.
 /// @param view Reason of the takeover and latest statuses of all members, departed ones included.
 /// @returns The step.
 TakeoverStep NextTakeoverStep(const TakeoverView& view);
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -97,6 +97,13 @@
     this->AdoptRestoredClaim(std::move(newer));
     return;
   }
+  const bool same_takeover = this->claim.revision.Exists() && newer.nonce == this->claim.nonce &&
+                             newer.phase == this->claim.phase;
+  if (same_takeover) {
+    // Only the list of members was recorded anew: the takeover has made no progress.
+    this->claim = std::move(newer);
+    return;
+  }
   if (newer.phase == TakeoverPhase::kResuming) {
     this->resume_pending_until = BootNow() + kLateOrderWindow;
   } else if (newer.phase == TakeoverPhase::kAbandoned) {
--- a/session/service_group.h
+++ b/session/service_group.h
@@ -95,6 +95,9 @@
   bool taking_over = false;           // This daemon prepares or runs a takeover of the service.
   bool reviewing_departures = false;  // A check whether departed members may be forgotten runs.
   TimePoint next_departure_review;
+  // When this daemon next attempts to record the members in the store or checks again whether it is
+  // to do so; empty while the record is up to date.
+  std::optional<TimePoint> record_due;
   bool refreshing = false;  // A request for the primary's log position is in progress.
   // When each commit in progress at the primary was sent, by the connection that it uses.
   std::map<EndpointChannel*, TimePoint> commits;
--- a/session/takeover_claim.h
+++ b/session/takeover_claim.h
@@ -46,8 +46,9 @@
   std::string endpoint;      // Endpoint ordered to become the primary; set in phase kOrdered.
   std::string lost_primary;  // Primary that the holder cannot reach; empty when the takeover has
                              // another reason.
-  // All members that the holder knew when it claimed the takeover. A daemon that starts later may
-  // not find all of them in the registry.
+  // All members that the holder knew when it claimed the takeover. Later, members that register are
+  // added and forgotten ones removed, also before the first takeover (phase kNone). A daemon that
+  // starts later may not find all of them in the registry.
   std::vector<TakeoverMember> members;
   StoreRevision revision;  // Revision of the takeover claim; number 0: the store has none.
 };
--- a/session/takeover_controller.cc
+++ b/session/takeover_controller.cc
@@ -55,10 +55,6 @@
 // For this time after this daemon has learned of a new primary, it does not replace the primary
 // because of stalled commits: the replicas may still be switching to the new primary.
 constexpr Duration kNewPrimaryGrace = 2s;
-// Interval at which a daemon checks whether departed members may be forgotten. It grows with the
-// number of daemons, because each check asks every member for its status.
-constexpr Duration kMinDepartureReviewInterval = 1s;
-constexpr Duration kDepartureReviewIntervalPerDaemon = 50ms;
 // If no primary is known, for example because the registry names none, a daemon queries the members
 // of the group for this time before it starts a takeover.
 constexpr Duration kNoPrimaryTimeout = 1s;
@@ -127,6 +123,7 @@
   }
   const auto primary = group->Primary();
   if (primary == nullptr) {
+    group->record_due.reset();
     if (!group->finding_primary && group->HasRegisteredMember()) {
       group->finding_primary = true;
       SpawnTask(this->executor, "find a primary", this->FindPrimary(group),
@@ -140,6 +137,7 @@
     SpawnTask(this->executor, "review departed endpoints", this->ReviewDepartures(group),
               [group] { group->reviewing_departures = false; });
   }
+  this->CheckMemberRecord(group);
   // Only daemons that reach the primary directly check whether it leaves or stalls, so that in a
   // large fleet not all daemons start a takeover at the same time.
   if (group->taking_over || this->stopping || primary->is_relayed()) {
@@ -358,26 +356,4 @@
   }
 }
 
-asio::awaitable<void> TakeoverController::ReviewDepartures(ServiceGroup* group) {
-  const Duration scaled_interval =
-      this->cluster->relays().plan().size() * kDepartureReviewIntervalPerDaemon;
-  const Duration interval = std::max(kMinDepartureReviewInterval, scaled_interval);
-  // All daemons learn of a departure at the same time.
-  co_await Pause(RandomDuration(&this->random, interval));
-  const auto first = co_await this->CollectStatuses(group, kStatusTimeout);
-  co_await Pause(kMinDepartureReviewInterval);
-  const auto second = co_await this->CollectStatuses(group, kStatusTimeout);
-  for (const std::string& id : MembersToForget(first, second)) {
-    const auto member = group->members.find(id);
-    // The endpoint may have registered again while the statuses were collected.
-    if (member != group->members.end() && member->second->departed) {
-      Log(LogLevel::kInfo, "departed endpoint forgotten",
-          {{"service", group->name}, {"endpoint", id}, {"primary", group->old_primary}});
-      member->second->CloseAll();
-      group->members.erase(member);
-    }
-  }
-  group->next_departure_review = BootNow() + interval / 2;
-}
-
 }  // namespace poplarmoor
--- a/session/takeover_controller.h
+++ b/session/takeover_controller.h
@@ -48,6 +48,10 @@
   boost::asio::awaitable<void> FindPrimary(ServiceGroup* group);
   // Removes the departed members that later takeovers need not compare.
   boost::asio::awaitable<void> ReviewDepartures(ServiceGroup* group);
+  // Writes the members of a group to the store's record when they have changed, if this daemon is
+  // the one to do so.
+  void CheckMemberRecord(ServiceGroup* group);
+  boost::asio::awaitable<void> RecordMembers(ServiceGroup* group);
   // Runs a takeover and clears the group's `taking_over` when it has ended.
   boost::asio::awaitable<void> RunTakeover(ServiceGroup* group, TakeoverReason reason);
   boost::asio::awaitable<void> TryTakeover(ServiceGroup* group, TakeoverReason reason);
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -63,6 +63,12 @@
   return text;
 }
 
+bool HaveSameMembers(const TakeoverClaim& left, const TakeoverClaim& right) {
+  return std::equal(left.members.begin(), left.members.end(), right.members.begin(),
+                    right.members.end(),
+                    [](const auto& one, const auto& other) { return one.id == other.id; });
+}
+
 }  // namespace
 
 bool TakeoverController::IsClaimed(const ServiceGroup& group) const {
@@ -143,7 +149,7 @@
     if (stored) {
       const TakeoverClaim current = DecodeTakeoverClaim(stored->value, stored->revision);
       if (current.holder == claim.holder && current.nonce == claim.nonce &&
-          current.phase == claim.phase) {
+          current.phase == claim.phase && HaveSameMembers(current, claim)) {
         co_return current.revision;
       }
       this->cluster->ApplyClaim(current);
@@ -185,6 +191,10 @@
   TakeoverView& view = takeover->view;
   view.reason = reason;
   view.old_primary = group->old_primary;
+  const auto service = this->cluster->routes().services.find(group->name);
+  if (service != this->cluster->routes().services.end()) {
+    view.synchronous_replicas = service->second.synchronous_replicas;
+  }
   const TimePoint deadline = BootNow() + kTakeoverTimeout;
   std::string last_cause;
   std::optional<TimePoint> behind_since;
--- a/tests/kernel/takeover_plan_test.cc
+++ b/tests/kernel/takeover_plan_test.cc
@@ -1,5 +1,6 @@
 #include "kernel/takeover_plan.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "kernel/random.h"
@@ -439,6 +440,89 @@
   CHECK(NextTakeoverStep(view).endpoint == "d");
 }
 
+// Guards against a service without a primary for as long as one member is gone: daemons that start
+// anew do not know which member was the primary, and waited for each of them.
+TEST_CASE("a takeover without a known former primary does not wait for a single departed member") {
+  auto view = View(TakeoverReason::kNoPrimary,
+                   {Replica("a", 100), Replica("b", 99), Departed(Replica("gone", 0), false)});
+  view.old_primary.clear();
+  view.synchronous_replicas = 1;
+  CHECK(NextTakeoverStep(view).kind == Kind::kPause);
+  CHECK(NextTakeoverStep(view).endpoint == "b");
+  view.members[1].active_pause_term = 4;
+  CHECK(NextTakeoverStep(view).kind == Kind::kPromote);
+  CHECK(NextTakeoverStep(view).endpoint == "a");
+  // The departed member and one that has started again without its log may be the only ones with
+  // some commit. So may two departed members.
+  view.members[1] = Replica("b", 0);
+  view.members[1].received = {};
+  CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+  view.members[1] = Departed(Replica("b", 0), false);
+  CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+  // A member that leads goes on with commits through the departed one.
+  view.members[1] = Primary(true);
+  view.old_primary = "p";
+  view.reason = TakeoverReason::kPrimaryLeaving;
+  CHECK(NextTakeoverStep(view).kind == Kind::kStepDown);
+}
+
+// Guards against the loss of commits when a takeover goes on without the logs of some members. Each
+// commit is received by the primary and `copies` other members, while one is cut off. Then some
+// members are down, others have lost their logs, and new daemons know no former primary.
+TEST_CASE("in random takeovers after a restart of all daemons, no acknowledged commit is lost") {
+  size_t promotions = 0;
+  for (uint64_t seed = 0; seed < 4000; ++seed) {
+    RandomEngine random(seed);
+    const uint32_t copies = 1 + static_cast<uint32_t>(RandomBelow(&random, 2));
+    std::vector<MemberStatus> members;
+    for (size_t i = 0; i < 3 + RandomBelow(&random, 3); ++i) {
+      members.push_back(Replica(std::string(1, static_cast<char>('a' + i)), 1));
+    }
+    const size_t primary = RandomBelow(&random, members.size());
+    uint64_t acknowledged = 1;
+    for (uint64_t commit = 2; commit < 6; ++commit) {
+      members[primary].received.index = commit;
+      size_t received = 0;
+      for (size_t i = 0; i < members.size(); ++i) {
+        if (i != primary && RandomBelow(&random, 3) == 0) {
+          members[i].received.index = commit;
+          ++received;
+        }
+      }
+      acknowledged = received >= copies ? commit : acknowledged;
+    }
+    for (MemberStatus& member : members) {
+      const uint64_t fate = RandomBelow(&random, 6);
+      member.reachable = fate != 0 && fate != 1;
+      member.departed = fate == 1;
+      member.received = fate == 2 ? LogPosition{} : member.received;
+    }
+    for (int step = 0; step < 50; ++step) {
+      auto view = View(TakeoverReason::kNoPrimary, members);
+      view.old_primary.clear();
+      view.synchronous_replicas = copies;
+      view.catch_up_failed = step > 10;
+      const bool none_down = std::all_of(members.begin(), members.end(),
+                                         [](const auto& member) { return member.reachable; });
+      const TakeoverStep next = NextTakeoverStep(view);
+      for (MemberStatus& member : members) {
+        if (member.id != next.endpoint || none_down) {
+          continue;
+        }
+        if (next.kind == Kind::kPause) {
+          member.active_pause_term = 4;
+        } else if (next.kind == Kind::kPromote) {
+          INFO("seed " << seed);
+          CHECK(member.received.index >= acknowledged);
+          ++promotions;
+          step = 50;
+        }
+      }
+    }
+  }
+  CHECK(promotions > 200);
+}
+
 // Guards against takeovers that compare too few logs, and against takeovers that wait for an
 // endpoint that is gone for good.
 TEST_CASE(
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -656,6 +656,47 @@
   CHECK(fixture.promotions.endpoints.front() == "c");
 }
 
+// Guards against a service that waits for ever after a restart of all daemons: the claim of an
+// earlier takeover went on naming an endpoint that all daemons had forgotten.
+TEST_CASE("the store's record of a group no longer names a member that was forgotten") {
+  Fixture fixture;
+  TakeoverClaim claim;
+  claim.service = "ledger";
+  claim.phase = TakeoverPhase::kOrdered;
+  claim.holder = "d2";
+  claim.nonce = 7;
+  for (const auto& endpoint : fixture.endpoints) {
+    claim.members.push_back({endpoint->id, endpoint->address(), "fd1"});
+  }
+  claim.members.push_back({"gone", "127.0.0.1:1", "fd2"});
+  claim.revision = fixture.store.NextRevision();
+  fixture.store.kinds[kTakeoverKind]["ledger"] = {"ledger", claim.revision,
+                                                  EncodeTakeoverClaim(claim), false};
+  fixture.cluster.ApplyClaim(claim);
+  fixture.takeover_controller.Start();
+  const auto stored = [&] {
+    return DecodeTakeoverClaim(fixture.store.kinds[kTakeoverKind]["ledger"].value, {0, 1});
+  };
+  fixture.RunUntil([&] { return stored().members.size() == 3; });
+  CHECK(stored().nonce == 7);
+  CHECK(stored().phase == TakeoverPhase::kOrdered);
+  // A daemon that starts now promotes one of the two replicas when the primary is gone for good.
+  Fixture restarted;
+  restarted.group.primary.clear();
+  claim = stored();
+  claim.members[2].address = "127.0.0.1:1";
+  REQUIRE(claim.members[2].id == "p");
+  claim.revision = {0, 1000};
+  restarted.cluster.FindGroup("ledger")->members.erase("p");
+  restarted.cluster.FindGroup("ledger")->old_primary.clear();
+  restarted.store.kinds[kTakeoverKind]["ledger"] = {"ledger", claim.revision,
+                                                    EncodeTakeoverClaim(claim), false};
+  restarted.cluster.ApplyClaim(claim);
+  restarted.takeover_controller.Start();
+  restarted.RunUntil([&] { return !restarted.promotions.endpoints.empty(); });
+  CHECK(restarted.promotions.endpoints.front() != "p");
+}
+
 // Guards against takeovers that wait for an endpoint that has left for good.
 TEST_CASE("a replica that has left is forgotten once the other replicas have the primary's log") {
   Fixture fixture;
