--- a/kernel/takeover_plan.cc
+++ b/kernel/takeover_plan.cc
@@ -126,6 +126,10 @@
   if (candidate == nullptr) {
     return {Kind::kWait, "", "no replica answers"};
   }
+  if (view.members.size() <= view.synchronous_replicas) {
+    // More members than these have received each acknowledged commit, so some are not known yet.
+    return {Kind::kWait, candidate->id, "fewer members are known than acknowledge a commit"};
+  }
   const bool enough_logs = stepped_down || (!primary_answers && KnownLogsSuffice(view));
   if (unreachable_replica != nullptr && !enough_logs) {
     // The replica that does not answer may hold acknowledged commits that the candidate lacks. No
--- a/tests/kernel/takeover_plan_test.cc
+++ b/tests/kernel/takeover_plan_test.cc
@@ -466,6 +466,17 @@
   CHECK(NextTakeoverStep(view).kind == Kind::kStepDown);
 }
 
+// Guards against the loss of all recent commits by a daemon that starts while the registry has only
+// one endpoint of the group, and before any record of the members was stored.
+TEST_CASE("a single known member is not promoted if commits are acknowledged by two") {
+  auto view = View(TakeoverReason::kNoPrimary, {Replica("a", 100)});
+  view.old_primary.clear();
+  view.synchronous_replicas = 1;
+  CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+  view.synchronous_replicas = 0;
+  CHECK(NextTakeoverStep(view).kind == Kind::kPromote);
+}
+
 // Guards against the loss of commits when a takeover goes on without the logs of some members. Each
 // commit is received by the primary and `copies` other members, while one is cut off. Then some
 // members are down, others have lost their logs, and new daemons know no former primary.
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -697,6 +697,49 @@
   CHECK(restarted.promotions.endpoints.front() != "p");
 }
 
+// Guards against the loss of commits by a daemon that starts while the registry lacks the primary
+// and the only replica with the latest commits, before the first takeover of the service.
+TEST_CASE("a daemon that starts with a partial registry compares all members on record") {
+  Fixture fixture;
+  fixture.takeover_controller.Start();
+  const auto& records = fixture.store.kinds[kTakeoverKind];
+  fixture.RunUntil([&] { return records.contains("ledger"); });
+  const uint64_t recorded_at = records.at("ledger").revision.number;
+  Fixture restarted;
+  restarted.store.kinds[kTakeoverKind] = records;
+  restarted.store.revision = recorded_at;
+  TakeoverClaim claim = DecodeTakeoverClaim(records.at("ledger").value, {0, recorded_at});
+  REQUIRE(claim.members.size() == 3);
+  CHECK(claim.phase == TakeoverPhase::kNone);
+  for (size_t i = 0; i < claim.members.size(); ++i) {
+    claim.members[i].address = "127.0.0.1:1";
+  }
+  restarted.store.kinds[kTakeoverKind]["ledger"].value = EncodeTakeoverClaim(claim);
+  ServiceGroup* group = restarted.cluster.FindGroup("ledger");
+  group->members.erase("p");
+  group->members.erase("b");
+  group->old_primary.clear();
+  restarted.group.primary.clear();
+  restarted.endpoints[1]->lag = 5;
+  // This daemon has not read the record yet; it does so when it fails to claim the takeover.
+  restarted.takeover_controller.Start();
+  const auto abandoned = [&] {
+    const std::string& text = restarted.store.kinds[kTakeoverKind]["ledger"].value;
+    return DecodeTakeoverClaim(text, {0, 1}).phase == TakeoverPhase::kAbandoned;
+  };
+  restarted.RunUntil([&] { return abandoned() || !restarted.promotions.endpoints.empty(); });
+  CHECK(restarted.promotions.endpoints.empty());
+  // The replica with the commits is back; the primary is gone for good.
+  restarted.Register(*restarted.endpoints[2]);
+  restarted.RunUntil([&] { return !restarted.promotions.endpoints.empty(); });
+  CHECK(restarted.promotions.endpoints.front() == "b");
+  // The members are on record, so that a calm fleet makes no further store calls.
+  for (const TimePoint end = BootNow() + 1s; BootNow() < end;) {
+    fixture.context.run_one_for(std::chrono::milliseconds(20));
+  }
+  CHECK(records.at("ledger").revision.number == recorded_at);
+}
+
 // Guards against takeovers that wait for an endpoint that has left for good.
 TEST_CASE("a replica that has left is forgotten once the other replicas have the primary's log") {
   Fixture fixture;
