--- a/kernel/takeover_plan.cc
+++ b/kernel/takeover_plan.cc
@@ -39,17 +39,26 @@
   return best;
 }
 
-// Whether the old primary answers as a replica and no other replica has a longer log. An old
-// primary that has lost its log also answers as a replica, but its log is shorter than the others'.
-bool OldPrimaryHasLongestLog(const std::vector<const MemberStatus*>& replicas,
-                             const std::string& old_primary) {
+bool HasEmptyLog(const MemberStatus& member) {
+  return member.received.index == 0;  // Entries are numbered from 1.
+}
+
+// Whether the old primary answers as a replica with its whole log. An old primary that has started
+// again without its log also answers as a replica. Its log is then empty, or shorter than a
+// position that it is known to have had or than another replica's log. The start time in its
+// registry entry tells nothing: the entry arrives later than the answer, and a start with the log
+// changes it, too.
+bool OldPrimaryHasWholeLog(const std::vector<const MemberStatus*>& replicas,
+                           const std::string& old_primary,
+                           LogPosition known_position) {
   const MemberStatus* old_primary_status = nullptr;
-  LogPosition longest;
+  LogPosition longest = known_position;
   for (const MemberStatus* replica : replicas) {
     longest = std::max(longest, replica->received);
     old_primary_status = replica->id == old_primary ? replica : old_primary_status;
   }
-  return old_primary_status != nullptr && old_primary_status->received >= longest;
+  return old_primary_status != nullptr && !HasEmptyLog(*old_primary_status) &&
+         old_primary_status->received >= longest;
 }
 
 // Returns the registered member that reports itself as primary, or null.
@@ -61,12 +70,14 @@
 }
 
 // Returns whether the members whose logs are known have every acknowledged commit between them. A
-// member that does not answer has an unknown log. So does one with an empty log: it has just
-// joined, or has started again without the log that it had.
+// member that does not answer has an unknown log. A member with an empty log counts as one of
+// these: it has just joined, or has started again without the log that it had. So does a former
+// primary that does not lead, because this function is called only if its log is not known to be
+// whole.
 bool KnownLogsSuffice(const TakeoverView& view) {
   const auto unknown =
-      std::count_if(view.members.begin(), view.members.end(), [](const MemberStatus& member) {
-        return !member.reachable || member.received == LogPosition{};
+      std::count_if(view.members.begin(), view.members.end(), [&](const MemberStatus& member) {
+        return !member.reachable || HasEmptyLog(member) || member.id == view.old_primary;
       });
   return static_cast<size_t>(unknown) <= view.synchronous_replicas;
 }
@@ -103,7 +114,7 @@
     }
   }
   const bool primary_answers = primary != nullptr && primary->reachable;
-  const bool stepped_down = OldPrimaryHasLongestLog(replicas, view.old_primary);
+  const bool stepped_down = OldPrimaryHasWholeLog(replicas, view.old_primary, view.known_position);
   if (primary_answers && !primary->departed && view.reason == TakeoverReason::kPrimaryLost) {
     return {Kind::kAbandon, primary->id, "the primary answers"};
   }
--- a/kernel/takeover_plan.h
+++ b/kernel/takeover_plan.h
@@ -49,6 +49,8 @@
   // True if an earlier takeover sent a replica the command to receive log entries again and this
   // command may not have arrived yet. It could undo this takeover's pause of that replica.
   bool resume_pending = false;
+  // Newest position that this daemon knows a primary of the service to have had; {0, 0}: unknown.
+  LogPosition known_position;
   // Number of replicas that have a commit before it is acknowledged; 0: unknown.
   uint32_t synchronous_replicas = 0;
   // True if the candidate has lacked entries of a paused replica for longer than replication takes.
--- a/session/takeover_controller.cc
+++ b/session/takeover_controller.cc
@@ -336,12 +336,18 @@
       group->SetPrimary(newest_primary->id, newest_primary->term, "status");
       break;
     }
-    // This daemon may take over only if it has itself found the former primary to be down.
-    // Otherwise it may merely have lost the path to the former primary's gateways. If no former
-    // primary is known, this daemon must have connections of its own to some member of the group.
+    // This daemon may take over only if it has itself found the former primary to be down, or if
+    // the former primary answers that it does not lead. Otherwise it may merely have lost the path
+    // to the former primary's gateways. Unless the former primary is down, this daemon must have
+    // connections of its own to some member of the group.
     const auto former = this->cluster->FindEndpoint(group->old_primary);
     const bool former_registered = former != nullptr && !former->departed;
-    const bool sees_outage = former_registered ? former->down : IsGatewayOfAny(*group);
+    const bool former_may_lead =
+        former_registered &&
+        std::none_of(statuses.begin(), statuses.end(), [group](const MemberStatus& status) {
+          return status.id == group->old_primary && status.reachable && !status.is_primary;
+        });
+    const bool sees_outage = former_may_lead ? former->down : IsGatewayOfAny(*group);
     const bool may_take_over =
         sees_outage && !group->taking_over && !this->stopping && !this->IsClaimed(*group);
     if (may_take_over && BootNow() - started > kNoPrimaryTimeout) {
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -212,6 +212,7 @@
         continue;
       }
     }
+    view.known_position = group->freshness.Highest();
     view.resume_pending = BootNow() < group->resume_pending_until;
     view.catch_up_failed = behind_since && BootNow() - *behind_since > kCatchUpTimeout;
     const TakeoverStep step = NextTakeoverStep(view);
--- a/tests/kernel/takeover_plan_test.cc
+++ b/tests/kernel/takeover_plan_test.cc
@@ -477,6 +477,33 @@
   CHECK(NextTakeoverStep(view).kind == Kind::kPromote);
 }
 
+// Guards against the loss of all commits when a whole group was down and the former primary is the
+// first one to answer, without its log.
+TEST_CASE("a former primary without its log is not promoted while the replicas do not answer") {
+  MemberStatus restarted = Replica("p", 0);
+  MemberStatus a = Replica("a", 0);
+  MemberStatus b = Replica("b", 0);
+  a.reachable = b.reachable = false;
+  auto view = View(TakeoverReason::kPrimaryLost, {restarted, a, b});
+  view.synchronous_replicas = 1;
+  CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+  // It has begun to receive, but lacks what it is known to have had.
+  view.members[0] = Replica("p", 90);
+  view.known_position = {3, 100};
+  CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+  // One replica does not suffice: the former primary and the other one may have had the last
+  // commit.
+  view.members[1] = Replica("a", 100);
+  CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+  view.members[0] = Replica("p", 100);
+  CHECK(NextTakeoverStep(view).kind != Kind::kWait);
+  view.members[0] = restarted;
+  view.members[2] = Replica("b", 100);
+  view.members[0].active_pause_term = view.members[1].active_pause_term = 4;
+  CHECK(NextTakeoverStep(view).kind == Kind::kPromote);
+  CHECK(NextTakeoverStep(view).endpoint == "b");
+}
+
 // Guards against the loss of commits when a takeover goes on without the logs of some members. Each
 // commit is received by the primary and `copies` other members, while one is cut off. Then some
 // members are down, others have lost their logs, and new daemons know no former primary.
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -740,6 +740,18 @@
   CHECK(records.at("ledger").revision.number == recorded_at);
 }
 
+// Guards against a service without a primary for ever: a former primary that was not promoted when
+// it came back without its log answers, so that no daemon saw it as down.
+TEST_CASE("a former primary that answers as a replica is replaced") {
+  Fixture fixture;
+  fixture.endpoints[0]->lag = fixture.group.index;
+  fixture.group.primary.clear();
+  fixture.cluster.FindGroup("ledger")->ClearPrimary("p", "test");
+  fixture.takeover_controller.Start();
+  fixture.RunUntil([&] { return !fixture.promotions.endpoints.empty(); });
+  CHECK(fixture.promotions.endpoints.front() != "p");
+}
+
 // Guards against takeovers that wait for an endpoint that has left for good.
 TEST_CASE("a replica that has left is forgotten once the other replicas have the primary's log") {
   Fixture fixture;
