endpoints: a leaving primary gets no statements once its drain bound is near

Cause: only a takeover that succeeds ended the use of a primary that had announced its end, so that it was used beyond the bound while the platform's promotion call was down. After four fifths of the bound it is treated as departed; callers are refused as not run at once, and open transactions there are aborted.

Shown: "a leaving primary gets no statements once its drain bound is near" fails without the change.

--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -30,6 +30,11 @@
 // urgent statements would then miss that objective.
 constexpr int kStatementTimeLimitDivisor = 2;
 
+// A primary that leaves gets no statements once the rest of its drain bound is less than the bound
+// divided by this number. The rest covers the time until the announcement reaches this daemon (a
+// fifth of the bound at most in large fleets), and statements on their way through a gateway.
+constexpr int kDrainMarginDivisor = 5;
+
 // Compares an endpoint's first registry entry of an era, which may come from an older copy of the
 // store, with the known entry, and keeps what cannot have become untrue since.
 // @param known Newest entry of an earlier era.
@@ -83,7 +88,9 @@
   this->missing_since.erase(record.id);
   const auto known = this->FindEndpoint(record.id);
   if (known != nullptr && record.revision >= known->record().revision) {
-    known->departed = false;
+    const bool retired =
+        known->departed && record.leaving && this->leaving_since.contains(record.id);
+    known->departed = retired;
   }
   if (known != nullptr && record.revision <= known->record().revision) {
     // The record was applied before, or it is older: records also come from peers, whose copy may
@@ -113,10 +120,15 @@
     }
     pool->Update(record);
   }
+  if (!record.leaving) {
+    this->leaving_since.erase(record.id);
+  } else {
+    this->leaving_since.emplace(record.id, BootNow());
+  }
   this->SetLimits(pool.get());
   // The role in the first entry of an era may be older than what this daemon knows. It is used only
-  // when there is nothing better.
-  if (!is_restored || group->Primary() == nullptr) {
+  // when there is nothing better. A primary that gets no more statements still reports its role.
+  if (!pool->departed && (!is_restored || group->Primary() == nullptr)) {
     group->ApplyRegistryRole(record);
   }
   this->changed.NotifyAll();
@@ -153,8 +165,25 @@
   group->ApplyClaim(std::move(claim));
 }
 
+void Cluster::RetireLeavingPrimaries() {
+  const TimePoint now = BootNow();
+  const Duration use_time = this->drain_bound - this->drain_bound / kDrainMarginDivisor;
+  for (auto& [service, group] : this->by_service) {
+    const auto primary = group->Primary();
+    const auto since = primary == nullptr ? this->leaving_since.end()
+                                          : this->leaving_since.find(primary->record().id);
+    if (since != this->leaving_since.end() && now - since->second >= use_time) {
+      // Like an endpoint without a registry entry: takeovers compare its log, but nothing else uses
+      // it, and it is not promoted again.
+      group->RetirePrimary();
+      primary->departed = true;
+    }
+  }
+}
+
 void Cluster::RunMaintenance() {
   const TimePoint now = BootNow();
+  this->RetireLeavingPrimaries();
   for (auto& [service, group] : this->by_service) {
     for (auto& [id, pool] : group->members) {
       pool->CloseIdle(kSurplusIdleAge);
@@ -184,6 +213,7 @@
       found->second->suspected = true;
       found->second->CloseAll();
     }
+    this->leaving_since.erase(missing->first);
     missing = this->missing_since.erase(missing);
   }
 }
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -54,6 +54,10 @@
   /// endpoint accepts is divided among these daemons.
   void SetPeers(std::vector<Peer> live);
 
+  /// Sets the time after an endpoint's announcement that it leaves from which no statement may
+  /// reach the endpoint. Without this call there is no such bound.
+  void SetDrainBound(Duration bound) { this->drain_bound = bound; }
+
   /// Sets the network over which the daemons call each other. Until it is set, this daemon connects
   /// to all endpoints directly. The network must outlive this object.
   void SetNetwork(PeerNetwork* network);
@@ -86,6 +90,8 @@
 
  private:
   void SetLimits(EndpointPool* pool);
+  // Stops the use of primaries whose drain bound is near.
+  void RetireLeavingPrimaries();
   void SetAllLimits();
 
   boost::asio::any_io_executor executor;
@@ -95,6 +101,9 @@
   std::map<std::string, std::unique_ptr<ServiceGroup>> by_service;
   // By endpoint id: when this daemon found that the endpoint's registry entry was missing.
   std::map<std::string, TimePoint> missing_since;
+  // By endpoint id: when this daemon learned that the endpoint leaves.
+  std::map<std::string, TimePoint> leaving_since;
+  Duration drain_bound = Duration::max();
   RelayRouter router;
   WaitList changed;
 };
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -64,6 +64,7 @@
   this->primary_since = now;
   this->outage_since.reset();
   this->promotion_ordered.reset();
+  this->promotion_overdue = false;
   this->commits.clear();
   this->changed.NotifyAll();
 }
@@ -78,6 +79,11 @@
   this->outage_since = BootNow();
 }
 
+void ServiceGroup::RetirePrimary() {
+  this->ClearPrimary(this->primary, "it leaves, and its drain bound is near");
+  this->promotion_overdue = true;
+}
+
 void ServiceGroup::ApplyRegistryRole(const EndpointRecord& record) {
   if (record.claims_primary && record.revision > this->registry_revision) {
     this->registry_revision = record.revision;
@@ -184,6 +190,9 @@
     return elapsed > kMaxPromotionTime ? Duration::max()
                                        : std::max<Duration>(this->promotion_time - elapsed, 50ms);
   }
+  if (this->promotion_overdue) {
+    return Duration::max();
+  }
   const Duration elapsed = this->outage_since ? now - *this->outage_since : Duration{};
   if (elapsed > kMaxPromotionTime) {
     return Duration::max();
--- a/session/service_group.h
+++ b/session/service_group.h
@@ -36,6 +36,11 @@
   ///     daemon's text log.
   void ClearPrimary(const std::string& endpoint, std::string_view evidence);
 
+  /// Records that the primary gets no more statements, because its drain bound is near. The
+  /// takeover that its announcement has started has not succeeded for longer than a promotion
+  /// takes, so no primary is expected until a promotion is accepted.
+  void RetirePrimary();
+
   /// Records whether the registry entry of an endpoint says that the endpoint is the primary. No
   /// effect if a newer registry entry has already changed the primary that this daemon knows.
   void ApplyRegistryRole(const EndpointRecord& record);
@@ -107,6 +112,7 @@
   // known primary and an outage's estimate stay as they are.
   void AdoptRestoredClaim(TakeoverClaim restored);
 
+  bool promotion_overdue = false;   // See RetirePrimary().
   std::string primary;              // Id of the primary; empty: unknown.
   StoreRevision registry_revision;  // Revision of the last registry entry that changed the primary.
   // Running average of the time from a promotion order until the promoted endpoint is the primary.
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -80,7 +80,9 @@
                             adapter.metrics,
                             settings.daemon),
         evidence(executor, &this->cluster, &this->runner),
-        server(executor, &this->cluster, &this->runner, adapter.sessions) {}
+        server(executor, &this->cluster, &this->runner, adapter.sessions) {
+    this->cluster.SetDrainBound(settings.bounds.endpoints);
+  }
 
   Cluster cluster;
   StatementRunner runner;
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -55,6 +55,13 @@
                                                         EndpointLease* lease,
                                                         Duration limit) {
   ++job->attempts;
+  if (pool->departed) {
+    // The endpoint has left, or its drain bound is near, since the statement waited for it or its
+    // transaction began.
+    StatementAttempt refused;
+    refused.cause = "the endpoint takes no more statements";
+    co_return refused;
+  }
   EndpointChannel* channel = lease->connection.get();
   StatementSpec spec;
   spec.id = job->id;
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -752,6 +752,36 @@
   CHECK(fixture.promotions.endpoints.front() != "p");
 }
 
+// Guards against statements that reach a primary after the drain bound because the platform does
+// not carry out the promotion of another one.
+TEST_CASE("a leaving primary gets no statements once its drain bound is near") {
+  Fixture fixture;
+  fixture.RaiseTimeLimits();
+  fixture.cluster.SetDrainBound(1s);
+  fixture.promotions.unanswered_orders = std::numeric_limits<int>::max();
+  Caller caller(&fixture, "orders");
+  Caller busy(&fixture, "orders");
+  caller.Receive();
+  busy.Receive();
+  busy.Query("BEGIN");
+  busy.Query("WRITE 1 x");
+  fixture.takeover_controller.Start();
+  fixture.AnnouncePrimaryLeaves();
+  CHECK(caller.Query("WRITE 2 x").starts_with("COMPLETE signed."));
+  const ServiceGroup* group = fixture.cluster.FindGroup("ledger");
+  fixture.RunUntil([&] { return group->Primary() == nullptr; });
+  const size_t executed = fixture.group.executed.size();
+  fixture.AnnouncePrimaryLeaves();  // Endpoints report themselves at intervals.
+  CHECK(caller.Query("WRITE 3 x").starts_with("ERROR BUSY"));
+  CHECK(caller.Query("READ 3").starts_with("ERROR BUSY"));
+  CHECK(busy.Query("WRITE 4 x").starts_with("ERROR ABORTED"));
+  CHECK(fixture.group.executed.size() == executed);
+  CHECK(group->Primary() == nullptr);
+  fixture.promotions.unanswered_orders = 0;
+  fixture.RunUntil([&] { return group->Primary() != nullptr; });
+  CHECK(caller.Query("WRITE 5 x").starts_with("COMPLETE signed."));
+}
+
 // Guards against takeovers that wait for an endpoint that has left for good.
 TEST_CASE("a replica that has left is forgotten once the other replicas have the primary's log") {
   Fixture fixture;
