--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -70,6 +70,7 @@
   this->primary_since = now;
   this->outage_since.reset();
   this->promotion_ordered.reset();
+  this->promotion_overdue = false;
   this->commits.clear();
   this->changed.NotifyAll();
 }
@@ -84,6 +85,11 @@
   this->outage_since = BootNow();
 }
 
+void ServiceGroup::RetirePrimary() {
+  this->ClearPrimary(this->primary, "it leaves, and its drain bound is near");
+  this->promotion_overdue = true;
+}
+
 void ServiceGroup::ApplyRegistryRole(const EndpointRecord& record) {
   if (record.claims_primary && record.revision > this->registry_revision) {
     this->registry_revision = record.revision;
@@ -103,6 +109,13 @@
     this->AdoptRestoredClaim(std::move(newer));
     return;
   }
+  const bool same_takeover = this->claim.revision.Exists() && newer.nonce == this->claim.nonce &&
+                             newer.phase == this->claim.phase;
+  if (same_takeover) {
+    // Only the list of members was recorded anew: the takeover has made no progress.
+    this->claim = std::move(newer);
+    return;
+  }
   if (newer.phase == TakeoverPhase::kResuming) {
     this->resume_pending_until = BootNow() + kLateOrderWindow;
   } else if (newer.phase == TakeoverPhase::kAbandoned) {
@@ -183,6 +196,9 @@
     return elapsed > kMaxPromotionTime ? Duration::max()
                                        : std::max<Duration>(this->promotion_time - elapsed, 50ms);
   }
+  if (this->promotion_overdue) {
+    return Duration::max();
+  }
   const Duration elapsed = this->outage_since ? now - *this->outage_since : Duration{};
   if (elapsed > kMaxPromotionTime) {
     return Duration::max();
--- a/session/service_group.h
+++ b/session/service_group.h
@@ -38,6 +38,11 @@
   ///     daemon's text log.
   void ClearPrimary(const std::string& endpoint, std::string_view evidence);
 
+  /// Records that the primary gets no more statements, because its drain bound is near. The
+  /// takeover that its announcement has started has not succeeded for longer than a promotion
+  /// takes, so no primary is expected until a promotion is accepted.
+  void RetirePrimary();
+
   /// Records whether the registry entry of an endpoint says that the endpoint is the primary. No
   /// effect if a newer registry entry has already changed the primary that this daemon knows.
   void ApplyRegistryRole(const EndpointRecord& record);
@@ -101,6 +106,9 @@
   bool taking_over = false;           // This daemon prepares or runs a takeover of the service.
   bool reviewing_departures = false;  // A check whether departed members may be forgotten runs.
   TimePoint next_departure_review;
+  // When this daemon next attempts to record the members in the store or checks again whether it is
+  // to do so; empty while the record is up to date.
+  std::optional<TimePoint> record_due;
   bool refreshing = false;  // A request for the primary's log position is in progress.
   // When each commit in progress at the primary was sent, by the connection that it uses.
   std::map<EndpointChannel*, TimePoint> commits;
@@ -111,6 +119,7 @@
   void AdoptRestoredClaim(TakeoverClaim restored);
 
   const RegionMap* regions;
+  bool promotion_overdue = false;   // See RetirePrimary().
   std::string primary;              // Id of the primary; empty: unknown.
   StoreRevision registry_revision;  // Revision of the last registry entry that changed the primary.
   // Running average of the time from a promotion order until the promoted endpoint is the primary.
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -84,6 +84,7 @@
         server(executor, &this->cluster, &this->runner, adapter.sessions) {
     this->cluster.access().SetRevocationBound(settings.revocation_bound);
     this->cluster.access().SetMetrics(adapter.metrics);
+    this->cluster.SetDrainBound(settings.bounds.endpoints);
   }
 
   Cluster cluster;
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -61,6 +61,13 @@
     co_return refused;
   }
   ++job->attempts;
+  if (pool->departed) {
+    // The endpoint has left, or its drain bound is near, since the statement waited for it or its
+    // transaction began.
+    StatementAttempt refused;
+    refused.cause = "the endpoint takes no more statements";
+    co_return refused;
+  }
   EndpointChannel* channel = lease->connection.get();
   StatementSpec spec;
   spec.id = job->id;
--- a/session/takeover_controller.cc
+++ b/session/takeover_controller.cc
@@ -55,10 +55,6 @@
 // For this time after this daemon has learned of a new primary, it does not replace the primary
 // because of stalled commits: the replicas may still be switching to the new primary.
 constexpr Duration kNewPrimaryGrace = 2s;
-// Interval at which a daemon checks whether departed members may be forgotten. It grows with the
-// number of daemons, because each check asks every member for its status.
-constexpr Duration kMinDepartureReviewInterval = 1s;
-constexpr Duration kDepartureReviewIntervalPerDaemon = 50ms;
 // If no primary is known, for example because the registry names none, a daemon queries the members
 // of the group for this time before it starts a takeover.
 constexpr Duration kNoPrimaryTimeout = 1s;
@@ -128,6 +124,7 @@
   }
   const auto primary = group->Primary();
   if (primary == nullptr) {
+    group->record_due.reset();
     if (!group->finding_primary && group->HasRegisteredMember()) {
       group->finding_primary = true;
       SpawnTask(this->executor, "find a primary", this->FindPrimary(group),
@@ -141,6 +138,7 @@
     SpawnTask(this->executor, "review departed endpoints", this->ReviewDepartures(group),
               [group] { group->reviewing_departures = false; });
   }
+  this->CheckMemberRecord(group);
   // Only daemons that reach the primary directly check whether it leaves or stalls, so that in a
   // large fleet not all daemons start a takeover at the same time.
   if (group->taking_over || this->stopping || primary->is_relayed()) {
@@ -339,12 +337,18 @@
       group->SetPrimary(newest_primary->id, newest_primary->term, "status");
       break;
     }
-    // This daemon may take over only if it has itself found the former primary to be down.
-    // Otherwise it may merely have lost the path to the former primary's gateways. If no former
-    // primary is known, this daemon must have connections of its own to some member of the group.
+    // This daemon may take over only if it has itself found the former primary to be down, or if
+    // the former primary answers that it does not lead. Otherwise it may merely have lost the path
+    // to the former primary's gateways. Unless the former primary is down, this daemon must have
+    // connections of its own to some member of the group.
     const auto former = this->cluster->FindEndpoint(group->old_primary);
     const bool former_registered = former != nullptr && !former->departed;
-    const bool sees_outage = former_registered ? former->down : IsGatewayOfAny(*group);
+    const bool former_may_lead =
+        former_registered &&
+        std::none_of(statuses.begin(), statuses.end(), [group](const MemberStatus& status) {
+          return status.id == group->old_primary && status.reachable && !status.is_primary;
+        });
+    const bool sees_outage = former_may_lead ? former->down : IsGatewayOfAny(*group);
     const bool may_take_over =
         sees_outage && !group->taking_over && !this->stopping && !this->IsClaimed(*group);
     if (may_take_over && BootNow() - started > kNoPrimaryTimeout) {
@@ -359,26 +363,4 @@
   }
 }
 
-asio::awaitable<void> TakeoverController::ReviewDepartures(ServiceGroup* group) {
-  const Duration scaled_interval =
-      this->cluster->relays().plan().size() * kDepartureReviewIntervalPerDaemon;
-  const Duration interval = std::max(kMinDepartureReviewInterval, scaled_interval);
-  // All daemons learn of a departure at the same time.
-  co_await Pause(RandomDuration(&this->random, interval));
-  const auto first = co_await this->CollectStatuses(group, kStatusTimeout);
-  co_await Pause(kMinDepartureReviewInterval);
-  const auto second = co_await this->CollectStatuses(group, kStatusTimeout);
-  for (const std::string& id : MembersToForget(first, second)) {
-    const auto member = group->members.find(id);
-    // The endpoint may have registered again while the statuses were collected.
-    if (member != group->members.end() && member->second->departed) {
-      Log(LogLevel::kInfo, "departed endpoint forgotten",
-          {{"service", group->name}, {"endpoint", id}, {"primary", group->old_primary}});
-      member->second->CloseAll();
-      group->members.erase(member);
-    }
-  }
-  group->next_departure_review = BootNow() + interval / 2;
-}
-
 }  // namespace poplarmoor
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -656,6 +656,132 @@
   CHECK(fixture.promotions.endpoints.front() == "c");
 }
 
+// Guards against a service that waits for ever after a restart of all daemons: the claim of an
+// earlier takeover went on naming an endpoint that all daemons had forgotten.
+TEST_CASE("the store's record of a group no longer names a member that was forgotten") {
+  Fixture fixture;
+  TakeoverClaim claim;
+  claim.service = "ledger";
+  claim.phase = TakeoverPhase::kOrdered;
+  claim.holder = "d2";
+  claim.nonce = 7;
+  for (const auto& endpoint : fixture.endpoints) {
+    claim.members.push_back({endpoint->id, endpoint->address(), "fd1"});
+  }
+  claim.members.push_back({"gone", "127.0.0.1:1", "fd2"});
+  claim.revision = fixture.store.NextRevision();
+  fixture.store.kinds[kTakeoverKind]["ledger"] = {"ledger", claim.revision,
+                                                  EncodeTakeoverClaim(claim), false};
+  fixture.cluster.ApplyClaim(claim);
+  fixture.takeover_controller.Start();
+  const auto stored = [&] {
+    return DecodeTakeoverClaim(fixture.store.kinds[kTakeoverKind]["ledger"].value, {0, 1});
+  };
+  fixture.RunUntil([&] { return stored().members.size() == 3; });
+  CHECK(stored().nonce == 7);
+  CHECK(stored().phase == TakeoverPhase::kOrdered);
+  // A daemon that starts now promotes one of the two replicas when the primary is gone for good.
+  Fixture restarted;
+  restarted.group.primary.clear();
+  claim = stored();
+  claim.members[2].address = "127.0.0.1:1";
+  REQUIRE(claim.members[2].id == "p");
+  claim.revision = {0, 1000};
+  restarted.cluster.FindGroup("ledger")->members.erase("p");
+  restarted.cluster.FindGroup("ledger")->old_primary.clear();
+  restarted.store.kinds[kTakeoverKind]["ledger"] = {"ledger", claim.revision,
+                                                    EncodeTakeoverClaim(claim), false};
+  restarted.cluster.ApplyClaim(claim);
+  restarted.takeover_controller.Start();
+  restarted.RunUntil([&] { return !restarted.promotions.endpoints.empty(); });
+  CHECK(restarted.promotions.endpoints.front() != "p");
+}
+
+// Guards against the loss of commits by a daemon that starts while the registry lacks the primary
+// and the only replica with the latest commits, before the first takeover of the service.
+TEST_CASE("a daemon that starts with a partial registry compares all members on record") {
+  Fixture fixture;
+  fixture.takeover_controller.Start();
+  const auto& records = fixture.store.kinds[kTakeoverKind];
+  fixture.RunUntil([&] { return records.contains("ledger"); });
+  const uint64_t recorded_at = records.at("ledger").revision.number;
+  Fixture restarted;
+  restarted.store.kinds[kTakeoverKind] = records;
+  restarted.store.revision = recorded_at;
+  TakeoverClaim claim = DecodeTakeoverClaim(records.at("ledger").value, {0, recorded_at});
+  REQUIRE(claim.members.size() == 3);
+  CHECK(claim.phase == TakeoverPhase::kNone);
+  for (size_t i = 0; i < claim.members.size(); ++i) {
+    claim.members[i].address = "127.0.0.1:1";
+  }
+  restarted.store.kinds[kTakeoverKind]["ledger"].value = EncodeTakeoverClaim(claim);
+  ServiceGroup* group = restarted.cluster.FindGroup("ledger");
+  group->members.erase("p");
+  group->members.erase("b");
+  group->old_primary.clear();
+  restarted.group.primary.clear();
+  restarted.endpoints[1]->lag = 5;
+  // This daemon has not read the record yet; it does so when it fails to claim the takeover.
+  restarted.takeover_controller.Start();
+  const auto abandoned = [&] {
+    const std::string& text = restarted.store.kinds[kTakeoverKind]["ledger"].value;
+    return DecodeTakeoverClaim(text, {0, 1}).phase == TakeoverPhase::kAbandoned;
+  };
+  restarted.RunUntil([&] { return abandoned() || !restarted.promotions.endpoints.empty(); });
+  CHECK(restarted.promotions.endpoints.empty());
+  // The replica with the commits is back; the primary is gone for good.
+  restarted.Register(*restarted.endpoints[2]);
+  restarted.RunUntil([&] { return !restarted.promotions.endpoints.empty(); });
+  CHECK(restarted.promotions.endpoints.front() == "b");
+  // The members are on record, so that a calm fleet makes no further store calls.
+  for (const TimePoint end = BootNow() + 1s; BootNow() < end;) {
+    fixture.context.run_one_for(std::chrono::milliseconds(20));
+  }
+  CHECK(records.at("ledger").revision.number == recorded_at);
+}
+
+// Guards against a service without a primary for ever: a former primary that was not promoted when
+// it came back without its log answers, so that no daemon saw it as down.
+TEST_CASE("a former primary that answers as a replica is replaced") {
+  Fixture fixture;
+  fixture.endpoints[0]->lag = fixture.group.index;
+  fixture.group.primary.clear();
+  fixture.cluster.FindGroup("ledger")->ClearPrimary("p", "test");
+  fixture.takeover_controller.Start();
+  fixture.RunUntil([&] { return !fixture.promotions.endpoints.empty(); });
+  CHECK(fixture.promotions.endpoints.front() != "p");
+}
+
+// Guards against statements that reach a primary after the drain bound because the platform does
+// not carry out the promotion of another one.
+TEST_CASE("a leaving primary gets no statements once its drain bound is near") {
+  Fixture fixture;
+  fixture.RaiseTimeLimits();
+  fixture.cluster.SetDrainBound(1s);
+  fixture.promotions.unanswered_orders = std::numeric_limits<int>::max();
+  Caller caller(&fixture, "orders");
+  Caller busy(&fixture, "orders");
+  caller.Receive();
+  busy.Receive();
+  busy.Query("BEGIN");
+  busy.Query("WRITE 1 x");
+  fixture.takeover_controller.Start();
+  fixture.AnnouncePrimaryLeaves();
+  CHECK(caller.Query("WRITE 2 x").starts_with("COMPLETE signed."));
+  const ServiceGroup* group = fixture.cluster.FindGroup("ledger");
+  fixture.RunUntil([&] { return group->Primary() == nullptr; });
+  const size_t executed = fixture.group.executed.size();
+  fixture.AnnouncePrimaryLeaves();  // Endpoints report themselves at intervals.
+  CHECK(caller.Query("WRITE 3 x").starts_with("ERROR BUSY"));
+  CHECK(caller.Query("READ 3").starts_with("ERROR BUSY"));
+  CHECK(busy.Query("WRITE 4 x").starts_with("ERROR ABORTED"));
+  CHECK(fixture.group.executed.size() == executed);
+  CHECK(group->Primary() == nullptr);
+  fixture.promotions.unanswered_orders = 0;
+  fixture.RunUntil([&] { return group->Primary() != nullptr; });
+  CHECK(caller.Query("WRITE 5 x").starts_with("COMPLETE signed."));
+}
+
 // Guards against takeovers that wait for an endpoint that has left for good.
 TEST_CASE("a replica that has left is forgotten once the other replicas have the primary's log") {
   Fixture fixture;
