--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -107,7 +107,8 @@
     const GatewayPlan& plan = this->cluster->relays().plan();
     const bool has_peers = this->cluster->relays().peers() != nullptr && plan.size() > 1;
     const bool discovering_peers = plan.size() == 1 && BootNow() - started < kPeerDiscoveryTimeout;
-    if (discovering_peers && kind->revision.Exists()) {
+    const bool may_wait = !kind->schedule.NeedsYoungerCopy(kind->VerifiedAge());
+    if (discovering_peers && kind->revision.Exists() && may_wait) {
       co_await Pause(kPeerDiscoveryPoll);
       continue;
     }
