--- a/telemetry/metric_table.h
+++ b/telemetry/metric_table.h
@@ -15,6 +15,8 @@
   kRetries,
   kInFlight,
   kCallerConnections,
+  kClosedConnections,
+  kBufferedBytes,
   kQueueLength,
   kQueueSeconds,
   kSlotsInUse,
@@ -60,7 +62,7 @@
   std::string_view help;
 };
 
-inline constexpr size_t kMetricCount = 33;
+inline constexpr size_t kMetricCount = 35;
 
 /// Names, labels and meaning of all metrics, indexed by Metric.
 inline constexpr std::array<MetricRow, kMetricCount> kMetricTable{{
@@ -76,6 +78,11 @@
      "Requests of callers that are not answered yet."},
     {Metric::kCallerConnections, MetricType::kGauge, "poplarmoor_caller_connections", "",
      "Open connections of callers."},
+    {Metric::kClosedConnections, MetricType::kCounter, "poplarmoor_closed_connections_total",
+     "listener,reason",
+     "Connections that the daemon closed because of their clients, by listener and reason."},
+    {Metric::kBufferedBytes, MetricType::kGauge, "poplarmoor_buffered_bytes", "",
+     "Bytes reserved for large messages and answers of callers."},
     {Metric::kQueueLength, MetricType::kGauge, "poplarmoor_queue_length", "endpoint,rank",
      "Requests that wait for a slot at this owner."},
     {Metric::kQueueSeconds, MetricType::kSummary, "poplarmoor_queue_seconds", "service,rank",
