net: limits on the connections and bytes of HTTP clients and of handshakes

HttpServer reserves the bytes of requests from a budget, refuses with status 429 beyond it, and replaces the connection that has waited longest for its client when there are too many. PeerNetwork bounds the connections whose handshake has not ended. 300 idle connections took all of 256 descriptors before.

--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -3,13 +3,16 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <vector>
 
+#include "kernel/admission/buffer_budget.h"
 #include "net/address.h"
 #include "net/http_message.h"
 #include "net/strand.h"
+#include "telemetry/close_reporter.h"
 
 namespace poplarmoor {
 
@@ -28,12 +31,26 @@
 constexpr size_t kMaxDrain = 16 << 20;
 // Longest time for which the server reads and discards the rest of a refused request.
 constexpr std::chrono::seconds kDrainTimeout{2};
+
+// Bytes that a request takes while it is handled, as a multiple of its body: the body itself, its
+// parsed form, and the encoded statement for an endpoint or another daemon.
+constexpr size_t kHandlingCopies = 4;
 }  // namespace
 
 struct HttpServer::ConnectionTable {
+  using Clock = std::chrono::steady_clock;
+  static constexpr Clock::rep kNotWaiting = std::numeric_limits<Clock::rep>::max();
+
   struct Connection {
     beast::tcp_stream* stream = nullptr;
     bool idle = true;
+    // Since when the server waits for bytes of the client; the largest time while it does not. Read
+    // by EvictWaiting() on other strands.
+    std::atomic<Clock::rep> waiting_since{kNotWaiting};
+    bool evicted = false;  // Guarded by the table's mutex.
+
+    void StartWaiting() { this->waiting_since = Clock::now().time_since_epoch().count(); }
+    void StopWaiting() { this->waiting_since = kNotWaiting; }
   };
   std::mutex mutex;
   std::map<ConnectionId, std::shared_ptr<Connection>> connections;
@@ -99,6 +116,14 @@
       co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
       continue;
     }
+    if (this->options.max_connections > 0 &&
+        this->open_connections >= static_cast<int>(this->options.max_connections)) {
+      this->Report(CloseReason::kTooManyConnections, socket);
+      if (!this->EvictWaiting()) {
+        continue;  // The destructor of `socket` closes the connection.
+      }
+    }
+    ++this->open_connections;
     socket.set_option(tcp::no_delay(true), error);
     const auto strand = socket.get_executor();
     asio::co_spawn(
@@ -110,6 +135,39 @@
   }
 }
 
+bool HttpServer::EvictWaiting() {
+  std::lock_guard lock(this->connection_table->mutex);
+  std::shared_ptr<ConnectionTable::Connection> longest;
+  for (const auto& [id, connection] : this->connection_table->connections) {
+    const bool waits_longer =
+        !connection->evicted &&
+        connection->waiting_since <
+            (longest == nullptr ? ConnectionTable::kNotWaiting : longest->waiting_since.load());
+    if (waits_longer) {
+      longest = connection;
+    }
+  }
+  if (longest == nullptr) {
+    return false;
+  }
+  longest->evicted = true;
+  asio::post(longest->stream->get_executor(), [longest] {
+    if (longest->stream != nullptr && longest->waiting_since != ConnectionTable::kNotWaiting) {
+      longest->stream->cancel();
+    }
+  });
+  return true;
+}
+
+void HttpServer::Report(CloseReason reason, const tcp::socket& socket) const {
+  if (this->options.closes == nullptr) {
+    return;
+  }
+  boost::system::error_code error;
+  const tcp::endpoint client = socket.remote_endpoint(error);
+  this->options.closes->Report(this->options.name, reason, error ? "" : FormatAddress(client));
+}
+
 asio::awaitable<HttpResponse> HttpServer::Answer(HttpRequest request, ConnectionId id) {
   try {
     co_return co_await this->handler(std::move(request), id);
@@ -123,9 +181,13 @@
 
 namespace {
 
+bool IsTooLarge(const boost::system::error_code& error) {
+  return error == http::error::body_limit || error == http::error::header_limit;
+}
+
 HttpResponse MakeProtocolError(const boost::system::error_code& error) {
   HttpResponse response;
-  const bool too_large = error == http::error::body_limit || error == http::error::header_limit;
+  const bool too_large = IsTooLarge(error);
   response.status = too_large ? 413 : 400;
   response.close = true;
   response.body =
@@ -135,6 +197,16 @@
   return response;
 }
 
+HttpResponse MakeOverloadedError() {
+  HttpResponse response;
+  response.status = 429;
+  response.close = true;
+  response.headers["retry-after"] = "1";
+  response.body = R"({"error":{"reason":"overloaded",)"
+                  R"("message":"the daemon buffers too many bytes for all its clients"}})";
+  return response;
+}
+
 bool IsProtocolError(const boost::system::error_code& error) {
   return error && error.category() == make_error_code(http::error::bad_method).category() &&
          error != http::error::end_of_stream && error != http::error::partial_message;
@@ -199,14 +271,17 @@
     std::lock_guard lock(this->connection_table->mutex);
     this->connection_table->connections[id] = connection;
   }
-  ++this->open_connections;
+  BufferShare share(this->options.budget);
   beast::flat_buffer buffer;
   boost::system::error_code error;
   while (!this->stopping) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(this->options.max_body);
     parser.header_limit(static_cast<uint32_t>(this->options.max_header));
+    parser.eager(true);
     connection->idle = true;
+    connection->StartWaiting();
+    share.Resize(buffer.size());
     if (buffer.size() == 0) {
       if (buffer.capacity() > kIdleBuffer) {
         buffer = beast::flat_buffer();
@@ -221,9 +296,29 @@
     }
     connection->idle = false;
     stream.expires_after(this->options.read_timeout);
-    co_await http::async_read(stream, buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    bool in_budget = true;
+    while (!error && in_budget && !parser.is_done()) {
+      co_await http::async_read_some(stream, buffer, parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+      const size_t copies = parser.is_done() ? kHandlingCopies : 1;
+      in_budget = share.Resize(buffer.size() + copies * parser.get().body().size());
+    }
+    connection->StopWaiting();
+    if (!error && !in_budget) {
+      this->Report(CloseReason::kBufferBudget, stream.socket());
+      parser.get().body() = std::string();
+      share.Resize(0);
+      co_await Write(stream, MakeOverloadedError(), 11, false, this->options.read_timeout);
+      co_await Drain(stream);
+      break;
+    }
+    if (error == beast::error::timeout) {
+      this->Report(CloseReason::kReadTimeout, stream.socket());
+    }
     if (IsProtocolError(error)) {
+      if (IsTooLarge(error)) {
+        this->Report(CloseReason::kTooLarge, stream.socket());
+      }
       co_await Write(stream, MakeProtocolError(error), 11, false, this->options.read_timeout);
       co_await Drain(stream);
       break;
@@ -238,12 +333,19 @@
     ++this->active_requests;
     HttpResponse answer = co_await this->Answer(ToRequest(message), id);
     const bool close = answer.close || !keep_alive || this->stopping;
-    const bool drop = answer.drop;
+    bool drop = answer.drop;
+    if (!drop && !share.Resize(buffer.size() + answer.body.size())) {
+      this->Report(CloseReason::kBufferBudget, stream.socket());
+      drop = true;
+    }
     if (!drop) {
       error =
           co_await Write(stream, std::move(answer), version, !close, this->options.read_timeout);
     }
     --this->active_requests;
+    if (error == beast::error::timeout) {
+      this->Report(CloseReason::kWriteTimeout, stream.socket());
+    }
     if (error || close || drop) {
       break;
     }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -13,6 +13,9 @@
 
 namespace poplarmoor {
 
+class BufferBudget;
+class CloseReporter;
+enum class CloseReason;
 struct HttpRequest;
 struct HttpResponse;
 
@@ -28,6 +31,12 @@
   // Time limit for reading a request, from its first to its last byte. The same limit applies again
   // to writing the response.
   std::chrono::milliseconds read_timeout{10000};
+  // Largest number of open connections; 0: no limit. Beyond it, a new connection takes the place of
+  // the one that has waited longest for its client, or is closed when all are serving a request.
+  size_t max_connections = 0;
+  std::string name = "http";        // Name of the listener in logs and metrics.
+  BufferBudget* budget = nullptr;   // Limits the bytes of all requests and responses; may be null.
+  CloseReporter* closes = nullptr;  // Counts connections closed because of a limit; may be null.
 };
 
 /// HTTP/1.1 server on Asio coroutines. Each connection runs on its own strand.
@@ -72,6 +81,9 @@
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
   boost::asio::awaitable<HttpResponse> Answer(HttpRequest request, ConnectionId id);
+  // Closes the connection that has waited longest for its client. Returns false if none waits.
+  bool EvictWaiting();
+  void Report(CloseReason reason, const boost::asio::ip::tcp::socket& socket) const;
 
   boost::asio::any_io_executor executor;
   Handler handler;
--- a/net/peer_network.cc
+++ b/net/peer_network.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "net/address.h"
+#include "net/handshake_limit.h"
 #include "net/key_ring.h"
 #include "net/now.h"
 #include "net/outgoing_peer.h"
@@ -83,6 +84,7 @@
   // Cache of the connections that this daemon opened, by the address of the peer.
   std::map<std::string, std::shared_ptr<OutgoingPeer>> outgoing;
   std::set<std::shared_ptr<PeerConnection>> accepted;
+  HandshakeLimit handshakes;
 };
 
 PeerNetwork::PeerNetwork(asio::any_io_executor executor, std::string daemon, const KeyRing* keys)
@@ -96,6 +98,10 @@
   this->impl->handlers[type] = std::move(handler);
 }
 
+void PeerNetwork::LimitHandshakes(size_t max_handshakes, CloseReporter* closes) {
+  this->impl->handshakes.Configure(max_handshakes, closes);
+}
+
 void PeerNetwork::Listen(const std::string& address) {
   const tcp::endpoint endpoint = ParseAddress(address);
   try {
@@ -166,6 +172,7 @@
       }
       this->accepted.insert(connection);
     }
+    this->handshakes.Add(connection);
     asio::co_spawn(
         connection->executor(),
         [self = this->shared_from_this(), connection] { return self->Serve(connection); },
@@ -177,6 +184,7 @@
   const auto active = std::make_shared<std::atomic<int>>(0);
   try {
     co_await connection->Accept(this->daemon, this->keys);
+    this->handshakes.Remove(connection);
     while (!this->stopping) {
       PeerFrame frame = co_await connection->Receive();
       ++*active;
@@ -191,9 +199,14 @@
   } catch (const boost::system::system_error&) {
     // The peer or Stop() closed the connection.
   } catch (const std::exception& error) {
-    Log(LogLevel::kWarn, "closing the connection from a peer",
-        {{"peer", connection->remote()}, {"error", error.what()}});
+    if (connection->peer().empty()) {
+      this->handshakes.Report(CloseReason::kBadHandshake, connection->remote(), error.what());
+    } else {
+      Log(LogLevel::kWarn, "closing the connection from a peer",
+          {{"peer", connection->remote()}, {"error", error.what()}});
+    }
   }
+  this->handshakes.Remove(connection);
   connection->Close();
   std::lock_guard lock(this->mutex);
   this->accepted.erase(connection);
--- a/net/peer_network.h
+++ b/net/peer_network.h
@@ -12,6 +12,7 @@
 
 namespace poplarmoor {
 
+class CloseReporter;
 class KeyRing;
 
 /// Message from one daemon to another. The body is one msgpack value, encoded by the codec that
@@ -67,6 +68,13 @@
   /// Listen().
   void SetHandler(const std::string& type, Handler handler);
 
+  /// Limits the accepted connections whose handshake has not ended. Beyond the limit, a new
+  /// connection takes the place of the oldest one, because the handshake of a daemon takes only
+  /// milliseconds. To be called before Listen().
+  /// @param max_handshakes Largest number of such connections.
+  /// @param closes Counts and logs the closed connections; must outlive this object.
+  void LimitHandshakes(size_t max_handshakes, CloseReporter* closes);
+
   /// Starts accepting connections of other daemons.
   /// @param address Address to listen on, "IP:port"; with port 0 the system selects a free port.
   /// @throws std::runtime_error when the address is malformed or in use.
