session daemon: limits on the bytes, connections and time of callers

CallerStream reads lines and writes answers within a budget that follows from the VM's memory and within time limits, and releases the buffer of a large message. Values and prepared statements of sessions have limits of their own. When all sessions are taken, a connection without an opening message gives way to a new one.

--- a/session/caller_session.cc
+++ b/session/caller_session.cc
@@ -1,13 +1,9 @@
 #include "session/caller_session.h"
 
 #include <algorithm>
-#include <array>
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 
 #include "session/boot_clock.h"
+#include "session/caller_limits.h"
 #include "session/cluster.h"
 #include "session/session_codec.h"
 #include "telemetry/log.h"
@@ -24,8 +20,8 @@
 // time is below 2 s, after which callers without an answer to their opening message close the
 // connection.
 constexpr Duration kFirstConfigurationWait = 1500ms;
-// Size in bytes of the read buffer, which all sessions of the thread share.
-constexpr size_t kReadSize = 16 << 10;
+// Size in bytes that an entry of the session's state takes in addition to its texts.
+constexpr size_t kStateEntryOverhead = 128;
 
 StatementAnswer Success(TransactionState state) {
   StatementAnswer answer;
@@ -48,12 +44,15 @@
                              uint64_t number,
                              Cluster* cluster,
                              StatementRunner* runner,
-                             const SessionCodec* codec)
-    : socket(std::move(socket)),
-      timer(this->socket.get_executor()),
+                             const SessionCodec* codec,
+                             std::shared_ptr<CallerLimits> limits)
+    : stream(std::move(socket), limits, codec->max_message()),
+      timer(this->stream.executor()),
       cluster(cluster),
       runner(runner),
-      codec(codec) {
+      codec(codec),
+      limits(limits),
+      state_share(&this->limits->states) {
   this->state.session = number;
 }
 
@@ -62,9 +61,6 @@
 
 asio::awaitable<void> CallerSession::Serve() {
   const auto self = this->shared_from_this();
-  boost::system::error_code ignored;
-  this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  this->socket.non_blocking(true, ignored);
   if (co_await this->Open()) {
     while (!(this->draining && this->IsIdle())) {
       if (this->ending_transactions) {
@@ -90,7 +86,7 @@
   if (this->transaction) {
     this->runner->Discard(&*this->transaction);
   }
-  this->socket.close(ignored);
+  this->stream.Close();
 }
 
 asio::awaitable<bool> CallerSession::Open() {
@@ -124,17 +120,26 @@
 }
 
 bool CallerSession::IsIdle() const {
-  return !this->transaction && this->buffer.empty();
+  return !this->transaction && this->stream.empty();
 }
 
 void CallerSession::Drain(TimePoint answer_by) {
   this->draining = true;
   this->answer_by = answer_by;
   if (this->waiting && this->IsIdle()) {
-    this->socket.cancel();
+    this->stream.Cancel();
   }
 }
 
+bool CallerSession::CloseUnopened() {
+  if (this->opened || this->abandoned || !this->waiting) {
+    return false;
+  }
+  this->abandoned = true;
+  this->stream.Cancel();
+  return true;
+}
+
 void CallerSession::EndTransactions() {
   this->ending_transactions = true;
   if (this->waiting) {
@@ -152,24 +157,15 @@
 // Messages
 
 asio::awaitable<std::optional<std::string>> CallerSession::ReadLine() {
-  static thread_local std::array<char, kReadSize> chunk;
-  size_t scanned = 0;
   for (;;) {
-    const size_t end = this->buffer.find("\r\n", scanned);
-    if (end != std::string::npos) {
-      std::string line = this->buffer.substr(0, end);
-      this->buffer.erase(0, end + 2);
+    std::optional<std::string> line = this->stream.TakeLine();
+    if (line) {
       co_return line;
     }
-    if (this->buffer.size() > this->codec->max_message()) {
-      Log(LogLevel::kWarn, "session closed: message exceeds the size limit",
-          {{"database", this->database}, {"bytes", this->buffer.size()}});
-      std::string refusal = this->codec->EncodeRefusal(StatementError::kTooLarge,
-                                                       "the message exceeds the size limit");
-      co_await this->Write(std::move(refusal));
+    if (this->stream.exceeded()) {
+      co_await this->RefuseMessage(*this->stream.exceeded());
       co_return std::nullopt;
     }
-    scanned = this->buffer.empty() ? 0 : this->buffer.size() - 1;
     const bool holds_connection = this->transaction && !this->transaction->finished &&
                                   this->transaction->lease.connection != nullptr;
     const bool time_limited = !this->opened || holds_connection;
@@ -188,34 +184,33 @@
             self->RollBack();
           }
         } else {
-          self->socket.cancel();
+          self->stream.Cancel();
         }
       });
     }
-    boost::system::error_code error;
     this->waiting = true;
-    co_await this->socket.async_wait(asio::ip::tcp::socket::wait_read,
-                                     asio::redirect_error(asio::use_awaitable, error));
+    const bool received = co_await this->stream.Receive();
     this->waiting = false;
     if (time_limited) {
       this->timer.cancel();
     }
-    if (error) {
-      co_return std::nullopt;
-    }
-    const size_t size = this->socket.read_some(asio::buffer(chunk), error);
-    if (error && error != asio::error::would_block) {
+    if (!received && !this->stream.exceeded()) {
       co_return std::nullopt;
     }
-    this->buffer.append(chunk.data(), size);
   }
 }
 
+asio::awaitable<void> CallerSession::RefuseMessage(CloseReason limit) {
+  const bool too_large = limit == CloseReason::kTooLarge;
+  std::string refusal = this->codec->EncodeRefusal(
+      too_large ? StatementError::kTooLarge : StatementError::kOverloaded,
+      too_large ? "the message exceeds the size limit"
+                : "this daemon buffers too many bytes for its callers");
+  co_await this->stream.WriteLast(std::move(refusal));
+}
+
 asio::awaitable<bool> CallerSession::Write(std::string text) {
-  boost::system::error_code error;
-  co_await asio::async_write(this->socket, asio::buffer(text),
-                             asio::redirect_error(asio::use_awaitable, error));
-  co_return !error;
+  return this->stream.Write(std::move(text));
 }
 
 TransactionState CallerSession::State() const {
@@ -329,7 +324,40 @@
   co_return answer;
 }
 
+std::optional<StatementAnswer> CallerSession::ReserveState(const CallerMessage& message) {
+  const auto size_of = [](const std::string& name, const std::string& text) {
+    return name.size() + text.size() + kStateEntryOverhead;
+  };
+  size_t before = 0;
+  size_t after = 0;
+  if (message.verb == StatementVerb::kSetValue) {
+    const auto found = this->state.values.find(message.name);
+    before = found == this->state.values.end() ? 0 : size_of(message.name, found->second);
+    after = size_of(message.name, message.argument);
+  } else {
+    const auto found = this->state.prepared.find(message.name);
+    before = found == this->state.prepared.end() ? 0 : size_of(message.name, found->second.shape);
+    after = message.verb == StatementVerb::kPrepare ? size_of(message.name, message.argument) : 0;
+  }
+  const size_t size = this->state_size - before + after;
+  if (size > this->limits->max_state) {
+    return Failure(StatementError::kTooLarge,
+                   "the values and prepared statements of the session exceed the size limit",
+                   this->State());
+  }
+  if (!this->state_share.Resize(size)) {
+    return Failure(StatementError::kOverloaded,
+                   "this daemon holds too many values and prepared statements of its sessions",
+                   this->State());
+  }
+  this->state_size = size;
+  return std::nullopt;
+}
+
 StatementAnswer CallerSession::AnswerSetting(CallerMessage message) {
+  if (auto refusal = this->ReserveState(message)) {
+    return std::move(*refusal);
+  }
   if (message.verb == StatementVerb::kPrepare) {
     this->state.prepared[message.name] = {message.read_only, message.argument};
   } else if (message.verb == StatementVerb::kDeallocate) {
--- a/session/caller_session.h
+++ b/session/caller_session.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "session/caller_message.h"
+#include "session/caller_stream.h"
 #include "session/statement_runner.h"
 
 namespace poplarmoor {
@@ -24,7 +25,8 @@
                 uint64_t number,
                 Cluster* cluster,
                 StatementRunner* runner,
-                const SessionCodec* codec);
+                const SessionCodec* codec,
+                std::shared_ptr<CallerLimits> limits);
 
   /// Answers the caller's messages until the caller or Drain() ends the session, or until the
   /// connection fails.
@@ -41,35 +43,47 @@
   /// caller's next statement or commit gets an error.
   void EndTransactions();
 
+  /// Closes the connection if the caller has not sent its opening message yet.
+  /// @returns Whether the connection is closed for this reason now.
+  bool CloseUnopened();
+
  private:
   boost::asio::awaitable<bool> Open();
   boost::asio::awaitable<std::optional<std::string>> ReadLine();
   boost::asio::awaitable<bool> Write(std::string text);
+  // Refuses a message that exceeds a limit.
+  boost::asio::awaitable<void> RefuseMessage(CloseReason limit);
   boost::asio::awaitable<StatementAnswer> Answer(CallerMessage message);
   boost::asio::awaitable<StatementAnswer> AnswerStatement(CallerMessage message,
                                                           const DatabaseRoute& route);
   boost::asio::awaitable<StatementAnswer> AnswerTransactionEnd(CallerMessage message,
                                                                const DatabaseRoute& route);
   StatementAnswer AnswerSetting(CallerMessage message);
+  // Reserves memory for the change of the session's state that the message asks for. Returns why
+  // the change is refused, if it is.
+  std::optional<StatementAnswer> ReserveState(const CallerMessage& message);
   // Rolls back the open transaction, if any. None of its statements may be running.
   void RollBack();
   TransactionState State() const;
   bool IsIdle() const;
 
-  boost::asio::ip::tcp::socket socket;
+  CallerStream stream;
   boost::asio::steady_timer timer;  // Limits the wait for the caller's next message.
   Cluster* cluster;
   StatementRunner* runner;
   const SessionCodec* codec;
   SessionState state;
   std::string database;
-  std::string buffer;
+  std::shared_ptr<CallerLimits> limits;
+  BufferShare state_share;
+  size_t state_size = 0;  // Size in bytes of the values and prepared statements in `state`.
   std::optional<SessionTransaction> transaction;
   // Database route that was in force when the transaction began.
   std::optional<DatabaseRoute> transaction_route;
   bool opened = false;
   bool waiting = false;  // The session waits for the caller's next message.
   bool draining = false;
+  bool abandoned = false;  // CloseUnopened() has closed the connection.
   bool ending_transactions = false;
   TimePoint answer_by = TimePoint::max();
 };
--- a/session/process_settings.h
+++ b/session/process_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -37,6 +38,7 @@
   std::chrono::seconds stop_grace{6};  // Time from the stop signal until the process is killed.
   ApplyBounds bounds;
   uint32_t max_descriptors = 1024;  // Largest number of open file descriptors.
+  size_t memory = 160 << 20;        // Memory of the VM, in bytes; the default is the smallest one.
   // Time after which no statement may run with an API key that the store has withdrawn, also in a
   // daemon that is cut off; empty: there is no such bound.
   std::optional<std::chrono::milliseconds> revocation_bound;
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -1,5 +1,6 @@
 #include "session/session_daemon.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -22,6 +23,7 @@
 #include "session/statement_runner.h"
 #include "session/store_sync.h"
 #include "session/takeover_controller.h"
+#include "telemetry/close_reporter.h"
 #include "telemetry/log.h"
 #include "telemetry/metrics.h"
 
@@ -50,6 +52,15 @@
 constexpr Duration kPeerKeyRetryDelay = 1s;
 constexpr Duration kOrphanCheckInterval = 1s;
 constexpr char kMetricsPath[] = "/metrics";
+// Largest request of a probe or of a reader of the metrics, in bytes.
+constexpr size_t kMaxProbeBody = 4 << 10;
+// Largest numbers of connections of probes and of readers of the metrics, for each listener, and of
+// other daemons before their handshake has ended. The second numbers are the shares of all
+// descriptors that the connections may take.
+constexpr size_t kMaxProbeConnections = 64;
+constexpr size_t kProbeDescriptorShare = 16;
+constexpr size_t kMaxHandshakes = 256;
+constexpr size_t kHandshakeDescriptorShare = 8;
 
 void Rethrow(std::exception_ptr failure) {
   if (failure) {
@@ -80,7 +91,10 @@
                             adapter.metrics,
                             settings.daemon),
         evidence(executor, &this->cluster, &this->runner),
-        server(executor, &this->cluster, &this->runner, adapter.sessions) {}
+        closes(adapter.metrics),
+        server(executor, &this->cluster, &this->runner, adapter.sessions, settings.memory) {
+    this->server.SetCloseReporter(&this->closes);
+  }
 
   Cluster cluster;
   StatementRunner runner;
@@ -88,6 +102,7 @@
   RelayServer relay_server;
   TakeoverController takeover_controller;
   EvidenceExchange evidence;
+  CloseReporter closes;
   SessionServer server;
   std::unique_ptr<KeyRing> peer_keys;
   std::unique_ptr<PeerNetwork> peers;
@@ -123,7 +138,8 @@
           response.status = 503;
         }
         co_return response;
-      });
+      },
+      this->MakeProbeOptions("readiness"));
   this->components->readiness->Listen(this->settings.ready_address);
   this->ListenForMetrics();
   const uint32_t descriptors = this->settings.max_descriptors;
@@ -139,6 +155,16 @@
   asio::co_spawn(*this->context, this->AwaitReload(), Rethrow);
 }
 
+HttpServerOptions SessionDaemon::MakeProbeOptions(const std::string& name) {
+  HttpServerOptions options;
+  options.max_body = kMaxProbeBody;
+  options.max_connections = std::min<size_t>(
+      kMaxProbeConnections, this->settings.max_descriptors / kProbeDescriptorShare);
+  options.name = name;
+  options.closes = &this->components->closes;
+  return options;
+}
+
 void SessionDaemon::ListenForMetrics() {
   if (this->settings.metrics_address.empty()) {
     return;
@@ -154,6 +180,8 @@
         Metrics* metrics = this->adapter.metrics;
         metrics->Set(Metric::kCallerConnections, {},
                      static_cast<double>(this->components->server.size()));
+        metrics->Set(Metric::kBufferedBytes, {},
+                     static_cast<double>(this->components->server.buffered_bytes()));
         metrics->Set(Metric::kConfigRevision, {},
                      static_cast<double>(this->components->cluster.routes().version));
         metrics->Set(Metric::kMembers, {"alive"},
@@ -167,7 +195,8 @@
         response.headers["content-type"] = "text/plain; version=0.0.4";
         response.body = metrics->ToPrometheus();
         co_return response;
-      });
+      },
+      this->MakeProbeOptions("metrics"));
   this->components->metrics_server->Listen(this->settings.metrics_address);
 }
 
@@ -203,6 +232,9 @@
   this->components->peer_keys = std::make_unique<KeyRing>(kPeerKeyName, std::move(keys));
   this->components->peers = std::make_unique<PeerNetwork>(
       this->context->get_executor(), this->settings.daemon, this->components->peer_keys.get());
+  this->components->peers->LimitHandshakes(
+      std::min<size_t>(kMaxHandshakes, this->settings.max_descriptors / kHandshakeDescriptorShare),
+      &this->components->closes);
   this->components->relay_server.RegisterHandlers(this->components->peers.get());
   this->components->sync.Attach(this->components->peers.get());
   this->components->evidence.Attach(this->components->peers.get());
--- a/session/session_daemon.h
+++ b/session/session_daemon.h
@@ -14,6 +14,7 @@
 namespace poplarmoor {
 
 class HttpServer;
+struct HttpServerOptions;
 class Metrics;
 class ObjectStore;
 class PromotionApi;
@@ -48,6 +49,8 @@
   struct Components;
 
   void ListenForMetrics();
+  // Returns the limits of a listener for probes.
+  HttpServerOptions MakeProbeOptions(const std::string& name);
   boost::asio::awaitable<void> StartPeerNetwork();
   boost::asio::awaitable<std::string> FetchPeerKey();
   boost::asio::awaitable<void> AwaitStop();
--- a/session/session_server.cc
+++ b/session/session_server.cc
@@ -8,6 +8,7 @@
 #include "session/background_task.h"
 #include "session/caller_session.h"
 #include "session/wait_list.h"
+#include "telemetry/close_reporter.h"
 #include "telemetry/log.h"
 
 namespace poplarmoor {
@@ -24,8 +25,14 @@
 SessionServer::SessionServer(asio::any_io_executor executor,
                              Cluster* cluster,
                              StatementRunner* runner,
-                             const SessionCodec* codec)
-    : executor(executor), cluster(cluster), runner(runner), codec(codec), acceptor(executor) {}
+                             const SessionCodec* codec,
+                             size_t memory)
+    : executor(executor),
+      cluster(cluster),
+      runner(runner),
+      codec(codec),
+      limits(std::make_shared<CallerLimits>(memory)),
+      acceptor(executor) {}
 
 void SessionServer::Listen(const std::string& address, size_t max_sessions) {
   const auto endpoint = ParseAddress(address);
@@ -58,19 +65,34 @@
       co_return;  // Drain() came between the connection and this line.
     }
     if (this->sessions.size() >= max_sessions) {
-      Log(LogLevel::kWarn, "caller's connection closed: session limit reached",
-          {{"limit", max_sessions}});
-      continue;
+      const auto endpoint = socket.remote_endpoint(error);
+      if (this->limits->closes != nullptr) {
+        this->limits->closes->Report("callers", CloseReason::kTooManyConnections,
+                                     error ? "" : FormatAddress(endpoint));
+      }
+      if (!this->CloseUnopenedSession()) {
+        continue;  // The destructor of `socket` closes the connection.
+      }
     }
     const uint64_t number = this->next_number++;
     auto session = std::make_shared<CallerSession>(std::move(socket), number, this->cluster,
-                                                   this->runner, this->codec);
+                                                   this->runner, this->codec, this->limits);
     this->sessions.emplace(number, session);
     SpawnTask(this->executor, "caller session", session->Serve(),
               [this, number] { this->sessions.erase(number); });
   }
 }
 
+bool SessionServer::CloseUnopenedSession() {
+  // The sessions are in the order of their arrival.
+  for (const auto& [number, session] : this->sessions) {
+    if (session->CloseUnopened()) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void SessionServer::Drain(TimePoint answer_by) {
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
--- a/session/session_server.h
+++ b/session/session_server.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "kernel/time.h"
+#include "session/caller_limits.h"
 
 namespace poplarmoor {
 
@@ -22,14 +23,17 @@
 class SessionServer {
  public:
   /// @param cluster,runner,codec Must outlive this object.
+  /// @param memory Memory of the VM, in bytes; the limits on the callers' bytes follow from it.
   SessionServer(boost::asio::any_io_executor executor,
                 Cluster* cluster,
                 StatementRunner* runner,
-                const SessionCodec* codec);
+                const SessionCodec* codec,
+                size_t memory = kDefaultMemory);
 
   /// Starts to listen.
   /// @param address Address to listen on, "IP:port".
-  /// @param max_sessions Limit of open sessions; further connections are closed immediately.
+  /// @param max_sessions Limit of open sessions. Beyond it, a new connection takes the place of
+  ///     the oldest one without an opening message, or is closed immediately if there is none.
   /// @throws std::runtime_error when the server cannot listen, for example because the address is
   ///     in use.
   void Listen(const std::string& address, size_t max_sessions);
@@ -44,16 +48,28 @@
   /// its answer.
   void EndTransactions();
 
+  /// Sets what counts and logs the connections that are closed for a limit.
+  /// @param closes Must outlive this object.
+  void SetCloseReporter(CloseReporter* closes) { this->limits->closes = closes; }
+
+  /// @returns Bytes that are reserved for large messages and answers.
+  size_t buffered_bytes() const { return this->limits->messages.Used(); }
+
   /// @returns Number of open sessions.
   size_t size() const { return this->sessions.size(); }
 
  private:
+  // Memory of the smallest VM, in bytes.
+  static constexpr size_t kDefaultMemory = 160 << 20;
+
   boost::asio::awaitable<void> Accept(size_t max_sessions);
+  bool CloseUnopenedSession();
 
   boost::asio::any_io_executor executor;
   Cluster* cluster;
   StatementRunner* runner;
   const SessionCodec* codec;
+  std::shared_ptr<CallerLimits> limits;
   boost::asio::ip::tcp::acceptor acceptor;
   std::map<uint64_t, std::shared_ptr<CallerSession>> sessions;  // Open sessions by session number.
   uint64_t next_number = 1;
--- a/tests/platform/settings_file_test.cc
+++ b/tests/platform/settings_file_test.cc
@@ -58,6 +58,9 @@
   CHECK(settings.stop_grace == std::chrono::seconds(6));
   CHECK(settings.bounds.routes == std::chrono::milliseconds(3000));
   CHECK(settings.max_descriptors == 4200);
+  CHECK(settings.memory == 160 << 20);
+  CHECK(ReadSettingsText(std::string(kValidSettings) + "limits.memoryMb=512\n").memory ==
+        512 << 20);
 }
 
 TEST_CASE(
