--- a/config/daemon_settings.cc
+++ b/config/daemon_settings.cc
@@ -31,8 +31,10 @@
     {"max_deadline_ms", &DaemonLimits::max_deadline},
 }};
 
-constexpr std::array<std::pair<const char*, size_t DaemonLimits::*>, 3> kLimitCounts{{
+constexpr std::array<std::pair<const char*, size_t DaemonLimits::*>, 5> kLimitCounts{{
     {"max_body", &DaemonLimits::max_body},
+    {"memory_mb", &DaemonLimits::memory_mb},
+    {"max_connections", &DaemonLimits::max_connections},
     {"max_in_flight", &DaemonLimits::max_in_flight},
     {"trace_store", &DaemonLimits::trace_store},
 }};
--- a/config/daemon_settings.h
+++ b/config/daemon_settings.h
@@ -35,6 +35,10 @@
   std::chrono::milliseconds stop_limit{10000};
   // Longest time limit of a request; a longer one that a caller sets is shortened to this one.
   std::chrono::milliseconds max_deadline{60000};
+  size_t memory_mb = 160;  // Memory of the VM, in MB; the default is the smallest one.
+  // Maximum number of callers' connections; 0: half of the open file descriptors that the process
+  // may have.
+  size_t max_connections = 0;
   size_t max_in_flight = 20000;  // Maximum number of concurrent requests from callers.
   size_t trace_store = 4096;     // Maximum number of traces kept in memory.
 };
--- a/config/daemon_settings_schema.cc
+++ b/config/daemon_settings_schema.cc
@@ -72,6 +72,8 @@
         "read_timeout_ms": {"type": "integer", "minimum": 100, "maximum": 600000},
         "stop_limit_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
         "max_deadline_ms": {"type": "integer", "minimum": 100, "maximum": 600000},
+        "memory_mb": {"type": "integer", "minimum": 32, "maximum": 1048576},
+        "max_connections": {"type": "integer", "minimum": 0, "maximum": 1000000},
         "max_in_flight": {"type": "integer", "minimum": 1, "maximum": 1000000},
         "trace_store": {"type": "integer", "minimum": 0, "maximum": 100000}
       }
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -1,5 +1,7 @@
 #include "daemon/daemon.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <boost/asio.hpp>
 
@@ -37,6 +39,21 @@
 // limit has passed.
 constexpr std::chrono::milliseconds kStopCheckInterval{10};
 
+// Share of the VM's memory for the requests of callers and operators, as a divisor. Each request
+// reserves several times its size while it is handled (net/http_server.cc).
+constexpr size_t kBufferDivisor = 10;
+// Largest numbers of connections of operators, and of other daemons before their handshake has
+// ended, and the shares of all descriptors that they may take, as divisors.
+constexpr size_t kMaxOperatorConnections = 64;
+constexpr size_t kMaxHandshakes = 256;
+constexpr size_t kDescriptorDivisor = 8;
+
+// Returns how many file descriptors the process may have open.
+size_t CountDescriptors() {
+  rlimit limit{};
+  return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : 1024;
+}
+
 int CountThreads(const DaemonSettings& settings) {
   return settings.threads > 0 ? settings.threads
                               : std::max(1, static_cast<int>(std::thread::hardware_concurrency()));
@@ -50,6 +67,8 @@
       thread_count(CountThreads(this->settings)),
       keys(keys.current_key_id, keys.keys),
       telemetry(this->settings.limits.trace_store),
+      buffers((this->settings.limits.memory_mb << 20) / kBufferDivisor),
+      closes(&this->telemetry.metrics),
       context(this->thread_count),
       work_guard(this->context.get_executor()),
       control_traffic(std::make_shared<TrafficCounter>()),
@@ -71,6 +90,12 @@
   options.max_body = this->settings.limits.max_body;
   options.idle_timeout = this->settings.limits.idle_timeout;
   options.read_timeout = this->settings.limits.read_timeout;
+  options.max_connections = this->settings.limits.max_connections > 0
+                                ? this->settings.limits.max_connections
+                                : CountDescriptors() / 2;
+  options.name = "callers";
+  options.budget = &this->buffers;
+  options.closes = &this->closes;
   this->callers = std::make_shared<HttpServer>(
       executor,
       [entry = this->entry](HttpRequest request, ConnectionId) {
@@ -103,9 +128,16 @@
   dependencies.telemetry = &this->telemetry;
   dependencies.control_traffic = [this] { return this->ControlTraffic(); };
   const auto api = std::make_shared<OperatorsApi>(std::move(dependencies));
+  HttpServerOptions options;
+  options.max_connections =
+      std::min(kMaxOperatorConnections, CountDescriptors() / kDescriptorDivisor);
+  options.name = "operators";
+  options.budget = &this->buffers;
+  options.closes = &this->closes;
   this->operators = std::make_shared<HttpServer>(
       this->context.get_executor(),
-      [api](HttpRequest request, ConnectionId) { return api->Handle(std::move(request)); });
+      [api](HttpRequest request, ConnectionId) { return api->Handle(std::move(request)); },
+      options);
 }
 
 Daemon::~Daemon() {
@@ -135,6 +167,8 @@
 
 void Daemon::Start() {
   this->SetPeerHandlers();
+  this->peers.LimitHandshakes(std::min(kMaxHandshakes, CountDescriptors() / kDescriptorDivisor),
+                              &this->closes);
   this->peers.Listen(this->settings.listen.peers);
   this->callers->Listen(this->settings.listen.callers);
   this->operators->Listen(this->settings.listen.operators);
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -14,10 +14,12 @@
 #include "config/daemon_settings.h"
 #include "daemon/cluster_view.h"
 #include "daemon/telemetry.h"
+#include "kernel/admission/buffer_budget.h"
 #include "net/http_client.h"
 #include "net/key_ring.h"
 #include "net/peer_network.h"
 #include "net/platform_client.h"
+#include "telemetry/close_reporter.h"
 
 namespace poplarmoor {
 
@@ -77,6 +79,9 @@
   Telemetry telemetry;
   std::atomic<bool> stop_at_once{false};
   bool running = false;
+  // The connections, whose state `context` holds, refer to these.
+  BufferBudget buffers;
+  CloseReporter closes;
 
   boost::asio::io_context context;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_guard;
--- a/daemon/poplarmoord_main.cc
+++ b/daemon/poplarmoord_main.cc
@@ -8,6 +8,7 @@
 
 #include "config/daemon_settings.h"
 #include "daemon/daemon.h"
+#include "kernel/large_blocks.h"
 #include "telemetry/log.h"
 
 namespace {
@@ -36,6 +37,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  poplarmoor::ReturnLargeBlocks();
   namespace po = boost::program_options;
   std::string file;
   po::options_description description("poplarmoord: daemon of the poplarmoor database proxy");
