wire, net, telemetry: messages and metrics of the limits

`limit` asks an issuer for tokens, `issuer_joined` announces a new daemon. PeerError says whether the connection was refused: a daemon that does not run need not know a new issuer. Metrics: tokens issued, operations refused, fill level of each bucket.

Shown: relay_codec_test has the new messages.

--- a/net/outgoing_peer.h
+++ b/net/outgoing_peer.h
@@ -17,6 +17,7 @@
   PeerMessage answer;
   std::string error;  // Why the call failed; empty when there is an answer.
   bool sent = false;  // Despite the name, whether the failed call may have run at the peer.
+  bool connection_refused = false;  // The peer's system refused the connection.
 };
 
 using CallPromise = OneShotPromise<CallOutcome>;
--- a/net/peer_network.cc
+++ b/net/peer_network.cc
@@ -62,7 +62,9 @@
   std::shared_ptr<OutgoingPeer> FindOrConnect(const std::string& address);
   void Open(OutgoingPeer& peer);
   void Deliver(OutgoingPeer& peer, PeerFrame frame);
-  void Fail(const std::shared_ptr<OutgoingPeer>& peer, const std::string& error);
+  void Fail(const std::shared_ptr<OutgoingPeer>& peer,
+            const std::string& error,
+            bool connection_refused = false);
   CallOutcome EndCall(const std::shared_ptr<OutgoingPeer>& peer, uint64_t id);
   void RemoveFromCache(const std::shared_ptr<OutgoingPeer>& peer);
   std::vector<std::shared_ptr<OutgoingPeer>> Outgoing();
@@ -259,6 +261,7 @@
 
 asio::awaitable<void> PeerNetwork::Impl::RunOutgoing(std::shared_ptr<OutgoingPeer> peer) {
   std::string failure;
+  bool connection_refused = false;
   try {
     co_await peer->connection->Connect(peer->address, this->daemon, this->keys);
     this->Open(*peer);
@@ -267,12 +270,13 @@
     }
   } catch (const boost::system::system_error& error) {
     failure = error.code().message();
+    connection_refused = error.code() == asio::error::connection_refused;
   } catch (const std::exception& error) {
     failure = error.what();
     Log(LogLevel::kWarn, "closing the connection to a peer",
         {{"peer", peer->address}, {"error", failure}});
   }
-  this->Fail(peer, failure);
+  this->Fail(peer, failure, connection_refused);
 }
 
 void PeerNetwork::Impl::Open(OutgoingPeer& peer) {
@@ -310,7 +314,9 @@
   }
 }
 
-void PeerNetwork::Impl::Fail(const std::shared_ptr<OutgoingPeer>& peer, const std::string& error) {
+void PeerNetwork::Impl::Fail(const std::shared_ptr<OutgoingPeer>& peer,
+                             const std::string& error,
+                             bool connection_refused) {
   this->RemoveFromCache(peer);
   std::map<uint64_t, OutgoingPeer::Call> calls;
   {
@@ -319,7 +325,10 @@
     calls.swap(peer->calls);
   }
   for (auto& [id, call] : calls) {
-    call.promise->Set({{}, "connection to peer " + peer->address + " failed: " + error, call.sent});
+    call.promise->Set({{},
+                       "connection to peer " + peer->address + " failed: " + error,
+                       call.sent,
+                       connection_refused});
   }
   peer->connection->Close();
 }
@@ -477,7 +486,7 @@
     outcome = impl->EndCall(peer, id);
   }
   if (!outcome->error.empty()) {
-    throw PeerError(outcome->error, outcome->sent);
+    throw PeerError(outcome->error, outcome->sent, outcome->connection_refused);
   }
   co_return std::move(outcome->answer);
 }
--- a/net/peer_network.h
+++ b/net/peer_network.h
@@ -32,9 +32,13 @@
   /// @param message What failed, with the address of the other daemon where it is known.
   /// @param sent Despite the name, whether the call may have run at the peer. False when no byte of
   ///     the call was sent, or when the peer answered that it refused the call without running it.
-  PeerError(const std::string& message, bool sent) : std::runtime_error(message), sent(sent) {}
+  /// @param connection_refused Whether the peer's system refused the connection, so that no daemon
+  ///     runs at the address.
+  PeerError(const std::string& message, bool sent, bool connection_refused = false)
+      : std::runtime_error(message), sent(sent), connection_refused(connection_refused) {}
 
   bool sent = false;  // Despite the name, whether the call may have run at the peer.
+  bool connection_refused = false;
 };
 
 /// Kind of a call to another daemon (a peer). The kind decides what happens to a call that is still
--- a/telemetry/metric_table.h
+++ b/telemetry/metric_table.h
@@ -41,6 +41,9 @@
   kPeerCalls,
   kLogLinesDropped,
   kStopping,
+  kTokensIssued,
+  kLimitRefusals,
+  kTokenFill,
   kUptime,
 };
 
@@ -60,7 +63,7 @@
   std::string_view help;
 };
 
-inline constexpr size_t kMetricCount = 33;
+inline constexpr size_t kMetricCount = 36;
 
 /// Names, labels and meaning of all metrics, indexed by Metric.
 inline constexpr std::array<MetricRow, kMetricCount> kMetricTable{{
@@ -128,6 +131,12 @@
      "Log lines dropped since the start, because of their rate or a reader that is too slow."},
     {Metric::kStopping, MetricType::kGauge, "poplarmoor_stopping", "",
      "1 during a graceful shutdown, else 0."},
+    {Metric::kTokensIssued, MetricType::kCounter, "poplarmoor_tokens_issued_total", "organisation",
+     "Tokens for operations that this daemon issued as an issuer of the organisation."},
+    {Metric::kLimitRefusals, MetricType::kCounter, "poplarmoor_limit_refusals_total",
+     "organisation", "Operations that this entry refused because they got no token."},
+    {Metric::kTokenFill, MetricType::kGauge, "poplarmoor_token_fill", "organisation",
+     "Filled share of the organisation's token bucket at this issuer, 0 to 1."},
     {Metric::kUptime, MetricType::kGauge, "poplarmoor_uptime_seconds", "",
      "Time since the start of the daemon."},
 }};
--- a/tests/wire/relay_codec_test.cc
+++ b/tests/wire/relay_codec_test.cc
@@ -87,5 +87,22 @@
   CHECK(decoded.objects[1].deleted);
 }
 
+TEST_CASE("messages about limits do not lose fields, and malformed ones throw CodecError") {
+  const LimitRequest request = DecodeLimitRequest(EncodeLimitRequest({"school", 7}));
+  CHECK(request.organisation == "school");
+  CHECK(request.wanted == 7);
+  const LimitAnswer answer = DecodeLimitAnswer(EncodeLimitAnswer({3, true}));
+  CHECK(answer.granted == 3);
+  CHECK(answer.is_issuer);
+
+  const IssuerJoined joined = DecodeIssuerJoined(EncodeIssuerJoined({"d1", "127.0.0.1:1", "a"}));
+  CHECK(joined.daemon == "d1");
+  CHECK(joined.address == "127.0.0.1:1");
+  CHECK(joined.failure_domain == "a");
+  CHECK(DecodeIssuerAdded(EncodeIssuerAdded({true})).may_issue);
+  CHECK_THROWS_AS(DecodeLimitRequest(EncodeLimitAnswer({})), CodecError);
+  CHECK_THROWS_AS(DecodeIssuerAdded("\xc1"), CodecError);
+}
+
 }  // namespace
 }  // namespace poplarmoor
--- a/wire/relay_codec.cc
+++ b/wire/relay_codec.cc
@@ -87,6 +87,9 @@
 using EvidenceList = std::vector<EvidenceTuple>;
 using SyncAnswerTuple =
     std::tuple<bool, bool, Revision, uint64_t, std::vector<ObjectTuple>, uint64_t, EvidenceList>;
+using LimitRequestTuple = std::tuple<std::string, uint64_t>;
+using LimitAnswerTuple = std::tuple<uint64_t, bool>;
+using IssuerJoinedTuple = std::tuple<std::string, std::string, std::string>;
 
 Revision Pack(const StoreRevision& revision) {
   return {revision.era, revision.number};
@@ -234,4 +237,45 @@
   return UnpackEvidence(std::get<0>(UnpackTuple<std::tuple<EvidenceList>>(body, "evidence")));
 }
 
+std::string EncodeLimitRequest(const LimitRequest& request) {
+  return PackTuple(LimitRequestTuple(request.organisation, request.wanted));
+}
+
+LimitRequest DecodeLimitRequest(std::string_view body) {
+  const auto fields = UnpackTuple<LimitRequestTuple>(body, "limit request");
+  LimitRequest request;
+  std::tie(request.organisation, request.wanted) = fields;
+  return request;
+}
+
+std::string EncodeLimitAnswer(const LimitAnswer& answer) {
+  return PackTuple(LimitAnswerTuple(answer.granted, answer.is_issuer));
+}
+
+LimitAnswer DecodeLimitAnswer(std::string_view body) {
+  const auto fields = UnpackTuple<LimitAnswerTuple>(body, "limit answer");
+  LimitAnswer answer;
+  std::tie(answer.granted, answer.is_issuer) = fields;
+  return answer;
+}
+
+std::string EncodeIssuerJoined(const IssuerJoined& joined) {
+  return PackTuple(IssuerJoinedTuple(joined.daemon, joined.address, joined.failure_domain));
+}
+
+IssuerJoined DecodeIssuerJoined(std::string_view body) {
+  const auto fields = UnpackTuple<IssuerJoinedTuple>(body, "issuer announcement");
+  IssuerJoined joined;
+  std::tie(joined.daemon, joined.address, joined.failure_domain) = fields;
+  return joined;
+}
+
+std::string EncodeIssuerAdded(const IssuerAdded& added) {
+  return PackTuple(std::tuple<bool>(added.may_issue));
+}
+
+IssuerAdded DecodeIssuerAdded(std::string_view body) {
+  return {std::get<0>(UnpackTuple<std::tuple<bool>>(body, "answer to an issuer announcement"))};
+}
+
 }  // namespace poplarmoor
--- a/wire/relay_codec.h
+++ b/wire/relay_codec.h
@@ -118,6 +118,30 @@
   std::vector<PositionEvidence> evidence;
 };
 
+/// Request to an issuer for tokens of an organisation.
+struct LimitRequest {
+  std::string organisation;
+  uint64_t wanted = 0;  // Number of tokens.
+};
+
+/// Answer to a LimitRequest.
+struct LimitAnswer {
+  uint64_t granted = 0;    // Number of tokens.
+  bool is_issuer = false;  // Whether the daemon issues tokens of the organisation.
+};
+
+/// Announcement of a new daemon that will issue tokens.
+struct IssuerJoined {
+  std::string daemon;
+  std::string address;  // Address of the daemon's peer listener, "IP:port".
+  std::string failure_domain;
+};
+
+/// Answer to an IssuerJoined: the daemon has added the new one to its list of issuers.
+struct IssuerAdded {
+  bool may_issue = false;  // Whether the answering daemon itself may issue tokens.
+};
+
 /// Encoders and decoders of the messages between peers. The decoders throw CodecError when the body
 /// is malformed.
 std::string EncodeRelayRequest(const RelayRequest& request);
@@ -134,5 +158,13 @@
 SyncAnswer DecodeSyncAnswer(std::string_view body);
 std::string EncodeEvidence(const std::vector<PositionEvidence>& evidence);
 std::vector<PositionEvidence> DecodeEvidence(std::string_view body);
+std::string EncodeLimitRequest(const LimitRequest& request);
+LimitRequest DecodeLimitRequest(std::string_view body);
+std::string EncodeLimitAnswer(const LimitAnswer& answer);
+LimitAnswer DecodeLimitAnswer(std::string_view body);
+std::string EncodeIssuerJoined(const IssuerJoined& joined);
+IssuerJoined DecodeIssuerJoined(std::string_view body);
+std::string EncodeIssuerAdded(const IssuerAdded& added);
+IssuerAdded DecodeIssuerAdded(std::string_view body);
 
 }  // namespace poplarmoor
