session: limits of organisations

Each operation of a session with an organisation takes a token before a statement runs. Operations that have not run return their token. A stopping daemon issues no more. A daemon entry has the time of its write, so that a daemon that restarts knows whether the others still list it; its first write demands the listed revision. `bootstrap` in the settings stands for the first start of the fleet.

The session hook of SessionServer is the seam by which tests set an organisation until the keys do it.

The cases of store_sync_test guard the first write of an entry.

--- a/kernel/placement/gateway_plan.cc
+++ b/kernel/placement/gateway_plan.cc
@@ -66,6 +66,7 @@
 }
 
 void GatewayPlan::SetPeers(std::vector<Peer> live) {
+  ++this->generation;
   this->live_peers = std::move(live);
   const bool listed = std::any_of(this->live_peers.begin(), this->live_peers.end(),
                                   [this](const Peer& peer) { return peer.daemon == this->self; });
--- a/kernel/placement/gateway_plan.h
+++ b/kernel/placement/gateway_plan.h
@@ -35,6 +35,10 @@
 
   const std::vector<Peer>& Peers() const { return this->live_peers; }
 
+  /// @returns Number of calls of SetPeers() so far. What was derived from Peers() stays valid while
+  ///     this number stays the same.
+  uint64_t Generation() const { return this->generation; }
+
   /// @param endpoint Id of an endpoint.
   /// @param failure_domain Failure domain of the endpoint.
   /// @param connections Connections that the endpoint accepts from all daemons together.
@@ -111,6 +115,7 @@
 
   std::string self;
   std::vector<Peer> live_peers;
+  uint64_t generation = 0;
 };
 
 }  // namespace poplarmoor
--- a/session/caller_session.cc
+++ b/session/caller_session.cc
@@ -9,6 +9,7 @@
 
 #include "session/boot_clock.h"
 #include "session/cluster.h"
+#include "session/organisation/limit_service.h"
 #include "session/session_codec.h"
 #include "telemetry/log.h"
 
@@ -48,12 +49,14 @@
                              uint64_t number,
                              Cluster* cluster,
                              StatementRunner* runner,
-                             const SessionCodec* codec)
+                             const SessionCodec* codec,
+                             LimitService* limits)
     : socket(std::move(socket)),
       timer(this->socket.get_executor()),
       cluster(cluster),
       runner(runner),
-      codec(codec) {
+      codec(codec),
+      limits(limits) {
   this->state.session = number;
 }
 
@@ -290,6 +293,13 @@
     job.text =
         this->codec->ExecuteText(ConnectionState::PreparedName(found->second), message.argument);
   }
+  Admission admission;
+  if (this->NeedsToken()) {
+    admission = co_await this->limits->Admit(this->state.organisation, job.deadline);
+    if (admission.IsRefused()) {
+      co_return this->RefuseOperation(admission);
+    }
+  }
   StatementAnswer answer;
   if (this->transaction) {
     answer =
@@ -298,6 +308,7 @@
   } else {
     answer = co_await this->runner->Run(std::move(job), &this->state);
   }
+  this->ReturnToken(admission, answer);
   answer.state = this->State();
   co_return answer;
 }
@@ -320,7 +331,17 @@
     job.id = std::move(message.id);
     job.text = std::move(message.text);
     job.route = &route;
-    answer = co_await this->runner->Commit(std::move(job), &this->state, &*this->transaction);
+    Admission admission;
+    if (this->NeedsToken()) {
+      admission = co_await this->limits->Admit(this->state.organisation, job.deadline);
+    }
+    if (admission.IsRefused()) {
+      answer = this->RefuseOperation(admission);
+      answer.state = TransactionState::kNone;
+    } else {
+      answer = co_await this->runner->Commit(std::move(job), &this->state, &*this->transaction);
+      this->ReturnToken(admission, answer);
+    }
   } else {
     this->runner->Discard(&*this->transaction);
     answer = Success(TransactionState::kNone);
@@ -329,6 +350,27 @@
   co_return answer;
 }
 
+bool CallerSession::NeedsToken() const {
+  const bool has_begun = this->transaction && this->transaction->lease.connection != nullptr;
+  return this->limits != nullptr && !has_begun && this->limits->IsLimited(this->state.organisation);
+}
+
+StatementAnswer CallerSession::RefuseOperation(const Admission& admission) {
+  if (this->transaction) {
+    this->transaction->finished = true;
+    this->transaction->reported = true;
+  }
+  return Failure(StatementError::kOverloaded, admission.refusal(), this->State());
+}
+
+void CallerSession::ReturnToken(const Admission& admission, const StatementAnswer& answer) {
+  // An aborted statement may have run before it was rolled back.
+  if (admission.token() && answer.error && HasNotRun(*answer.error) &&
+      *answer.error != StatementError::kAborted) {
+    this->limits->Return(this->state.organisation, admission);
+  }
+}
+
 StatementAnswer CallerSession::AnswerSetting(CallerMessage message) {
   if (message.verb == StatementVerb::kPrepare) {
     this->state.prepared[message.name] = {message.read_only, message.argument};
--- a/session/caller_session.h
+++ b/session/caller_session.h
@@ -10,21 +10,31 @@
 #include <string>
 
 #include "session/caller_message.h"
+#include "session/organisation/admission.h"
 #include "session/statement_runner.h"
 
 namespace poplarmoor {
 
+class LimitService;
+
 /// One caller's session: a connection with session values, prepared statements and at most one open
 /// transaction.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
  public:
   /// @param number Number of the session, unique within this process.
   /// @param cluster,runner,codec Must outlive this object.
+  /// @param limits Limits the operations of the session's organisation; null: nothing does.
   CallerSession(boost::asio::ip::tcp::socket socket,
                 uint64_t number,
                 Cluster* cluster,
                 StatementRunner* runner,
-                const SessionCodec* codec);
+                const SessionCodec* codec,
+                LimitService* limits = nullptr);
+
+  /// @param organisation Name of the organisation that the session's operations belong to.
+  void SetOrganisation(std::string organisation) {
+    this->state.organisation = std::move(organisation);
+  }
 
   /// Answers the caller's messages until the caller or Drain() ends the session, or until the
   /// connection fails.
@@ -50,6 +60,12 @@
                                                           const DatabaseRoute& route);
   boost::asio::awaitable<StatementAnswer> AnswerTransactionEnd(CallerMessage message,
                                                                const DatabaseRoute& route);
+  // Whether the statement that is about to run is the first one of an operation that has a limit.
+  bool NeedsToken() const;
+  // The answer to an operation that got no token. A transaction has failed then.
+  StatementAnswer RefuseOperation(const Admission& admission);
+  // Returns the token of an operation that has not run.
+  void ReturnToken(const Admission& admission, const StatementAnswer& answer);
   StatementAnswer AnswerSetting(CallerMessage message);
   // Rolls back the open transaction, if any. None of its statements may be running.
   void RollBack();
@@ -61,6 +77,7 @@
   Cluster* cluster;
   StatementRunner* runner;
   const SessionCodec* codec;
+  LimitService* limits;
   SessionState state;
   std::string database;
   std::string buffer;
--- a/session/process_settings.h
+++ b/session/process_settings.h
@@ -41,6 +41,9 @@
   // daemon that is cut off; empty: there is no such bound.
   std::optional<std::chrono::milliseconds> revocation_bound;
   LimitTolerance limit_tolerance;
+  // The whole fleet starts for the first time, so this daemon may issue tokens without announcing
+  // itself.
+  bool first_fleet_start = false;
   double capacity = 0;   // Processor share of this daemon, in cores; 0: unknown.
   double link_mbps = 0;  // Bandwidth of the VM's link, Mbit/s; 0: unknown.
   std::map<std::string, std::string> regions;  // Region of each failure domain.
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -17,6 +17,7 @@
 #include "session/cluster.h"
 #include "session/evidence_exchange.h"
 #include "session/object_store.h"
+#include "session/organisation/limit_service.h"
 #include "session/relay_server.h"
 #include "session/session_server.h"
 #include "session/statement_runner.h"
@@ -80,7 +81,12 @@
                             adapter.metrics,
                             settings.daemon),
         evidence(executor, &this->cluster, &this->runner),
-        server(executor, &this->cluster, &this->runner, adapter.sessions) {}
+        limits(executor, &this->cluster, adapter.metrics, settings),
+        server(executor, &this->cluster, &this->runner, adapter.sessions) {
+    this->server.SetLimits(&this->limits);
+    this->sync.SetEntryObserver(
+        [this](const EntryWrite& write) { this->limits.NoteEntryWritten(write); });
+  }
 
   Cluster cluster;
   StatementRunner runner;
@@ -88,6 +94,7 @@
   RelayServer relay_server;
   TakeoverController takeover_controller;
   EvidenceExchange evidence;
+  LimitService limits;
   SessionServer server;
   std::unique_ptr<KeyRing> peer_keys;
   std::unique_ptr<PeerNetwork> peers;
@@ -134,6 +141,7 @@
   this->components->sync.Start();
   this->components->takeover_controller.Start();
   this->components->evidence.Start();
+  this->components->limits.Start();
   asio::co_spawn(*this->context, this->StartPeerNetwork(), Rethrow);
   asio::co_spawn(*this->context, this->AwaitStop(), Rethrow);
   asio::co_spawn(*this->context, this->AwaitReload(), Rethrow);
@@ -206,6 +214,7 @@
   this->components->relay_server.RegisterHandlers(this->components->peers.get());
   this->components->sync.Attach(this->components->peers.get());
   this->components->evidence.Attach(this->components->peers.get());
+  this->components->limits.Attach(this->components->peers.get());
   this->components->peers->Listen(this->settings.peer_address);
   this->components->cluster.SetNetwork(this->components->peers.get());
   SpawnService(this->context->get_executor(), "watch the peers",
@@ -240,6 +249,7 @@
   const Duration grace = this->settings.stop_grace;
   this->stopping = true;
   this->components->takeover_controller.Stop();
+  this->components->limits.Stop();
   RelayServer& relays = this->components->relay_server;
   relays.Drain();
   Log(LogLevel::kInfo, "daemon stops",
--- a/session/session_server.cc
+++ b/session/session_server.cc
@@ -64,7 +64,10 @@
     }
     const uint64_t number = this->next_number++;
     auto session = std::make_shared<CallerSession>(std::move(socket), number, this->cluster,
-                                                   this->runner, this->codec);
+                                                   this->runner, this->codec, this->limits);
+    if (this->session_hook) {
+      this->session_hook(session.get());
+    }
     this->sessions.emplace(number, session);
     SpawnTask(this->executor, "caller session", session->Serve(),
               [this, number] { this->sessions.erase(number); });
--- a/session/session_server.h
+++ b/session/session_server.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -15,6 +16,7 @@
 
 class CallerSession;
 class Cluster;
+class LimitService;
 class SessionCodec;
 class StatementRunner;
 
@@ -27,6 +29,16 @@
                 StatementRunner* runner,
                 const SessionCodec* codec);
 
+  /// Sets what limits the operations of the sessions' organisations; without it nothing does.
+  /// @param service Must outlive this object.
+  void SetLimits(LimitService* service) { this->limits = service; }
+
+  /// Sets a function that is called for each new session before it is served. Tests use it to set
+  /// the session's organisation.
+  void SetSessionHook(std::function<void(CallerSession*)> hook) {
+    this->session_hook = std::move(hook);
+  }
+
   /// Starts to listen.
   /// @param address Address to listen on, "IP:port".
   /// @param max_sessions Limit of open sessions; further connections are closed immediately.
@@ -54,6 +66,8 @@
   Cluster* cluster;
   StatementRunner* runner;
   const SessionCodec* codec;
+  LimitService* limits = nullptr;
+  std::function<void(CallerSession*)> session_hook;
   boost::asio::ip::tcp::acceptor acceptor;
   std::map<uint64_t, std::shared_ptr<CallerSession>> sessions;  // Open sessions by session number.
   uint64_t next_number = 1;
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "kernel/change_schedule.h"
+#include "kernel/organisation/entry_write.h"
 #include "kernel/placement/gateway_plan.h"
 #include "kernel/random.h"
 #include "session/object_store.h"
@@ -47,6 +48,10 @@
   /// daemon's copy of them.
   void Attach(PeerNetwork* network);
 
+  /// Called after each write of this daemon's entry.
+  using EntryObserver = std::function<void(const EntryWrite& write)>;
+  void SetEntryObserver(EntryObserver observer) { this->entry_observer = std::move(observer); }
+
   /// Removes this daemon's entry from the store and stops renewing it, so that the other daemons
   /// divide this daemon's share of the endpoints' connections among themselves.
   boost::asio::awaitable<void> RemoveDaemonEntry();
@@ -126,8 +131,11 @@
   void Merge(KindState* kind, const StoreSnapshot& snapshot, bool complete);
   boost::asio::awaitable<void> TrackDaemons();
   // Writes this daemon's entry to the store.
-  // @param listed Whether the last listing of the daemons contained an entry of this daemon.
-  boost::asio::awaitable<void> WriteDaemonEntry(uint64_t renewal_count, bool listed);
+  // @param listed The daemon's entry in the last listing; empty if it was not listed.
+  // @param write Describes the write to the observer, except for `known` and `sent`.
+  boost::asio::awaitable<void> WriteDaemonEntry(uint64_t renewal_count,
+                                                std::optional<StoredObject> listed,
+                                                EntryWrite write);
   void ApplyRoutes(const StoreSnapshot& snapshot);
   void ApplyEndpoints(const StoreSnapshot& snapshot, bool complete);
   void ApplyClaims(const StoreSnapshot& snapshot, bool complete);
@@ -146,6 +154,8 @@
   std::optional<uint64_t> era;  // Latest era of the store in any answer; empty: no answer yet.
   WaitList restored;            // Notified when the era rises.
   std::vector<KeptObject> kept_objects;
+  EntryObserver entry_observer;
+  bool entry_written = false;  // This process has written the daemon's entry.
   RandomEngine random;
   bool leaving = false;  // This daemon removes its entry from the store and renews it no longer.
 };
--- a/session/store_sync_entries.cc
+++ b/session/store_sync_entries.cc
@@ -27,6 +27,9 @@
 constexpr Duration kEntryRenewInterval = 45s;
 // A daemon counts as gone when its entry has not been renewed for this many renewal intervals.
 constexpr int kExpiryIntervals = 3;
+// All daemons list a daemon at the latest this time after it wrote its entry: two list intervals,
+// and 15 s for listings that may be old and for busy daemons.
+constexpr Duration kListedAfter = 45s;
 // After its start, a daemon lists the daemons' entries several times at these intervals. They are
 // short because the first listings miss daemons that start at the same time.
 constexpr std::array<Duration, 3> kInitialListIntervals{1s, 2s, 4s};
@@ -40,6 +43,12 @@
 // Pause before a failed write to a restored store is tried again.
 constexpr Duration kRewriteRetryDelay = 1s;
 
+// Time by this VM's clock, to compare with what an earlier process of the same daemon has written.
+int64_t WallClockMillis() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 }  // namespace
 
 // -----------------------------------------------------------------------------
@@ -144,9 +153,13 @@
         tracked_era = snapshot.revision.era;
         const TimePoint now = BootNow();
         std::set<std::string> listed;
+        std::optional<StoredObject> own;
         live.clear();
         for (const StoredObject& object : snapshot.objects) {
           listed.insert(object.name);
+          if (object.name == this->self.daemon) {
+            own = object;
+          }
           Seen& entry = seen[object.name];
           if (entry.revision != object.revision) {
             entry = {object.revision, now};
@@ -168,10 +181,13 @@
           }
         }
         this->cluster->SetPeers(live);
-        const bool is_listed = listed.contains(this->self.daemon);
         const bool is_due = !last_renewal || now - *last_renewal >= renewal_interval;
-        if (is_due || (is_restored && !is_listed)) {
-          co_await this->WriteDaemonEntry(beat, is_listed);
+        if (is_due || (is_restored && !own)) {
+          EntryWrite write;
+          // Others that know of slightly fewer daemons count with a shorter renewal interval.
+          write.validity = kExpiryIntervals * renewal_interval - kDaemonListInterval;
+          write.listed_after = std::max<Duration>(kListedAfter, 3 * scaled_interval / 2);
+          co_await this->WriteDaemonEntry(beat, std::move(own), write);
           last_renewal = BootNow();
         }
       }
@@ -193,21 +209,42 @@
   }
 }
 
-asio::awaitable<void> StoreSync::WriteDaemonEntry(uint64_t renewal_count, bool listed) {
-  std::string entry = EncodeDaemonEntry(this->self, renewal_count);
-  if (!listed) {
+asio::awaitable<void> StoreSync::WriteDaemonEntry(uint64_t renewal_count,
+                                                  std::optional<StoredObject> listed,
+                                                  EntryWrite write) {
+  write.sent = BootNow();
+  const int64_t written_ms = WallClockMillis();
+  std::string entry = EncodeDaemonEntry(this->self, renewal_count, written_ms);
+  // After a restart, the others still know this daemon if its entry is young and has not been
+  // removed since the listing, which may be some seconds old. The first write therefore demands
+  // the revision that was listed.
+  uint64_t expected = 0;
+  if (listed && !this->entry_written) {
+    const int64_t age_ms = written_ms - EntryWriteTime(listed->value);
+    const bool is_young = age_ms >= 0 && age_ms < ToMillis(write.validity);
+    expected = is_young ? listed->revision.number : 0;
+  }
+  bool written = false;
+  if (!listed || expected > 0) {
     try {
-      co_await this->store->Put(kDaemonKind, this->self.daemon, entry, 0);
-      co_return;
+      co_await this->store->Put(kDaemonKind, this->self.daemon, entry, expected);
+      written = true;
     } catch (const StoreError& error) {
       if (error.failure != StoreFailure::kConflict) {
         throw;
       }
     }
-    // Conflict: the store has an entry that this daemon wrote after the time of the listing, for
-    // example before a restart. The entry is overwritten below.
+    // Conflict: the store has another entry than the listing, for example one that this daemon
+    // wrote before a restart. The entry is overwritten below.
+  }
+  if (!written) {
+    co_await this->store->Set(kDaemonKind, this->self.daemon, std::move(entry));
+  }
+  write.known = this->entry_written || (written && expected > 0);
+  this->entry_written = true;
+  if (this->entry_observer) {
+    this->entry_observer(write);
   }
-  co_await this->store->Set(kDaemonKind, this->self.daemon, std::move(entry));
 }
 
 asio::awaitable<void> StoreSync::RemoveDaemonEntry() {
--- a/tests/platform/settings_file_test.cc
+++ b/tests/platform/settings_file_test.cc
@@ -86,14 +86,16 @@
 TEST_CASE("settings about organisations and regions are optional, but not malformed") {
   const ProcessSettings absent = ReadSettingsText(kValidSettings);
   CHECK_FALSE(absent.revocation_bound);
+  CHECK_FALSE(absent.first_fleet_start);
   CHECK(absent.regions.at("a") == "r");
   const std::string more = std::string(kValidSettings) +
                            "bounds.revokeStrict=true\nbounds.revokeMs=5000\nbounds.quotaOver=0.2\n"
-                           "limits.cpuShare=0.5\nlimits.cores=2\nzones.b=r2\n";
+                           "limits.cpuShare=0.5\nlimits.cores=2\nzones.b=r2\nbootstrap=true\n";
   const ProcessSettings present = ReadSettingsText(more);
   CHECK(present.revocation_bound == std::chrono::milliseconds(5000));
   CHECK(present.limit_tolerance.excess_share == 0.2);
   CHECK(present.capacity == 1.0);
+  CHECK(present.first_fleet_start);
   CHECK(present.regions.at("b") == "r2");
   for (const char* wrong : {"bounds.revokeStrict=perhaps\n", "bounds.quotaOver=-1\n",
                             "limits.cpuShare=much\n", "bounds.revokeStrict=true\n"}) {
--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -24,7 +24,11 @@
  public:
   asio::awaitable<StoreSnapshot> List(std::string kind, bool stale_ok) override {
     ++(stale_ok ? this->stale_lists : this->full_calls);
-    return MemoryStore::List(std::move(kind), stale_ok);
+    StoreSnapshot snapshot = co_await MemoryStore::List(kind, stale_ok);
+    if (this->outdated_lists) {
+      this->kinds[kind].clear();
+    }
+    co_return snapshot;
   }
 
   asio::awaitable<StoreSnapshot> Watch(std::string,
@@ -57,6 +61,7 @@
   int stale_lists = 0;
   int watches = 0;
   bool down = false;
+  bool outdated_lists = false;  // The objects of a listing are removed right after it.
 };
 
 struct SyncFixture {
@@ -232,5 +237,29 @@
   CHECK(stale_waits.size() == 3);
 }
 
+// Guards against a daemon that issues tokens after a restart although the others have replaced it:
+// its entry may be old, or may have been removed since a listing that is some seconds old.
+TEST_CASE("a daemon is known to the others only by a young entry that is still in the store") {
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  enum class Case { kYoung, kOld, kChanged, kNone };
+  for (const Case which : {Case::kYoung, Case::kOld, Case::kChanged, Case::kNone}) {
+    SyncFixture fixture;
+    const Peer self{"d0", "127.0.0.1:1", "fd0"};
+    const int64_t written_ms = which == Case::kOld ? now.count() - 600'000 : now.count();
+    if (which != Case::kNone) {
+      fixture.store.kinds[kDaemonKind]["d0"] = {
+          "d0", {0, 1}, EncodeDaemonEntry(self, 0, written_ms), false};
+    }
+    fixture.store.outdated_lists = which == Case::kChanged;
+    std::optional<EntryWrite> write;
+    fixture.sync.SetEntryObserver([&write](const EntryWrite& seen) { write = seen; });
+    fixture.sync.Start();
+    fixture.RunUntil([&write] { return write.has_value(); });
+    CHECK(write->known == (which == Case::kYoung));
+    CHECK(fixture.store.kinds[kDaemonKind].contains("d0"));
+  }
+}
+
 }  // namespace
 }  // namespace poplarmoor::platform
