--- a/session/caller_session.cc
+++ b/session/caller_session.cc
@@ -5,6 +5,7 @@
 #include "session/boot_clock.h"
 #include "session/caller_limits.h"
 #include "session/cluster.h"
+#include "session/organisation/limit_service.h"
 #include "session/session_codec.h"
 #include "telemetry/log.h"
 
@@ -45,12 +46,14 @@
                              Cluster* cluster,
                              StatementRunner* runner,
                              const SessionCodec* codec,
-                             std::shared_ptr<CallerLimits> limits)
+                             std::shared_ptr<CallerLimits> limits,
+                             LimitService* limit_service)
     : stream(std::move(socket), limits, codec->max_message()),
       timer(this->stream.executor()),
       cluster(cluster),
       runner(runner),
       codec(codec),
+      limit_service(limit_service),
       limits(limits),
       state_share(&this->limits->states) {
   this->state.session = number;
@@ -326,6 +329,13 @@
     job.text =
         this->codec->ExecuteText(ConnectionState::PreparedName(found->second), message.argument);
   }
+  Admission admission;
+  if (this->NeedsToken()) {
+    admission = co_await this->limit_service->Admit(this->state.organisation, job.deadline);
+    if (admission.IsRefused()) {
+      co_return this->RefuseOperation(admission);
+    }
+  }
   StatementAnswer answer;
   if (this->transaction) {
     answer =
@@ -334,6 +344,7 @@
   } else {
     answer = co_await this->runner->Run(std::move(job), &this->state);
   }
+  this->ReturnToken(admission, answer);
   answer.state = this->State();
   co_return answer;
 }
@@ -356,7 +367,17 @@
     job.id = std::move(message.id);
     job.text = std::move(message.text);
     job.route = &route;
-    answer = co_await this->runner->Commit(std::move(job), &this->state, &*this->transaction);
+    Admission admission;
+    if (this->NeedsToken()) {
+      admission = co_await this->limit_service->Admit(this->state.organisation, job.deadline);
+    }
+    if (admission.IsRefused()) {
+      answer = this->RefuseOperation(admission);
+      answer.state = TransactionState::kNone;
+    } else {
+      answer = co_await this->runner->Commit(std::move(job), &this->state, &*this->transaction);
+      this->ReturnToken(admission, answer);
+    }
   } else {
     this->runner->Discard(&*this->transaction);
     answer = Success(TransactionState::kNone);
@@ -395,6 +416,28 @@
   return std::nullopt;
 }
 
+bool CallerSession::NeedsToken() const {
+  const bool has_begun = this->transaction && this->transaction->lease.connection != nullptr;
+  return this->limit_service != nullptr && !has_begun &&
+         this->limit_service->IsLimited(this->state.organisation);
+}
+
+StatementAnswer CallerSession::RefuseOperation(const Admission& admission) {
+  if (this->transaction) {
+    this->transaction->finished = true;
+    this->transaction->reported = true;
+  }
+  return Failure(StatementError::kOverloaded, admission.refusal(), this->State());
+}
+
+void CallerSession::ReturnToken(const Admission& admission, const StatementAnswer& answer) {
+  // An aborted statement may have run before it was rolled back.
+  if (admission.token() && answer.error && HasNotRun(*answer.error) &&
+      *answer.error != StatementError::kAborted) {
+    this->limit_service->Return(this->state.organisation, admission);
+  }
+}
+
 StatementAnswer CallerSession::AnswerSetting(CallerMessage message) {
   if (auto refusal = this->ReserveState(message)) {
     return std::move(*refusal);
--- a/session/caller_session.h
+++ b/session/caller_session.h
@@ -11,22 +11,27 @@
 
 #include "session/caller_message.h"
 #include "session/caller_stream.h"
+#include "session/organisation/admission.h"
 #include "session/statement_runner.h"
 
 namespace poplarmoor {
 
+class LimitService;
+
 /// One caller's session: a connection with session values, prepared statements and at most one open
 /// transaction.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
  public:
   /// @param number Number of the session, unique within this process.
   /// @param cluster,runner,codec Must outlive this object.
+  /// @param limits Limits the operations of the session's organisation; null: nothing does.
   CallerSession(boost::asio::ip::tcp::socket socket,
                 uint64_t number,
                 Cluster* cluster,
                 StatementRunner* runner,
                 const SessionCodec* codec,
-                std::shared_ptr<CallerLimits> limits);
+                std::shared_ptr<CallerLimits> limits,
+                LimitService* limit_service = nullptr);
 
   /// Answers the caller's messages until the caller or Drain() ends the session, or until the
   /// connection fails.
@@ -62,6 +67,12 @@
                                                           const DatabaseRoute& route);
   boost::asio::awaitable<StatementAnswer> AnswerTransactionEnd(CallerMessage message,
                                                                const DatabaseRoute& route);
+  // Whether the statement that is about to run is the first one of an operation that has a limit.
+  bool NeedsToken() const;
+  // The answer to an operation that got no token. A transaction has failed then.
+  StatementAnswer RefuseOperation(const Admission& admission);
+  // Returns the token of an operation that has not run.
+  void ReturnToken(const Admission& admission, const StatementAnswer& answer);
   StatementAnswer AnswerSetting(CallerMessage message);
   // Sets the session's key and organisation from its opening message.
   // @returns The answer that refuses the session because of its key, or nothing.
@@ -82,6 +93,7 @@
   Cluster* cluster;
   StatementRunner* runner;
   const SessionCodec* codec;
+  LimitService* limit_service;  // Limits the operations of organisations; null: no limits.
   SessionState state;
   KeyId presented_key = 0;  // Fingerprint of the key in the opening message; 0: none.
   std::string database;
--- a/session/session_server.cc
+++ b/session/session_server.cc
@@ -78,8 +78,9 @@
       }
     }
     const uint64_t number = this->next_number++;
-    auto session = std::make_shared<CallerSession>(std::move(socket), number, this->cluster,
-                                                   this->runner, this->codec, this->limits);
+    auto session =
+        std::make_shared<CallerSession>(std::move(socket), number, this->cluster, this->runner,
+                                        this->codec, this->limits, this->limit_service);
     this->sessions.emplace(number, session);
     SpawnTask(this->executor, "caller session", session->Serve(),
               [this, number] { this->sessions.erase(number); });
--- a/session/session_server.h
+++ b/session/session_server.h
@@ -16,6 +16,7 @@
 
 class CallerSession;
 class Cluster;
+class LimitService;
 class SessionCodec;
 class StatementRunner;
 
@@ -30,6 +31,10 @@
                 const SessionCodec* codec,
                 size_t memory = kDefaultMemory);
 
+  /// Sets what limits the operations of the sessions' organisations; without it nothing does.
+  /// @param service Must outlive this object.
+  void SetLimits(LimitService* service) { this->limit_service = service; }
+
   /// Starts to listen.
   /// @param address Address to listen on, "IP:port".
   /// @param max_sessions Limit of open sessions. Beyond it, a new connection takes the place of
@@ -74,6 +79,7 @@
   StatementRunner* runner;
   const SessionCodec* codec;
   std::shared_ptr<CallerLimits> limits;
+  LimitService* limit_service = nullptr;
   boost::asio::ip::tcp::acceptor acceptor;
   std::map<uint64_t, std::shared_ptr<CallerSession>> sessions;  // Open sessions by session number.
   uint64_t next_number = 1;
