limits: most of the burst accrues over the window

Change: 0.6 of the burst accrues over the window in addition to the rate, and the buckets hold 0.4 of it. The property test of the limits shows that no window exceeds the bound.

--- a/kernel/organisation/token_issuer.cc
+++ b/kernel/organisation/token_issuer.cc
@@ -15,11 +15,20 @@
 // of 2.6 operations/s and less that stay below their limit lose more than 5% of their operations
 // (see docs/design/organisation-limits.md).
 constexpr double kSmallestCapacity = 3;
+// Share of the burst that the buckets hold. The rest accrues over the window in addition to the
+// rate, so that an organisation with steady demand also gets the rate times the window and the
+// burst in each window. The share that is held serves short peaks.
+constexpr double kHeldBurst = 0.4;
 
 double CapacityOf(double burst, double issuers, double slack) {
   const double smallest =
       std::clamp((slack - kRestarts * kFirstTokens) / issuers, 1.0, kSmallestCapacity);
-  return std::max(burst / issuers, smallest);
+  return std::max(kHeldBurst * burst / issuers, smallest);
+}
+
+double RateOf(const Organisation& organisation, double issuers, Duration window) {
+  const double seconds = std::chrono::duration<double>(window).count();
+  return (organisation.rate + (1 - kHeldBurst) * organisation.burst / seconds) / issuers;
 }
 
 }  // namespace
@@ -33,13 +42,13 @@
            !plan.IsIssuer(bucket.first, this->self);
   });
   for (const auto& [name, organisation] : organisations.Organisations()) {
-    const double rate = organisation.rate / issuers;
+    const double rate = RateOf(organisation, issuers, this->window);
     const double capacity = CapacityOf(organisation.burst, issuers, this->slack);
     const auto found = this->buckets.find(name);
     if (found != this->buckets.end()) {
       found->second.SetLimit(rate, capacity, now);
     } else if (plan.IsIssuer(name, this->self)) {
-      const double first = std::min(organisation.burst / issuers, kFirstTokens);
+      const double first = std::min(kHeldBurst * organisation.burst / issuers, kFirstTokens);
       this->buckets.emplace(name, TokenBucket(rate, capacity, first, now));
     }
   }
--- a/kernel/organisation/token_issuer.h
+++ b/kernel/organisation/token_issuer.h
@@ -17,8 +17,11 @@
 class TokenIssuer {
  public:
   /// @param self This daemon.
+  /// @param window Window of the limits: an organisation may run its rate times the window and its
+  ///     burst in each.
   /// @param slack Number of operations by which an organisation may exceed its limit in one window.
-  TokenIssuer(Peer self, double slack) : self(std::move(self)), slack(slack) {}
+  TokenIssuer(Peer self, Duration window, double slack)
+      : self(std::move(self)), window(window), slack(slack) {}
 
   /// Follows a changed list of daemons or configuration. A new bucket begins almost empty. A
   /// lowered limit takes effect at once, and buckets of organisations that this daemon is no longer
@@ -39,6 +42,7 @@
 
  private:
   Peer self;
+  Duration window;
   double slack;
   std::map<std::string, TokenBucket, std::less<>> buckets;  // By organisation.
 };
--- a/session/organisation/limit_service.cc
+++ b/session/organisation/limit_service.cc
@@ -78,7 +78,7 @@
       self{settings.daemon, settings.peer_address, settings.failure_domain, settings.capacity},
       regions(settings.regions),
       first_fleet_start(settings.first_fleet_start),
-      issuer(this->self, settings.limit_tolerance.slack) {}
+      issuer(this->self, settings.limit_tolerance.window, settings.limit_tolerance.slack) {}
 
 LimitService::~LimitService() = default;
 
