watchers: log positions are spread with few services only

Each answer of a watcher carried the positions of all services, each lead watcher sent them to all watchers each 300 ms, and each daemon asked the members of each service for the primary as soon as the first member had registered: 217 kB/s for each of 102 daemons instead of 43 kB/s at 33.

Change: positions are told only up to 64 services, and with more services a daemon that is no watcher waits for an interval before it searches a primary. Deployments in force have up to 20 services.

--- a/kernel/placement/gateway_plan.cc
+++ b/kernel/placement/gateway_plan.cc
@@ -27,6 +27,9 @@
 constexpr size_t kMaxWatchingFleet = 16;
 // Watchers per failure domain; if two of them fail, one remains.
 constexpr size_t kWatchersPerDomain = 3;
+// Largest number of services whose primaries' log positions are spread. Those of 334 services made
+// most of the 217 kB/s that each of 102 daemons sent and received, which filled small links.
+constexpr size_t kMaxSpreadServices = 64;
 constexpr char kWatchKey[] = "watch";
 
 using PeerPointers = std::vector<const Peer*>;
@@ -195,6 +198,10 @@
   return std::nullopt;
 }
 
+bool GatewayPlan::SpreadsPositions(size_t services) {
+  return services <= kMaxSpreadServices;
+}
+
 std::vector<Peer> GatewayPlan::EvidenceSources(
     const RegionMap& regions,
     const std::function<bool(const Peer&)>& usable) const {
--- a/kernel/placement/gateway_plan.h
+++ b/kernel/placement/gateway_plan.h
@@ -98,6 +98,12 @@
   std::optional<Peer> LeadWatcher(const std::string& failure_domain,
                                   const std::function<bool(const Peer&)>& usable) const;
 
+  /// @param services Number of services of the deployment.
+  /// @returns Whether daemons tell each other the log positions of the primaries. With many
+  /// services
+  ///     the positions cost more than they save: each answer of a watcher has all of them.
+  static bool SpreadsPositions(size_t services);
+
   /// @param regions Regions of the failure domains.
   /// @param usable Tells whether a daemon can be reached.
   /// @returns The daemons from which a watcher reads the log positions of all primaries: the lead
--- a/session/evidence_exchange.cc
+++ b/session/evidence_exchange.cc
@@ -32,6 +32,9 @@
 
 std::vector<PositionEvidence> CollectEvidence(Cluster* cluster, TimePoint now) {
   std::vector<PositionEvidence> evidence;
+  if (!GatewayPlan::SpreadsPositions(cluster->groups().size())) {
+    return evidence;
+  }
   for (const auto& [service, group] : cluster->groups()) {
     const auto newest = group->freshness.Newest();
     if (newest && newest->sent <= now && now - newest->sent < kMaxAge) {
@@ -74,7 +77,8 @@
     co_await Pause(kCheckInterval);
     RelayRouter& relays = this->cluster->relays();
     const GatewayPlan& plan = relays.plan();
-    if (plan.EveryDaemonWatches() || !plan.IsWatcher() || relays.peers() == nullptr) {
+    const bool spreads = GatewayPlan::SpreadsPositions(this->cluster->groups().size());
+    if (!spreads || plan.EveryDaemonWatches() || !plan.IsWatcher() || relays.peers() == nullptr) {
       continue;
     }
     this->RefreshOwnDomain();
--- a/session/takeover_controller.cc
+++ b/session/takeover_controller.cc
@@ -40,6 +40,10 @@
 // primary is known; a random time up to the jitter is added. The interval is longer than that of a
 // watcher, because these daemons usually learn of a new primary from a watcher.
 constexpr Duration kFollowerSearchInterval = 600ms;
+// With more services than this, a daemon that is not a watcher waits for an interval before it
+// queries the endpoints of one: at a common start of 102 daemons, the registry names the primaries
+// of 334 services within that time, and the queries alone would be 100,000 status calls.
+constexpr size_t kMaxServicesForEarlySearch = 64;
 constexpr Duration kFollowerSearchJitter = 400ms;
 // Time limit of one status call, which asks an endpoint for its state.
 constexpr Duration kStatusTimeout = 250ms;
@@ -324,6 +328,10 @@
 
 asio::awaitable<void> TakeoverController::FindPrimary(ServiceGroup* group) {
   const TimePoint started = BootNow();
+  const bool is_follower = !this->cluster->relays().plan().IsWatcher();
+  if (is_follower && this->cluster->groups().size() > kMaxServicesForEarlySearch) {
+    co_await Pause(kFollowerSearchInterval + RandomDuration(&this->random, kFollowerSearchJitter));
+  }
   while (group->Primary() == nullptr && group->HasRegisteredMember()) {
     const auto statuses = co_await this->CollectStatuses(group, kStatusTimeout);
     const MemberStatus* newest_primary = nullptr;
--- a/tests/kernel/gateway_plan_test.cc
+++ b/tests/kernel/gateway_plan_test.cc
@@ -235,5 +235,13 @@
   CHECK(between_regions == 2);
 }
 
+// Guards against traffic that grows with services and watchers: the fleet of a deployment grows
+// together with its services, 334 of them with 100 daemons.
+TEST_CASE("log positions are spread if there are few services only") {
+  CHECK(GatewayPlan::SpreadsPositions(3));
+  CHECK(GatewayPlan::SpreadsPositions(20));
+  CHECK_FALSE(GatewayPlan::SpreadsPositions(334));
+}
+
 }  // namespace
 }  // namespace poplarmoor
