--- a/session/service_group.h
+++ b/session/service_group.h
@@ -109,7 +109,8 @@
   // When this daemon next attempts to record the members in the store or checks again whether it is
   // to do so; empty while the record is up to date.
   std::optional<TimePoint> record_due;
-  bool refreshing = false;  // A request for the primary's log position is in progress.
+  TimePoint next_record_check;  // Earliest next comparison of the members with their record.
+  bool refreshing = false;      // A request for the primary's log position is in progress.
   // When each commit in progress at the primary was sent, by the connection that it uses.
   std::map<EndpointChannel*, TimePoint> commits;
 
--- a/session/takeover_controller_members.cc
+++ b/session/takeover_controller_members.cc
@@ -24,6 +24,9 @@
 // Only this number of daemons write the record of a group's members; if two of them fail, one
 // remains. The number bounds the store calls while the store is down.
 constexpr size_t kRecorders = 3;
+// Interval at which a group's members are compared with its record. At each check of the endpoints,
+// the comparison for hundreds of services would take a noticeable part of a small VM's processor.
+constexpr Duration kRecordCheckInterval = 500ms;
 // Time from a change of the members to the first daemon's record. Entries that register together,
 // for example at the start of the fleet, are recorded with one store call.
 constexpr Duration kRecordDelay = 1s;
@@ -77,12 +80,19 @@
 }
 
 void TakeoverController::CheckMemberRecord(ServiceGroup* group) {
-  const bool busy = group->taking_over || this->stopping || this->IsClaimed(*group);
-  if (busy || IdsToRecord(*group) == RecordedIds(*group)) {
+  if (group->taking_over || this->stopping || this->IsClaimed(*group)) {
     group->record_due.reset();
     return;
   }
   const TimePoint now = BootNow();
+  if (now < group->next_record_check) {
+    return;
+  }
+  group->next_record_check = now + kRecordCheckInterval;
+  if (IdsToRecord(*group) == RecordedIds(*group)) {
+    group->record_due.reset();
+    return;
+  }
   if (group->record_due && now < *group->record_due) {
     return;
   }
