--- /dev/null
+++ b/tests/kernel/simulated_takeover.cc
@@ -0,0 +1,302 @@
+#include <algorithm>
+#include <utility>
+
+#include "tests/kernel/simulated_daemon.h"
+
+// The takeovers of a simulated daemon; compare session/takeover_controller_steps.cc.
+
+namespace poplarmoor {
+
+namespace {
+
+constexpr Duration kClaimValidity = 2500ms;
+constexpr Duration kClaimRetryDelay = 500ms;
+constexpr Duration kTakeoverTimeout = 5s;
+constexpr Duration kStatusRoundInterval = 30ms;
+constexpr Duration kOrderTimeout = 300ms;
+constexpr Duration kPromotionRetryDelay = 100ms;
+constexpr Duration kCatchUpTimeout = 500ms;
+constexpr Duration kPromotionPollInterval = 100ms;
+constexpr Duration kMembershipCheckInterval = 10ms;
+constexpr Duration kUnplannedJitter = 40ms;
+constexpr Duration kPlannedJitter = 400ms;
+constexpr uint32_t kSynchronousReplicas = 1;
+
+using Kind = TakeoverStep::Kind;
+
+}  // namespace
+
+bool SimulatedDaemon::IsClaimed() {
+  const bool in_progress = this->claim.phase == SimulatedPhase::kClaimed ||
+                           this->claim.phase == SimulatedPhase::kOrdered;
+  return in_progress && this->Now() - this->claim_seen < kClaimValidity;
+}
+
+bool SimulatedDaemon::IsHeld(const Takeover& takeover) const {
+  return this->claim.nonce == takeover.held.nonce;
+}
+
+bool SimulatedDaemon::IsCurrent(const TakeoverView& view) const {
+  return view.members.size() == this->members.size() &&
+         std::all_of(view.members.begin(), view.members.end(), [this](const auto& status) {
+           const auto member = this->members.find(status.id);
+           return member != this->members.end() && member->second.departed == status.departed &&
+                  member->second.leaving == status.leaving;
+         });
+}
+
+void SimulatedDaemon::StartTakeover(TakeoverReason reason) {
+  this->taking_over = true;
+  this->world->Clock()->Spawn(this->RunTakeover(reason));
+}
+
+SimulatedDaemon::Task SimulatedDaemon::RunTakeover(TakeoverReason reason) {
+  const bool planned = reason == TakeoverReason::kPrimaryLeaving;
+  co_await this->Sleep(this->Between(0ms, planned ? kPlannedJitter : kUnplannedJitter));
+  bool claimed = !this->IsClaimed();
+  if (claimed) {
+    claimed = co_await this->ClaimTakeover();
+  }
+  if (claimed) {
+    co_await this->RunTakeoverSteps(reason);
+  } else {
+    co_await this->Sleep(kClaimRetryDelay);
+  }
+  this->taking_over = false;
+  co_return claimed;
+}
+
+SimulatedDaemon::Task SimulatedDaemon::ClaimTakeover() {
+  SimulatedClaim wanted;
+  wanted.phase = SimulatedPhase::kClaimed;
+  wanted.holder = this->number;
+  wanted.nonce = (*this->world->Random())();
+  for (const auto& [id, member] : this->members) {
+    wanted.members.push_back(id);
+  }
+  const uint64_t expected = this->claim.revision;
+  wanted.revision = co_await this->StoreClaim(wanted, expected);
+  if (wanted.revision == 0) {
+    co_return false;
+  }
+  this->Trace("claims the takeover, token " + std::to_string(wanted.revision));
+  this->ApplyClaim(wanted);
+  co_return true;
+}
+
+SimulatedDaemon::Task SimulatedDaemon::RunTakeoverSteps(TakeoverReason reason) {
+  const auto takeover = std::make_shared<Takeover>();
+  takeover->held = this->claim;
+  TakeoverView& view = takeover->view;
+  view.reason = reason;
+  view.old_primary = this->old_primary;
+  view.synchronous_replicas = kSynchronousReplicas;
+  const TimePoint deadline = this->Now() + kTakeoverTimeout;
+  std::string last_cause;
+  std::optional<TimePoint> behind_since;
+  bool outdated = true;
+  while (this->Now() < deadline && this->IsHeld(*takeover)) {
+    this->world->OnHolderStep(&this->process);
+    co_await this->Sleep({});
+    if (outdated || !this->IsCurrent(view)) {
+      view.members = co_await this->CollectStatuses(kOrderTimeout);
+      outdated = false;
+      uint64_t newest_term = this->term;
+      for (const MemberStatus& member : view.members) {
+        newest_term = std::max(newest_term, member.term);
+      }
+      view.pause_term = std::max(view.pause_term, newest_term + 1);
+      if (!this->IsCurrent(view)) {
+        continue;
+      }
+    }
+    view.known_position = this->newest;
+    view.resume_pending = this->Now() < this->resume_pending_until;
+    view.catch_up_failed = behind_since && this->Now() - *behind_since > kCatchUpTimeout;
+    const TakeoverStep step = NextTakeoverStep(view);
+    if (!step.catching_up) {
+      behind_since.reset();
+    } else if (!behind_since) {
+      behind_since = this->Now();
+    }
+    if (step.cause != last_cause) {
+      last_cause = step.cause;
+      this->Trace("step " + step.endpoint + ": " + step.cause);
+    }
+    if (step.kind == Kind::kAbandon) {
+      break;
+    }
+    if (step.kind == Kind::kPromote) {
+      const bool accepted = co_await this->Promote(takeover, step.endpoint);
+      if (accepted) {
+        co_return true;
+      }
+      break;
+    }
+    if (step.kind == Kind::kPause) {
+      takeover->paused.push_back(step.endpoint);
+    }
+    bool ordered = false;
+    if (step.kind != Kind::kWait) {
+      ordered = co_await this->OrderMember(step, &view);
+    }
+    if (!ordered) {
+      co_await this->Sleep(kStatusRoundInterval);
+      outdated = true;
+    }
+  }
+  co_await this->AbandonTakeover(takeover);
+  co_return false;
+}
+
+SimulatedDaemon::Task SimulatedDaemon::OrderMember(TakeoverStep step, TakeoverView* view) {
+  const SimulatedOrder order =
+      step.kind == Kind::kPause ? SimulatedOrder::kPause : SimulatedOrder::kStepDown;
+  const auto reply = this->Send(order, view->pause_term, step.endpoint, kOrderTimeout);
+  const Status answer = co_await *reply;
+  if (!answer.report.answered) {
+    this->Trace("has no answer to its order from " + step.endpoint);
+    co_return false;
+  }
+  for (MemberStatus& member : view->members) {
+    if (member.id == step.endpoint) {
+      member.reachable = true;
+      member.is_primary = answer.report.is_primary;
+      member.term = answer.report.term;
+      member.received = answer.report.received;
+      member.active_pause_term = answer.report.active_pause_term;
+    }
+  }
+  co_return true;
+}
+
+SimulatedDaemon::Task SimulatedDaemon::AbandonTakeover(std::shared_ptr<Takeover> takeover) {
+  this->Trace("abandons the takeover");
+  if (!this->IsHeld(*takeover)) {
+    co_return false;
+  }
+  while (!takeover->paused.empty()) {
+    const bool published = co_await this->PublishPhase(SimulatedPhase::kResuming);
+    if (published) {
+      break;
+    }
+    if (!this->IsHeld(*takeover)) {
+      co_return false;
+    }
+    co_await this->Sleep(kClaimRetryDelay);
+  }
+  bool all_resumed = true;
+  for (const std::string& endpoint : takeover->paused) {
+    this->world->OnHolderStep(&this->process);
+    co_await this->Sleep({});
+    const auto reply =
+        this->Send(SimulatedOrder::kResume, takeover->view.pause_term, endpoint, kOrderTimeout);
+    const Status answer = co_await *reply;
+    this->Trace("resumes " + endpoint + (answer.report.answered ? "" : ", no answer"));
+    all_resumed &= answer.report.answered;
+  }
+  if (all_resumed) {
+    co_await this->PublishPhase(SimulatedPhase::kAbandoned);
+  }
+  co_return true;
+}
+
+SimulatedDaemon::Task SimulatedDaemon::PublishPhase(SimulatedPhase phase) {
+  SimulatedClaim wanted = this->claim;
+  wanted.phase = phase;
+  const uint64_t expected = wanted.revision;
+  wanted.revision = co_await this->StoreClaim(wanted, expected);
+  if (wanted.revision == 0) {
+    co_return false;
+  }
+  this->ApplyClaim(wanted);
+  co_return true;
+}
+
+SimulatedDaemon::Task SimulatedDaemon::Promote(std::shared_ptr<Takeover> takeover,
+                                               std::string endpoint) {
+  takeover->promoting = takeover->guarding = true;
+  this->world->Clock()->Spawn(this->GuardPromotion(takeover, endpoint));
+  const bool accepted = co_await this->OrderPromotion(takeover, endpoint);
+  takeover->promoting = false;
+  while (takeover->guarding) {
+    co_await this->Sleep(kMembershipCheckInterval);
+  }
+  co_return accepted;
+}
+
+SimulatedDaemon::Task SimulatedDaemon::OrderPromotion(std::shared_ptr<Takeover> takeover,
+                                                      std::string endpoint) {
+  SimulatedPromotion result = SimulatedPromotion::kUnknown;
+  while (this->IsHeld(*takeover)) {
+    this->world->OnHolderStep(&this->process);
+    co_await this->Sleep({});
+    const auto reply =
+        std::make_shared<SimulatedReply<SimulatedPromotion>>(this->world->Clock(), &this->process);
+    this->world->Promote(this->number, endpoint, takeover->held.revision, reply);
+    result = co_await *reply;
+    this->Trace("orders the promotion of " + endpoint + ", token " +
+                std::to_string(takeover->held.revision) +
+                (result == SimulatedPromotion::kAccepted  ? ": accepted"
+                 : result == SimulatedPromotion::kRefused ? ": refused"
+                                                          : ": no answer"));
+    if (result != SimulatedPromotion::kUnknown) {
+      break;
+    }
+    co_await this->Sleep(kPromotionRetryDelay);
+  }
+  if (result != SimulatedPromotion::kAccepted) {
+    co_return false;
+  }
+  const TimePoint started = this->Now();
+  co_await this->PublishPhase(SimulatedPhase::kOrdered);
+  while (this->Now() - started < kClaimValidity) {
+    const auto member = this->members.find(endpoint);
+    if (member == this->members.end() || member->second.departed) {
+      break;
+    }
+    const auto reply = this->Send(SimulatedOrder::kStatus, 0, endpoint, kOrderTimeout);
+    const Status answer = co_await *reply;
+    if (answer.report.is_primary) {
+      this->SetPrimary(endpoint, answer.report.term);
+      break;
+    }
+    co_await this->Sleep(kPromotionPollInterval);
+  }
+  co_return true;
+}
+
+SimulatedDaemon::Task SimulatedDaemon::GuardPromotion(std::shared_ptr<Takeover> takeover,
+                                                      std::string candidate) {
+  TakeoverView view = takeover->view;
+  TimePoint next_round = this->Now() + kPromotionPollInterval;
+  bool leads = false;
+  while (takeover->promoting && this->IsHeld(*takeover) && !leads) {
+    if (this->IsCurrent(view) && this->Now() < next_round) {
+      co_await this->Sleep(kMembershipCheckInterval);
+      continue;
+    }
+    view.members = co_await this->CollectStatuses(kOrderTimeout);
+    next_round = this->Now() + kPromotionPollInterval;
+    if (NextPromotionGuardStep(view, candidate).kind == Kind::kPause) {
+      const std::vector<MemberStatus> later = co_await this->CollectStatuses(kOrderTimeout);
+      leads = LeadsIn(later, candidate);
+    }
+    TakeoverStep step = NextPromotionGuardStep(view, candidate);
+    while (!leads && step.kind != Kind::kWait && takeover->promoting && this->IsHeld(*takeover)) {
+      if (step.kind == Kind::kPause) {
+        takeover->paused.push_back(step.endpoint);
+      }
+      this->Trace("guard orders " + step.endpoint + ": " + step.cause);
+      const bool ordered = co_await this->OrderMember(step, &view);
+      if (!ordered) {
+        break;
+      }
+      step = NextPromotionGuardStep(view, candidate);
+    }
+  }
+  takeover->guarding = false;
+  co_return true;
+}
+
+}  // namespace poplarmoor
