takeovers: an ordered promotion is recorded before the order and never given up

Cause: the orders that may still be carried out were known to their holder only. Change: the claim names them with the candidate's log position, before the order is sent. The next claim inherits them, orders the same candidate with its own token and compares again only if that one is gone or has started without its log. Replicas resume only when none is left. Tests: takeover_plan_test "a takeover goes on with the promotion", "a replica with an empty log", "the old primary's log is not whole": they use a field that did not exist. session_test: the fake store gives out revisions above the one that the test has written; a store never gives out lower ones.

--- a/kernel/takeover_plan.cc
+++ b/kernel/takeover_plan.cc
@@ -82,6 +82,23 @@
   return static_cast<size_t>(unknown) <= view.synchronous_replicas;
 }
 
+// Returns the newest candidate of an ordered promotion that can be promoted again, or null.
+const MemberStatus* FindOrderedCandidate(const TakeoverView& view) {
+  for (auto ordered = view.ordered.rbegin(); ordered != view.ordered.rend(); ++ordered) {
+    for (const MemberStatus& member : view.members) {
+      // If the newest candidate leads, the order shows the platform the newest token, so that it
+      // carries out no earlier order any more.
+      const bool leads_by_earlier_order =
+          member.is_primary && ordered->endpoint != view.ordered.back().endpoint;
+      if (member.id == ordered->endpoint && member.reachable && !leads_by_earlier_order &&
+          !member.departed && member.received >= ordered->received) {
+        return &member;
+      }
+    }
+  }
+  return nullptr;
+}
+
 bool IsRunning(const std::vector<MemberStatus>& members, const std::string& id) {
   return std::any_of(members.begin(), members.end(), [&id](const MemberStatus& member) {
     return member.id == id && (member.reachable || member.refused);
@@ -113,9 +130,16 @@
       unreachable_replica = &member;
     }
   }
+  if (const MemberStatus* ordered = FindOrderedCandidate(view)) {
+    return {Kind::kPromote, ordered->id, "an earlier takeover has ordered this promotion"};
+  }
   const bool primary_answers = primary != nullptr && primary->reachable;
-  const bool stepped_down = OldPrimaryHasWholeLog(replicas, view.old_primary, view.known_position);
-  if (primary_answers && !primary->departed && view.reason == TakeoverReason::kPrimaryLost) {
+  // If the candidate of an earlier order has led since, the log of the old primary is not whole.
+  const bool stepped_down = view.ordered.empty() &&
+                            OldPrimaryHasWholeLog(replicas, view.old_primary, view.known_position);
+  const bool is_unneeded =
+      view.reason == TakeoverReason::kPrimaryLost || view.reason == TakeoverReason::kUnfinished;
+  if (primary_answers && !primary->departed && is_unneeded && view.ordered.empty()) {
     return {Kind::kAbandon, primary->id, "the primary answers"};
   }
   // A status may be older than the answer to another replica's pause order, so the longest log
@@ -137,6 +161,9 @@
   if (candidate == nullptr) {
     return {Kind::kWait, "", "no replica answers"};
   }
+  if (HasEmptyLog(*candidate) && view.known_position.index != 0) {
+    return {Kind::kWait, candidate->id, "no replica has a log"};
+  }
   if (view.members.size() <= view.synchronous_replicas) {
     // More members than these have received each acknowledged commit, so some are not known yet.
     return {Kind::kWait, candidate->id, "fewer members are known than acknowledge a commit"};
@@ -170,7 +197,7 @@
   }
   for (const MemberStatus* replica : replicas) {
     if (replica->received > candidate->received) {
-      if (primary_answers && view.catch_up_failed) {
+      if (primary_answers && view.catch_up_failed && view.ordered.empty()) {
         return {Kind::kAbandon, candidate->id, "the candidate does not receive log entries"};
       }
       return {Kind::kWait, candidate->id, "the candidate has not caught up with a paused replica",
--- a/kernel/takeover_plan.h
+++ b/kernel/takeover_plan.h
@@ -29,15 +29,25 @@
   kPrimaryLeaving,      // The primary announced that it stops.
   kReplicationStalled,  // The primary answers, but no replica confirms its commits.
   kNoPrimary,           // No member reports itself as primary.
+  kUnfinished,          // The holder of an earlier takeover has left it unfinished.
 };
 
-inline constexpr NameTable<TakeoverReason, 4> kTakeoverReasonNames{{{
+inline constexpr NameTable<TakeoverReason, 5> kTakeoverReasonNames{{{
     {TakeoverReason::kPrimaryLost, "primary_lost"},
     {TakeoverReason::kPrimaryLeaving, "primary_leaving"},
     {TakeoverReason::kReplicationStalled, "replication_stalled"},
     {TakeoverReason::kNoPrimary, "no_primary"},
+    {TakeoverReason::kUnfinished, "unfinished"},
 }}};
 
+/// A promotion that was ordered and may still take place.
+struct OrderedPromotion {
+  std::string endpoint;
+  // End of the endpoint's log when the promotion was ordered. A shorter log means that the endpoint
+  // has started again without it.
+  LogPosition received;
+};
+
 /// What a takeover knows after it has called every member of the group for its status.
 struct TakeoverView {
   TakeoverReason reason = TakeoverReason::kPrimaryLost;
@@ -53,6 +63,8 @@
   LogPosition known_position;
   // Number of replicas that have a commit before it is acknowledged; 0: unknown.
   uint32_t synchronous_replicas = 0;
+  // Promotions that earlier takeovers have ordered and that may still take place, oldest first.
+  std::vector<OrderedPromotion> ordered;
   // True if the candidate has lacked entries of a paused replica for longer than replication takes.
   bool catch_up_failed = false;
 };
@@ -86,6 +98,10 @@
 /// The logs of `synchronous_replicas` members may be unknown if no primary answers, whichever
 /// members these are: each acknowledged commit is in the log of one member more. This requires that
 /// the view contains all members that may have acknowledged commits.
+/// An ordered promotion is never given up, because an order that was not answered, or a promotion
+/// that has begun, cannot be taken back. While it may take place, daemons acknowledge only commits
+/// that its candidate has (JudgeCommit()), so the same candidate is promoted again without a
+/// comparison. Another one is chosen only if this candidate cannot be promoted.
 /// @param view Reason of the takeover and latest statuses of all members, departed ones included.
 /// @returns The step.
 TakeoverStep NextTakeoverStep(const TakeoverView& view);
--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "session/background_task.h"
 #include "session/boot_clock.h"
 #include "telemetry/log.h"
 
@@ -22,6 +23,8 @@
 // Connections that have been idle for longer than this are closed, except for those that are kept
 // ready for later statements, so that other daemons can open connections instead.
 constexpr Duration kSurplusIdleAge = 1s;
+// Shortest interval between calls to the store for a service's newest takeover claim.
+constexpr Duration kClaimReadInterval = 500ms;
 // For each slot of an endpoint, all daemons together run at most this number of statements outside
 // transactions concurrently.
 constexpr uint32_t kStatementsPerSlot = 3;
@@ -169,6 +172,23 @@
   group->ApplyClaim(std::move(claim));
 }
 
+void Cluster::RefreshClaim(ServiceGroup* group) {
+  const TimePoint now = BootNow();
+  if (!this->claim_reader || group->reading_claim || now < group->next_claim_read) {
+    return;
+  }
+  group->reading_claim = true;
+  group->next_claim_read = now + kClaimReadInterval;
+  SpawnTask(this->executor, "read a takeover claim", this->claim_reader(group),
+            [group] { group->reading_claim = false; });
+}
+
+void Cluster::NoteClaimsVerified(TimePoint verified) {
+  for (auto& [service, group] : this->by_service) {
+    group->NoteClaimVerified(verified);
+  }
+}
+
 void Cluster::RetireLeavingPrimaries() {
   const TimePoint now = BootNow();
   const Duration use_time = this->drain_bound - this->drain_bound / kDrainMarginDivisor;
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -47,6 +48,16 @@
   /// does not know as departed ones.
   void ApplyClaim(TakeoverClaim claim);
 
+  /// Reads a service's newest takeover claim from the store.
+  using ClaimReader = std::function<boost::asio::awaitable<void>(ServiceGroup* group)>;
+  void SetClaimReader(ClaimReader reader) { this->claim_reader = std::move(reader); }
+
+  /// Starts to read the service's takeover claim from the store, unless it was read a moment ago.
+  void RefreshClaim(ServiceGroup* group);
+
+  /// Records that the known takeover claims were the store's newest ones at a time.
+  void NoteClaimsVerified(TimePoint verified);
+
   /// Marks endpoints as departed whose registry entry has been missing for longer than the grace
   /// period. Closes connections that have been idle for too long, and opens the connections that
   /// are to be kept ready for later statements. To be called regularly.
@@ -116,6 +127,7 @@
   std::map<std::string, TimePoint> leaving_since;
   Duration drain_bound = Duration::max();
   RelayRouter router;
+  ClaimReader claim_reader;  // Empty: claims are not read on demand.
   WaitList changed;
 };
 
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "kernel/commit_check.h"
 #include "kernel/ownership.h"
 #include "session/boot_clock.h"
 #include "telemetry/log.h"
@@ -27,6 +28,9 @@
 // the promotion order, or with the outage if no order was sent. After a failed promotion, the rest
 // of the outage cannot be estimated.
 constexpr Duration kMaxPromotionTime = 2000ms;
+// A commit that CommitVerifier has not confirmed for this time shows that the members do not
+// receive the primary's log. Usually they have received it within some milliseconds.
+constexpr Duration kCommitStall = 150ms;
 
 }  // namespace
 
@@ -34,6 +38,7 @@
                            std::string name,
                            const RegionMap* regions)
     : name(std::move(name)),
+      statuses_changed(executor),
       regions(regions),
       promotion_time(kInitialPromotionTime),
       changed(std::move(executor)) {}
@@ -144,6 +149,35 @@
   }
 }
 
+std::vector<std::string> ServiceGroup::PendingPromotions(const std::string& primary) const {
+  std::vector<std::string> ordered;
+  for (const OrderedPromotion& promotion : this->claim.ordered) {
+    ordered.push_back(promotion.endpoint);
+  }
+  return PendingCandidates(ordered, primary);
+}
+
+bool ServiceGroup::HasTakeoverInProgress() const {
+  return this->claim.phase == TakeoverPhase::kClaimed || this->HasOrderedPromotion();
+}
+
+Duration ServiceGroup::ExpectedCommitStall() const {
+  const TimePoint now = BootNow();
+  if (this->unconfirmed.empty() || now - *this->unconfirmed.begin() < kCommitStall) {
+    return {};
+  }
+  const Duration elapsed = now - this->claim_seen;
+  return this->HasOrderedPromotion() && elapsed < kMaxPromotionTime
+             ? std::max<Duration>(this->promotion_time - elapsed, 50ms)
+             : Duration::max();
+}
+
+void ServiceGroup::NoteClaimVerified(TimePoint verified) {
+  if (!this->HasTakeoverInProgress()) {
+    this->calm_at = std::max(this->calm_at, std::optional(verified));
+  }
+}
+
 bool ServiceGroup::HasRegisteredMember() const {
   return std::any_of(this->members.begin(), this->members.end(),
                      [](const auto& member) { return !member.second->departed; });
--- a/session/service_group.h
+++ b/session/service_group.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,24 @@
   /// @param listed Revision of the listing that lacks the claim.
   void ForgetClaim(StoreRevision listed);
 
+  /// @returns Candidates of the ordered promotions that may still take place, as far as the known
+  ///     claim tells.
+  /// @param primary Endpoint that leads; empty: unknown.
+  std::vector<std::string> PendingPromotions(const std::string& primary) const;
+
+  /// @returns Whether an ordered promotion may still take place.
+  bool HasOrderedPromotion() const { return !this->PendingPromotions(this->old_primary).empty(); }
+
+  /// @returns Whether a takeover may be in progress, as far as the known claim tells.
+  bool HasTakeoverInProgress() const;
+
+  /// @returns Expected time until commits can be confirmed again; 0 while none waits for long, and
+  ///     Duration::max() if no promotion is expected to end the wait.
+  Duration ExpectedCommitStall() const;
+
+  /// Records that the known claim was the store's newest one at a time.
+  void NoteClaimVerified(TimePoint verified);
+
   /// Waits until a primary is known.
   /// @param max_wait Longest wait. If no primary is expected within this time, the call returns
   ///     null early.
@@ -96,8 +115,16 @@
   std::optional<TimePoint> outage_since;
   // When a promotion was ordered in this outage; empty: none was ordered yet.
   std::optional<TimePoint> promotion_ordered;
-  TakeoverClaim claim;   // Newest takeover claim known.
-  TimePoint claim_seen;  // When this daemon first saw the present content of `claim`.
+  TakeoverClaim claim;  // Newest takeover claim known.
+  // Latest time at which certainly no takeover was in progress; empty: none is known.
+  std::optional<TimePoint> calm_at;
+  WaitList statuses_changed;  // Notified when a member has answered CommitVerifier.
+  // When each commit that CommitVerifier has not confirmed yet was acknowledged by the primary.
+  std::multiset<TimePoint> unconfirmed;
+  bool reading_claim = false;  // A call for the newest claim is in progress.
+  TimePoint next_claim_read;   // Earliest next call for the newest claim.
+  bool reconfirming = false;   // CommitVerifier asks the members on behalf of no commit.
+  TimePoint claim_seen;        // When this daemon first saw the present content of `claim`.
   // Time until which endpoints may still carry out an order to resume replication that an earlier
   // takeover sent.
   TimePoint resume_pending_until;
--- a/session/takeover_claim.cc
+++ b/session/takeover_claim.cc
@@ -24,11 +24,17 @@
                        {"address", member.address},
                        {"failure_domain", member.failure_domain}});
   }
+  nlohmann::json ordered = nlohmann::json::array();
+  for (const OrderedPromotion& promotion : claim.ordered) {
+    ordered.push_back({{"endpoint", promotion.endpoint},
+                       {"term", promotion.received.term},
+                       {"index", promotion.received.index}});
+  }
   return nlohmann::json{
       {"service", claim.service},   {"phase", kTakeoverPhaseNames.NameOf(claim.phase)},
       {"holder", claim.holder},     {"nonce", claim.nonce},
       {"endpoint", claim.endpoint}, {"lost_primary", claim.lost_primary},
-      {"members", members}}
+      {"members", members},         {"ordered", ordered}}
       .dump();
 }
 
@@ -50,6 +56,10 @@
     for (const nlohmann::json& member : body.value("members", nlohmann::json::array())) {
       claim.members.push_back({member.at("id"), member.at("address"), member.at("failure_domain")});
     }
+    for (const nlohmann::json& promotion : body.value("ordered", nlohmann::json::array())) {
+      claim.ordered.push_back(
+          {promotion.at("endpoint"), {promotion.at("term"), promotion.at("index")}});
+    }
     claim.revision = revision;
     return claim;
   } catch (const nlohmann::json::exception& error) {
--- a/session/takeover_claim.h
+++ b/session/takeover_claim.h
@@ -6,6 +6,7 @@
 
 #include "kernel/name_table.h"
 #include "kernel/store_revision.h"
+#include "kernel/takeover_plan.h"
 
 namespace poplarmoor {
 
@@ -13,7 +14,7 @@
 enum class TakeoverPhase {
   kNone,     // No takeover of the service was claimed yet.
   kClaimed,  // The holder compares the replicas' logs.
-  kOrdered,  // The holder has ordered the platform to promote the claim's endpoint.
+  kOrdered,  // The holder orders the platform to promote the claim's endpoint.
   // The holder has given up the takeover and orders the paused replicas to resume replication. A
   // resume order that was not answered may still take effect during the next takeover and undo a
   // pause that the next takeover has ordered.
@@ -41,9 +42,12 @@
 struct TakeoverClaim {
   std::string service;
   TakeoverPhase phase = TakeoverPhase::kNone;
-  std::string holder;        // Name of the daemon that runs the takeover.
-  uint64_t nonce = 0;        // Distinguishes the takeover claims of one holder.
-  std::string endpoint;      // Endpoint ordered to become the primary; set in phase kOrdered.
+  std::string holder;    // Name of the daemon that runs the takeover.
+  uint64_t nonce = 0;    // Distinguishes the takeover claims of one holder.
+  std::string endpoint;  // Endpoint ordered to become the primary; set in phase kOrdered.
+  // Promotions that were ordered, in the order of their tokens: the last one that has taken place
+  // and those that may still do so. Each is recorded before its order is sent.
+  std::vector<OrderedPromotion> ordered;
   std::string lost_primary;  // Primary that the holder cannot reach; empty when the takeover has
                              // another reason.
   // All members that the holder knew when it claimed the takeover. Later, members that register are
--- a/session/takeover_controller.cc
+++ b/session/takeover_controller.cc
@@ -82,7 +82,9 @@
       promotions(promotions),
       metrics(metrics),
       daemon(std::move(daemon)),
-      random(std::random_device{}()) {}
+      random(std::random_device{}()) {
+  this->cluster->SetClaimReader([this](ServiceGroup* group) { return this->ReadClaim(group); });
+}
 
 void TakeoverController::ApplyReport(const EndpointReport& report, MemberStatus* status) {
   status->reachable = true;
@@ -154,6 +156,13 @@
               this->RunTakeover(group, TakeoverReason::kPrimaryLeaving));
     return;
   }
+  if (group->HasTakeoverInProgress() && !this->IsClaimed(*group)) {
+    // The holder has died or is cut off. It may have left replicas paused or an order unanswered.
+    group->taking_over = true;
+    SpawnTask(this->executor, "finish a takeover",
+              this->RunTakeover(group, TakeoverReason::kUnfinished));
+    return;
+  }
   TimePoint oldest = now;
   for (const auto& [connection, sent] : group->commits) {
     oldest = std::min(oldest, sent);
--- a/session/takeover_controller.h
+++ b/session/takeover_controller.h
@@ -58,14 +58,27 @@
   boost::asio::awaitable<void> TryTakeover(ServiceGroup* group, TakeoverReason reason);
   boost::asio::awaitable<bool> ClaimTakeover(ServiceGroup* group, TakeoverReason reason);
   struct Takeover;
-  boost::asio::awaitable<void> RunTakeoverSteps(ServiceGroup* group,
+  // @returns Whether the takeover has to go on under a new claim: its order was refused, but an
+  //     earlier one may still be carried out.
+  boost::asio::awaitable<bool> RunTakeoverSteps(ServiceGroup* group,
                                                 TakeoverReason reason,
                                                 TakeoverClaim held);
-  // Orders the promotion of an endpoint and waits until the endpoint leads.
-  // @returns Whether the platform has accepted the order.
-  boost::asio::awaitable<bool> Promote(std::shared_ptr<Takeover> takeover, std::string endpoint);
-  boost::asio::awaitable<bool> OrderPromotion(std::shared_ptr<Takeover> takeover,
-                                              std::string endpoint);
+  enum class PromotionResult;
+  // Records the promotion of an endpoint in the store, orders it and waits until the endpoint
+  // leads.
+  boost::asio::awaitable<PromotionResult> Promote(std::shared_ptr<Takeover> takeover,
+                                                  std::string endpoint);
+  boost::asio::awaitable<PromotionResult> OrderPromotion(std::shared_ptr<Takeover> takeover,
+                                                         std::string endpoint);
+  // Records that only the last ordered promotion has taken place or may do so, once its endpoint
+  // leads and the earlier ones cannot take place any more.
+  boost::asio::awaitable<void> ForgetEarlierOrders(std::shared_ptr<Takeover> takeover);
+  // Asks the candidate for its log before an order is sent: an endpoint that has started again
+  // without its log must not be promoted.
+  // @returns Whether it may be promoted, also if it does not answer.
+  boost::asio::awaitable<bool> HasLog(OrderedPromotion promotion);
+  // Waits until the endpoint whose promotion was accepted leads.
+  boost::asio::awaitable<void> AwaitPromotion(ServiceGroup* group, std::string endpoint);
   // Pauses the replicas that join or restart until the promotion has ended.
   boost::asio::awaitable<void> GuardPromotion(std::shared_ptr<Takeover> takeover,
                                               std::string candidate);
@@ -78,6 +91,8 @@
   // Whether the view describes exactly the present members of the group. Members join and leave
   // while their statuses are collected and while orders are sent.
   static bool IsCurrent(const TakeoverView& view, const ServiceGroup& group);
+  // Reads a service's newest claim from the store.
+  boost::asio::awaitable<void> ReadClaim(ServiceGroup* group);
   // Writes this daemon's takeover claim to the store if the store still has the revision that this
   // daemon knows. If the answer is lost, reads the claim back.
   // @returns The claim's new revision; number 0 when it was not stored. Then another daemon's claim
@@ -85,12 +100,13 @@
   boost::asio::awaitable<StoreRevision> StoreClaim(TakeoverClaim claim,
                                                    uint64_t expected,
                                                    std::string* cause);
-  // Writes the takeover claim's new phase to the store, where the other daemons read it.
+  // Writes the takeover claim's new phase and ordered promotions to the store, where the other
+  // daemons read it.
   // @returns Whether the store has accepted it, which shows that no other daemon has claimed the
   //     takeover meanwhile.
   boost::asio::awaitable<bool> PublishPhase(ServiceGroup* group,
                                             TakeoverPhase phase,
-                                            std::string endpoint);
+                                            std::vector<OrderedPromotion> ordered);
 
   struct StatusRound;
   boost::asio::awaitable<void> QueryStatus(std::shared_ptr<StatusRound> round,
--- a/session/takeover_controller_members.cc
+++ b/session/takeover_controller_members.cc
@@ -80,7 +80,8 @@
 }
 
 void TakeoverController::CheckMemberRecord(ServiceGroup* group) {
-  if (group->taking_over || this->stopping || this->IsClaimed(*group)) {
+  if (group->taking_over || this->stopping || group->HasTakeoverInProgress() ||
+      this->IsClaimed(*group)) {
     group->record_due.reset();
     return;
   }
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -69,6 +69,12 @@
                     [](const auto& one, const auto& other) { return one.id == other.id; });
 }
 
+bool HaveSameOrders(const TakeoverClaim& left, const TakeoverClaim& right) {
+  return std::equal(
+      left.ordered.begin(), left.ordered.end(), right.ordered.begin(), right.ordered.end(),
+      [](const auto& one, const auto& other) { return one.endpoint == other.endpoint; });
+}
+
 }  // namespace
 
 bool TakeoverController::IsClaimed(const ServiceGroup& group) const {
@@ -88,18 +94,25 @@
 }
 
 asio::awaitable<void> TakeoverController::TryTakeover(ServiceGroup* group, TakeoverReason reason) {
-  const bool planned = reason == TakeoverReason::kPrimaryLeaving;
+  const bool planned =
+      reason == TakeoverReason::kPrimaryLeaving || reason == TakeoverReason::kUnfinished;
   co_await Pause(RandomDuration(&this->random, planned ? kPlannedJitter : kUnplannedJitter));
   bool claimed = !this->IsClaimed(*group);
   if (claimed) {
     claimed = co_await this->ClaimTakeover(group, reason);
   }
-  if (claimed) {
-    co_await this->RunTakeoverSteps(group, reason, group->claim);
-  } else {
+  if (!claimed) {
     // Another daemon holds the takeover claim, or the store cannot be reached.
     co_await Pause(kClaimRetryDelay);
   }
+  while (claimed) {
+    const bool goes_on = co_await this->RunTakeoverSteps(group, reason, group->claim);
+    if (!goes_on || this->stopping) {
+      break;
+    }
+    co_await Pause(kPromotionRetryDelay);
+    claimed = co_await this->ClaimTakeover(group, reason);
+  }
 }
 
 asio::awaitable<bool> TakeoverController::ClaimTakeover(ServiceGroup* group,
@@ -109,6 +122,10 @@
   claim.phase = TakeoverPhase::kClaimed;
   claim.holder = this->daemon;
   claim.nonce = this->random();
+  claim.ordered = group->claim.ordered;
+  if (!claim.ordered.empty() && !group->HasOrderedPromotion()) {
+    claim.ordered.erase(claim.ordered.begin(), claim.ordered.end() - 1);
+  }
   if (reason == TakeoverReason::kPrimaryLost) {
     claim.lost_primary = group->old_primary;
   }
@@ -149,7 +166,8 @@
     if (stored) {
       const TakeoverClaim current = DecodeTakeoverClaim(stored->value, stored->revision);
       if (current.holder == claim.holder && current.nonce == claim.nonce &&
-          current.phase == claim.phase && HaveSameMembers(current, claim)) {
+          current.phase == claim.phase && HaveSameMembers(current, claim) &&
+          HaveSameOrders(current, claim)) {
         co_return current.revision;
       }
       this->cluster->ApplyClaim(current);
@@ -160,6 +178,21 @@
   co_return StoreRevision();
 }
 
+asio::awaitable<void> TakeoverController::ReadClaim(ServiceGroup* group) {
+  const TimePoint sent = BootNow();
+  try {
+    const auto stored = co_await this->store->Get(kTakeoverKind, group->name, false);
+    if (stored) {
+      this->cluster->ApplyClaim(DecodeTakeoverClaim(stored->value, stored->revision));
+    }
+    group->NoteClaimVerified(sent);
+    group->statuses_changed.NotifyAll();
+  } catch (const std::runtime_error& error) {
+    Log(LogLevel::kDebug, "cannot read the takeover claim",
+        {{"service", group->name}, {"cause", error.what()}});
+  }
+}
+
 // A takeover that this daemon runs.
 struct TakeoverController::Takeover {
   ServiceGroup* group;
@@ -182,7 +215,14 @@
          });
 }
 
-asio::awaitable<void> TakeoverController::RunTakeoverSteps(ServiceGroup* group,
+enum class TakeoverController::PromotionResult {
+  kDone,     // The platform has accepted the order.
+  kRefused,  // The platform has refused the only order, which will not be carried out.
+  kRetry,    // The order was refused, but an earlier one may still be carried out.
+  kLost,     // The takeover is another daemon's, or the order could not be recorded.
+};
+
+asio::awaitable<bool> TakeoverController::RunTakeoverSteps(ServiceGroup* group,
                                                            TakeoverReason reason,
                                                            TakeoverClaim held) {
   const auto takeover = std::make_shared<Takeover>();
@@ -191,6 +231,13 @@
   TakeoverView& view = takeover->view;
   view.reason = reason;
   view.old_primary = group->old_primary;
+  if (group->HasOrderedPromotion()) {
+    const auto& ordered = takeover->held.ordered;
+    const auto led = std::find_if(ordered.begin(), ordered.end(), [&view](const auto& promotion) {
+      return promotion.endpoint == view.old_primary;
+    });
+    view.ordered.assign(led == ordered.end() ? ordered.begin() : led + 1, ordered.end());
+  }
   const auto service = this->cluster->routes().services.find(group->name);
   if (service != this->cluster->routes().services.end()) {
     view.synchronous_replicas = service->second.synchronous_replicas;
@@ -235,8 +282,9 @@
       break;
     }
     if (step.kind == TakeoverStep::Kind::kPromote) {
-      if (co_await this->Promote(takeover, step.endpoint)) {
-        co_return;
+      const PromotionResult result = co_await this->Promote(takeover, step.endpoint);
+      if (result == PromotionResult::kDone || result == PromotionResult::kRetry) {
+        co_return result == PromotionResult::kRetry;
       }
       break;
     }
@@ -255,6 +303,7 @@
     }
   }
   co_await this->AbandonTakeover(takeover);
+  co_return false;
 }
 
 asio::awaitable<bool> TakeoverController::OrderMember(ServiceGroup* group,
@@ -289,8 +338,15 @@
 
 asio::awaitable<void> TakeoverController::AbandonTakeover(std::shared_ptr<Takeover> takeover) {
   ServiceGroup* group = takeover->group;
-  const std::vector<std::string>& paused = takeover->paused;
+  std::vector<std::string>& paused = takeover->paused;
   const uint64_t term = takeover->view.pause_term;
+  for (const MemberStatus& member : takeover->view.members) {
+    // The holder of an earlier takeover may have left the replica paused.
+    if (member.active_pause_term != 0 &&
+        std::find(paused.begin(), paused.end(), member.id) == paused.end()) {
+      paused.push_back(member.id);
+    }
+  }
   Log(LogLevel::kInfo, "takeover abandoned",
       {{"service", group->name}, {"paused", paused.size()}, {"holder", group->claim.holder}});
   if (!takeover->IsHeld()) {
@@ -298,11 +354,22 @@
     // restored without this claim, an order of this daemon to promote may still be carried out.
     co_return;
   }
+  if (group->HasOrderedPromotion()) {
+    // The next takeover goes on with the ordered promotion.
+    Log(LogLevel::kInfo, "replicas stay paused: an ordered promotion may still take place",
+        {{"service", group->name}, {"endpoint", group->claim.ordered.back().endpoint}});
+    co_return;
+  }
+  const std::vector<OrderedPromotion> unchanged = group->claim.ordered;
   // The stored phase kResuming shows that no other daemon has claimed the takeover meanwhile, for
   // example while this daemon was frozen: an order to resume replication would undo a pause that
   // the other daemon relies on. The phase also tells the next holder of the claim that the endpoint
   // may still carry out such an order if its answer is lost.
-  while (!paused.empty() && !co_await this->PublishPhase(group, TakeoverPhase::kResuming, "")) {
+  while (!paused.empty()) {
+    const bool published = co_await this->PublishPhase(group, TakeoverPhase::kResuming, unchanged);
+    if (published) {
+      break;
+    }
     if (!takeover->IsHeld() || this->stopping) {
       Log(LogLevel::kInfo, "replicas stay paused: the takeover is no longer this daemon's",
           {{"service", group->name}, {"holder", group->claim.holder}});
@@ -324,16 +391,17 @@
     }
   }
   if (all_resumed) {
-    co_await this->PublishPhase(group, TakeoverPhase::kAbandoned, "");
+    co_await this->PublishPhase(group, TakeoverPhase::kAbandoned, unchanged);
   }
 }
 
 asio::awaitable<bool> TakeoverController::PublishPhase(ServiceGroup* group,
                                                        TakeoverPhase phase,
-                                                       std::string endpoint) {
+                                                       std::vector<OrderedPromotion> ordered) {
   TakeoverClaim claim = group->claim;
   claim.phase = phase;
-  claim.endpoint = std::move(endpoint);
+  claim.endpoint = ordered.empty() ? std::string() : ordered.back().endpoint;
+  claim.ordered = std::move(ordered);
   std::string cause;
   claim.revision = co_await this->StoreClaim(claim, claim.revision.number, &cause);
   if (!claim.revision.Exists()) {
@@ -345,29 +413,49 @@
   co_return true;
 }
 
-asio::awaitable<bool> TakeoverController::Promote(std::shared_ptr<Takeover> takeover,
-                                                  std::string endpoint) {
+asio::awaitable<TakeoverController::PromotionResult> TakeoverController::Promote(
+    std::shared_ptr<Takeover> takeover,
+    std::string endpoint) {
   takeover->promoting = takeover->guarding = true;
   SpawnTask(this->executor, "guard a promotion", this->GuardPromotion(takeover, endpoint),
             [takeover] { takeover->guarding = false; });
-  const bool accepted = co_await this->OrderPromotion(takeover, std::move(endpoint));
+  const PromotionResult result = co_await this->OrderPromotion(takeover, std::move(endpoint));
   takeover->promoting = false;
   // A pause order that is still in progress must not follow the orders to resume.
   while (takeover->guarding) {
     co_await Pause(kMembershipCheckInterval);
   }
-  co_return accepted;
+  co_return result;
 }
 
-asio::awaitable<bool> TakeoverController::OrderPromotion(std::shared_ptr<Takeover> takeover,
-                                                         std::string endpoint) {
+asio::awaitable<TakeoverController::PromotionResult> TakeoverController::OrderPromotion(
+    std::shared_ptr<Takeover> takeover,
+    std::string endpoint) {
   ServiceGroup* group = takeover->group;
   const uint64_t token = FencingToken(takeover->held.revision);
-  // A promotion order without an answer may be carried out later. The replicas stay paused until a
-  // promotion order is answered, or until the token of a newer takeover claim makes the order
-  // invalid.
+  std::vector<OrderedPromotion> ordered = takeover->held.ordered;
+  if (ordered.empty() || ordered.back().endpoint != endpoint) {
+    for (const MemberStatus& member : takeover->view.members) {
+      if (member.id == endpoint) {
+        ordered.push_back({endpoint, member.received});
+      }
+    }
+  }
+  // The daemons have to know of the order before the platform can carry it out.
+  const bool stored = co_await this->PublishPhase(group, TakeoverPhase::kOrdered, ordered);
+  if (!stored) {
+    co_return PromotionResult::kLost;
+  }
+  // An order of an earlier claim may be outstanding as well.
+  bool outstanding = !takeover->view.ordered.empty();
   PromotionOutcome outcome = PromotionOutcome::kUnknown;
   while (takeover->IsHeld()) {
+    const bool has_log = co_await this->HasLog(ordered.back());
+    if (!has_log) {
+      Log(LogLevel::kWarn, "promotion not ordered: the candidate has started without its log",
+          {{"service", group->name}, {"endpoint", endpoint}});
+      break;
+    }
     outcome = co_await this->promotions->Promote(group->name, endpoint, token);
     Log(LogLevel::kInfo, "promotion ordered",
         {{"service", group->name},
@@ -377,15 +465,60 @@
     if (outcome != PromotionOutcome::kUnknown) {
       break;
     }
+    outstanding = true;
     co_await Pause(kPromotionRetryDelay);
   }
-  const TimePoint started = BootNow();
   this->metrics->Add(Metric::kPromotions, {group->name, kPromotionOutcomeNames.NameOf(outcome)});
-  if (outcome != PromotionOutcome::kAccepted) {
+  if (outcome == PromotionOutcome::kAccepted) {
+    group->promotion_ordered = BootNow();
+    co_await this->AwaitPromotion(group, endpoint);
+    if (!takeover->view.ordered.empty()) {
+      co_await this->ForgetEarlierOrders(takeover);
+    }
+    co_return PromotionResult::kDone;
+  }
+  if (!takeover->IsHeld()) {
+    co_return PromotionResult::kLost;
+  }
+  if (outstanding) {
+    co_return PromotionResult::kRetry;
+  }
+  // The order was the only one and was refused, so that no promotion takes place.
+  co_await this->PublishPhase(group, TakeoverPhase::kClaimed, takeover->held.ordered);
+  co_return PromotionResult::kRefused;
+}
+
+asio::awaitable<void> TakeoverController::ForgetEarlierOrders(std::shared_ptr<Takeover> takeover) {
+  ServiceGroup* group = takeover->group;
+  const OrderedPromotion last = group->claim.ordered.back();
+  // A promotion that the platform had begun before it saw this claim's token takes place until
+  // then.
+  co_await Pause(kClaimValidity);
+  if (takeover->IsHeld() && group->old_primary == last.endpoint) {
+    const std::vector<OrderedPromotion> remaining(1, last);
+    co_await this->PublishPhase(group, TakeoverPhase::kOrdered, remaining);
+  }
+}
+
+asio::awaitable<bool> TakeoverController::HasLog(OrderedPromotion promotion) {
+  const auto pool = this->cluster->FindEndpoint(promotion.endpoint);
+  if (pool == nullptr) {
     co_return false;
   }
-  group->promotion_ordered = BootNow();
-  co_await this->PublishPhase(group, TakeoverPhase::kOrdered, endpoint);
+  try {
+    const EndpointReport report =
+        co_await pool->SendOrder(EndpointOrder::kStatus, 0, kOrderTimeout, false);
+    co_return report.received >= promotion.received;
+  } catch (const std::runtime_error& error) {
+    Log(LogLevel::kDebug, "status call failed",
+        {{"endpoint", promotion.endpoint}, {"cause", error.what()}});
+  }
+  co_return true;
+}
+
+asio::awaitable<void> TakeoverController::AwaitPromotion(ServiceGroup* group,
+                                                         std::string endpoint) {
+  const TimePoint started = BootNow();
   while (BootNow() - started < kClaimValidity) {
     const auto pool = this->cluster->FindEndpoint(endpoint);
     if (pool == nullptr || pool->departed) {
@@ -406,7 +539,6 @@
     }
     co_await Pause(kPromotionPollInterval);
   }
-  co_return true;
 }
 
 asio::awaitable<void> TakeoverController::GuardPromotion(std::shared_ptr<Takeover> takeover,
--- a/tests/kernel/takeover_plan_test.cc
+++ b/tests/kernel/takeover_plan_test.cc
@@ -194,6 +194,58 @@
   CHECK(NextPromotionGuardStep(view, "a").kind == Kind::kWait);
 }
 
+// Guards against a takeover that resumes the replicas, or promotes another endpoint, while the
+// platform may still carry out the order of an earlier takeover.
+TEST_CASE("a takeover goes on with the promotion that an earlier one has ordered") {
+  auto view = View(TakeoverReason::kPrimaryLost,
+                   {Primary(true), Replica("a", 98), Replica("b", 100), Replica("c", 100)});
+  CHECK(NextTakeoverStep(view).kind == Kind::kAbandon);
+  view.ordered = {{"a", {3, 95}}};
+  CHECK(NextTakeoverStep(view).kind == Kind::kPromote);
+  CHECK(NextTakeoverStep(view).endpoint == "a");
+  // The newest candidate has all commits that were acknowledged since its order.
+  view.ordered.push_back({"b", {3, 100}});
+  CHECK(NextTakeoverStep(view).endpoint == "b");
+  // It has started again without its log.
+  view.members[2].received = {};
+  CHECK(NextTakeoverStep(view).endpoint == "a");
+  view.members[1].received = {};
+  CHECK(NextTakeoverStep(view).kind == Kind::kPause);
+  // The takeover is not abandoned, although the primary answers and the candidate lacks entries.
+  view.members[2] = Replica("b", 90);
+  view.ordered = {{"b", {3, 95}}};
+  view.members[1].active_pause_term = view.members[3].active_pause_term = 4;
+  view.members[1].received = {3, 101};
+  view.catch_up_failed = true;
+  CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+}
+
+// Guards against the promotion of an endpoint that has started again without its log while the
+// primary, which is the only one with the log, cannot be reached or cannot reach its replicas.
+TEST_CASE("a replica with an empty log is not promoted if the service has commits") {
+  for (const bool answers : {false, true}) {
+    auto view = View(TakeoverReason::kReplicationStalled,
+                     {Primary(answers), Replica("a", 0), Replica("b", 0)});
+    view.members[1].received = view.members[2].received = {};
+    view.members[2].active_pause_term = 4;
+    view.known_position = {3, 100};
+    view.synchronous_replicas = 1;
+    CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+  }
+}
+
+// Guards against a former primary whose log counts as whole although another endpoint has led
+// since.
+TEST_CASE("the old primary's log is not whole if another promotion may have taken place") {
+  MemberStatus silent = Replica("b", 0);
+  silent.reachable = false;
+  auto view = View(TakeoverReason::kPrimaryLost, {Replica("p", 100), Replica("a", 90), silent});
+  view.synchronous_replicas = 1;
+  CHECK(NextTakeoverStep(view).kind == Kind::kPause);
+  view.ordered = {{"b", {3, 90}}};
+  CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+}
+
 // The statuses of a takeover are read one after the other while the primary commits, a replica
 // joins at a random step, and the platform needs 20 steps for the promotion. The takeover learns of
 // the new replica two steps later.
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -691,6 +691,7 @@
   restarted.cluster.FindGroup("ledger")->old_primary.clear();
   restarted.store.kinds[kTakeoverKind]["ledger"] = {"ledger", claim.revision,
                                                     EncodeTakeoverClaim(claim), false};
+  restarted.store.revision = claim.revision.number;
   restarted.cluster.ApplyClaim(claim);
   restarted.takeover_controller.Start();
   restarted.RunUntil([&] { return !restarted.promotions.endpoints.empty(); });
