commits are acknowledged to callers once members that takeovers compare have them

Beside a cut-off primary no order and no news of the takeover arrives. Cause: any replica counts for the primary, also one that no takeover knows, and the daemons passed the acknowledgement on. Class: a decision that takes effect later rests on what was collected once. Change: a daemon acknowledges a commit only once recorded members, over connections that are older than the last moment without a takeover (or all recorded members), and every candidate of an ordered promotion have it (JudgeCommit, CommitVerifier). Otherwise the commit is in doubt.

--- a/kernel/placement/idle_connections.h
+++ b/kernel/placement/idle_connections.h
@@ -46,6 +46,19 @@
     return chosen == this->entries.end() ? std::nullopt : std::optional(this->Remove(chosen));
   }
 
+  /// Takes the connection that comes first in an order.
+  /// @param before Called with two connections; returns whether the left one comes before the right
+  ///     one.
+  /// @returns The connection, or nothing when there is none.
+  template <typename Before>
+  std::optional<Connection> TakeFirst(Before before) {
+    const auto first = std::min_element(this->entries.begin(), this->entries.end(),
+                                        [&before](const Entry& left, const Entry& right) {
+                                          return before(left.connection, right.connection);
+                                        });
+    return first == this->entries.end() ? std::nullopt : std::optional(this->Remove(first));
+  }
+
   /// Takes the connections that have to be closed because all connections, in use and idle, exceed
   /// a limit: first those of organisations that have several idle ones, then any others, and of
   /// both those that have been idle for longest.
--- a/session/direct_channel.cc
+++ b/session/direct_channel.cc
@@ -26,7 +26,9 @@
 }  // namespace
 
 DirectChannel::DirectChannel(std::unique_ptr<EndpointSession> session, const SessionCodec* codec)
-    : session(std::move(session)), codec(codec) {}
+    : session(std::move(session)), codec(codec) {
+  this->opened_at = this->session->opened_at();
+}
 
 asio::awaitable<bool> DirectChannel::Prepare(const StatementSpec& spec,
                                              const SessionState& state,
--- a/session/endpoint_channel.h
+++ b/session/endpoint_channel.h
@@ -118,6 +118,7 @@
   virtual void Close() = 0;
 
   std::string organisation;  // Organisation with which the connection was opened; empty: none.
+  TimePoint opened_at;       // When the endpoint accepted the connection; unset for relays.
   uint64_t used_by = 0;      // Session number of the caller's session that used the channel last.
 };
 
--- a/session/endpoint_pool.cc
+++ b/session/endpoint_pool.cc
@@ -10,6 +10,7 @@
 #include "session/direct_channel.h"
 #include "session/relay_router.h"
 #include "session/statement_answer.h"
+#include "session/wait_list.h"
 #include "telemetry/log.h"
 
 namespace poplarmoor {
@@ -18,6 +19,8 @@
 
 namespace {
 
+// Interval at which a status call that has no connection looks for an idle one.
+constexpr Duration kIdleCheckInterval = 3ms;
 // For this time after an endpoint has refused a connection at its connection limit, this daemon
 // does not raise its number of connections: other daemons need the time to close idle connections.
 constexpr Duration kLimitHoldTime = 3s;
@@ -91,27 +94,60 @@
       throw std::runtime_error(
           "the endpoint recently refused a connection at its connection limit");
     }
-    auto opening =
-        std::make_unique<EndpointSession>(this->executor, this->codec, this->current.address);
-    StatementAnswer opened;
-    try {
-      opened =
-          co_await opening->Open(this->current.service, std::string(), this->current.id, limit);
-    } catch (const EndpointSessionError& error) {
-      if (error.kind == EndpointSessionError::Kind::kClosed) {
-        this->NoteLimitReached();
-      }
-      throw;
+    channel = co_await this->OpenForOrder(limit);
+  }
+  co_return co_await this->ExchangeOrder(std::move(channel), order, term, limit);
+}
+
+asio::awaitable<EndpointReport> EndpointPool::QueryStatus(Duration limit) {
+  const auto self = this->shared_from_this();
+  if (this->UsesRelay()) {
+    co_return co_await this->relays->SendOrder(this->current, EndpointOrder::kStatus, 0, limit);
+  }
+  const TimePoint deadline = BootNow() + limit;
+  std::unique_ptr<EndpointChannel> channel = this->TakeFirstOpened();
+  while (channel == nullptr) {
+    if (this->idle.size() + this->admission.InUse() < this->share && BootNow() >= this->next_open) {
+      channel = co_await this->OpenForOrder(limit);
+      break;
     }
-    ++this->opened;
-    if (opened.error) {
-      throw std::runtime_error("the endpoint refused the connection: " +
-                               std::string(kStatementErrorNames.NameOf(*opened.error)));
+    if (BootNow() >= deadline) {
+      throw std::runtime_error("no connection to the endpoint became idle in time");
     }
-    channel = std::make_unique<DirectChannel>(std::move(opening), this->codec);
+    co_await Pause(kIdleCheckInterval);
+    channel = this->TakeFirstOpened();
   }
+  co_return co_await this->ExchangeOrder(std::move(channel), EndpointOrder::kStatus, 0, limit);
+}
+
+asio::awaitable<std::unique_ptr<EndpointChannel>> EndpointPool::OpenForOrder(Duration limit) {
+  auto opening =
+      std::make_unique<EndpointSession>(this->executor, this->codec, this->current.address);
+  StatementAnswer opened;
+  try {
+    opened = co_await opening->Open(this->current.service, std::string(), this->current.id, limit);
+  } catch (const EndpointSessionError& error) {
+    if (error.kind == EndpointSessionError::Kind::kClosed) {
+      this->NoteLimitReached();
+    }
+    throw;
+  }
+  ++this->opened;
+  if (opened.error) {
+    throw std::runtime_error("the endpoint refused the connection: " +
+                             std::string(kStatementErrorNames.NameOf(*opened.error)));
+  }
+  co_return std::make_unique<DirectChannel>(std::move(opening), this->codec);
+}
+
+asio::awaitable<EndpointReport> EndpointPool::ExchangeOrder(
+    std::unique_ptr<EndpointChannel> channel,
+    EndpointOrder order,
+    uint64_t term,
+    Duration limit) {
   // All idle channels of a pool are DirectChannel objects.
   EndpointSession& connection = static_cast<DirectChannel&>(*channel).connection();
+  const TimePoint connected_since = connection.opened_at();
   std::vector<std::string> messages;
   messages.push_back(this->codec->EncodeOrder(order, term));
   const auto answers = co_await connection.Exchange(std::move(messages), limit);
@@ -127,7 +163,9 @@
   }
   this->down = false;
   this->last_answer = BootNow();
-  co_return this->codec->DecodeReport(answer.rows.front());
+  EndpointReport report = this->codec->DecodeReport(answer.rows.front());
+  report.connected_since = connected_since;
+  co_return report;
 }
 
 void EndpointPool::Update(const EndpointRecord& record) {
--- a/session/endpoint_pool.h
+++ b/session/endpoint_pool.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -92,6 +93,13 @@
                                                    Duration limit,
                                                    bool fresh);
 
+  /// Asks the endpoint for its state, over the idle connection that was opened first. Opens a
+  /// connection only while this daemon has fewer than its share; otherwise waits for an idle one.
+  /// Errors as in SendOrder().
+  /// @param limit Time limit for obtaining a connection; the call itself then gets the same time
+  ///     again.
+  boost::asio::awaitable<EndpointReport> QueryStatus(Duration limit);
+
   /// Replaces the endpoint's registry record. If the new record shows that the endpoint has
   /// restarted or moved to another address, idle connections are closed.
   void Update(const EndpointRecord& record);
@@ -192,6 +200,10 @@
   // Time for which reads avoid the endpoint after it lacked a demanded log position; grows while
   // the endpoint stays behind.
   Duration behind_backoff{};
+  std::optional<EndpointReport> last_report;  // Last answer to CommitVerifier.
+  bool asking_status = false;                 // CommitVerifier waits for an answer.
+  TimePoint next_status;                      // Earliest next status call of CommitVerifier.
+  Duration status_pause{};  // Time between status calls of CommitVerifier to the endpoint.
   uint64_t opened = 0;  // Number of connections to the endpoint that this daemon has opened so far.
   // Number of idle connections that were closed so far because of the connection limit.
   uint64_t evicted = 0;
@@ -218,6 +230,15 @@
                                             TimePoint deadline);
   void FinishOpening();
   std::unique_ptr<EndpointChannel> TakeIdle(const SessionState& session);
+  // Takes the idle connection that was opened first, or returns null.
+  std::unique_ptr<EndpointChannel> TakeFirstOpened();
+  // Opens a connection outside any lease.
+  boost::asio::awaitable<std::unique_ptr<EndpointChannel>> OpenForOrder(Duration limit);
+  // Sends the order over the connection and keeps the connection if there is room for it.
+  boost::asio::awaitable<EndpointReport> ExchangeOrder(std::unique_ptr<EndpointChannel> channel,
+                                                       EndpointOrder order,
+                                                       uint64_t term,
+                                                       Duration limit);
   void PutIdle(std::unique_ptr<EndpointChannel> connection);
   // Closes idle connections while all connections exceed the limit.
   void CloseExcess();
--- a/session/endpoint_pool_leases.cc
+++ b/session/endpoint_pool_leases.cc
@@ -230,6 +230,18 @@
   return nullptr;
 }
 
+std::unique_ptr<EndpointChannel> EndpointPool::TakeFirstOpened() {
+  const auto opened_before = [](const auto& left, const auto& right) {
+    return left->opened_at < right->opened_at;
+  };
+  while (auto connection = this->idle.TakeFirst(opened_before)) {
+    if ((*connection)->IsReusable()) {
+      return std::move(*connection);
+    }
+  }
+  return nullptr;
+}
+
 void EndpointPool::PutIdle(std::unique_ptr<EndpointChannel> connection) {
   const std::string organisation = connection->organisation;
   const uint64_t session = connection->used_by;
--- a/session/endpoint_session.cc
+++ b/session/endpoint_session.cc
@@ -10,6 +10,7 @@
 #include <cerrno>
 
 #include "net/address.h"
+#include "session/boot_clock.h"
 #include "session/session_codec.h"
 
 namespace poplarmoor {
@@ -59,6 +60,7 @@
     this->Fail(KindOf(error), "cannot open the session: " + error.message());
   }
   StatementAnswer answer = co_await this->ReadAnswer(true);
+  this->opened = BootNow();
   if (answer.error) {
     this->Close();
   }
--- a/session/endpoint_session.h
+++ b/session/endpoint_session.h
@@ -70,6 +70,9 @@
 
   bool is_open() const { return this->open; }
 
+  /// @returns When the endpoint accepted the connection; not set before Open() has returned.
+  TimePoint opened_at() const { return this->opened; }
+
  private:
   boost::asio::awaitable<StatementAnswer> ReadAnswer(bool opening);
   [[noreturn]] void Fail(EndpointSessionError::Kind kind, const std::string& message);
@@ -79,6 +82,7 @@
   boost::beast::tcp_stream stream;
   std::string buffer;
   bool open = false;
+  TimePoint opened;
 };
 
 }  // namespace poplarmoor
--- a/session/relay_router.cc
+++ b/session/relay_router.cc
@@ -232,6 +232,7 @@
         decoded.term = report.term;
         decoded.received = report.received;
         decoded.active_pause_term = report.active_pause_term;
+        decoded.connected_since = BootNow() - Duration(static_cast<int64_t>(report.connected_us));
         co_return decoded;
       }
       cause = "gateway " + peer.daemon + ": " + report.failure;
--- a/session/relay_server.cc
+++ b/session/relay_server.cc
@@ -275,15 +275,20 @@
     report.failure = "the endpoint is unreachable from this daemon";
   } else {
     try {
-      // If this daemon itself normally reaches the endpoint through gateways, it has no idle
-      // connection to the endpoint and opens a new one.
-      const EndpointReport answer = co_await pool->SendOrder(
-          *order, request.term, Duration(static_cast<int64_t>(request.limit_us)),
-          pool->is_relayed());
+      const Duration limit(static_cast<int64_t>(request.limit_us));
+      EndpointReport answer;
+      if (*order == EndpointOrder::kStatus && !pool->is_relayed()) {
+        answer = co_await pool->QueryStatus(limit);
+      } else {
+        // If this daemon itself normally reaches the endpoint through gateways, it has no idle
+        // connection to the endpoint and opens a new one.
+        answer = co_await pool->SendOrder(*order, request.term, limit, pool->is_relayed());
+      }
       report.is_primary = answer.is_primary;
       report.term = answer.term;
       report.received = answer.received;
       report.active_pause_term = answer.active_pause_term;
+      report.connected_us = static_cast<uint64_t>((BootNow() - answer.connected_since).count());
     } catch (const std::runtime_error& error) {
       report.failure = error.what();
     }
--- a/session/session_codec.h
+++ b/session/session_codec.h
@@ -6,6 +6,7 @@
 
 #include "kernel/log_position.h"
 #include "kernel/session_state.h"
+#include "kernel/time.h"
 #include "session/caller_message.h"
 #include "session/endpoint_line.h"
 
@@ -31,6 +32,8 @@
   LogPosition received;  // End of the log that the endpoint has received.
   // Term of the order that pauses replication and is in force at the endpoint; 0: none.
   uint64_t active_pause_term = 0;
+  // When the connection was opened that carried the order. The endpoint has not restarted since.
+  TimePoint connected_since;
 };
 
 /// Encoding of the session protocol between callers, daemons and endpoints. One message is one
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -36,6 +36,8 @@
 // Time for which other endpoints are preferred after an endpoint was unreachable; about the time
 // that a reconnection takes.
 constexpr Duration kUnreachablePause = 100ms;
+// Interval at which a write that waits for commits to be confirmed checks whether they are.
+constexpr Duration kStallCheckInterval = 50ms;
 
 }  // namespace
 
@@ -130,6 +132,36 @@
   }
 }
 
+asio::awaitable<bool> StatementRunner::MayCommit(const StatementJob& job, ServiceGroup* group) {
+  for (;;) {
+    const Duration stall = group->ExpectedCommitStall();
+    if (stall == Duration{}) {
+      co_return true;
+    }
+    if (stall > job.TimeLeft()) {
+      co_return false;
+    }
+    co_await group->statuses_changed.Wait(std::min<Duration>(job.TimeLeft(), kStallCheckInterval));
+  }
+}
+
+asio::awaitable<bool> StatementRunner::IsSafe(const StatementJob& job,
+                                              ServiceGroup* group,
+                                              std::shared_ptr<EndpointPool> pool,
+                                              const StatementAnswer& answer) {
+  if (!answer.position) {
+    Log(LogLevel::kWarn, "commit acknowledged without a position",
+        {{"service", group->name}, {"endpoint", pool->record().id}, {"statement", job.id}});
+    co_return false;
+  }
+  const TimePoint started = BootNow();
+  const CommitVerdict verdict =
+      co_await this->verifier.Verify(group, pool->record().id, *answer.position, job.TimeLeft());
+  this->metrics->Add(Metric::kCommitChecks, {group->name, kCommitVerdictNames.NameOf(verdict)});
+  this->metrics->Observe(Metric::kCommitCheckSeconds, {group->name}, BootNow() - started);
+  co_return verdict == CommitVerdict::kSafe;
+}
+
 StatementAnswer StatementRunner::Fail(const StatementJob& job,
                                       StatementError error,
                                       std::string_view cause,
@@ -406,6 +438,12 @@
   const Opening opening = job.writes ? Opening::kNone : Opening::kWritable;
   std::string cause = "no primary is known";
   for (;;) {
+    if (job.writes) {
+      const bool may_commit = co_await this->MayCommit(job, group);
+      if (!may_commit) {
+        co_return this->Fail(job, StatementError::kOverloaded, kNoCommits, nullptr);
+      }
+    }
     PrimaryLease primary = co_await this->LeasePrimary(&job, group, false, *state, cause);
     const auto pool = primary.pool;
     if (primary.lease.connection == nullptr) {
@@ -426,6 +464,10 @@
     const auto error = attempt.answer.error;
     if (answered && !error) {
       if (job.writes) {
+        const bool safe = co_await this->IsSafe(job, group, pool, attempt.answer);
+        if (!safe) {
+          co_return this->Fail(job, StatementError::kInDoubt, kUnconfirmedCommit, pool.get());
+        }
         this->NoteCommit(state, attempt.answer);
       }
       this->NoteServed(job, *pool);
--- a/session/statement_runner.h
+++ b/session/statement_runner.h
@@ -10,6 +10,7 @@
 #include "kernel/route_table.h"
 #include "kernel/session_state.h"
 #include "session/access_control.h"
+#include "session/commit_verifier.h"
 #include "session/endpoint_pool.h"
 #include "session/service_group.h"
 #include "session/statement_answer.h"
@@ -69,7 +70,7 @@
  public:
   /// @param cluster,codec,metrics Must outlive this object.
   StatementRunner(Cluster* cluster, const SessionCodec* codec, Metrics* metrics)
-      : cluster(cluster), codec(codec), metrics(metrics) {}
+      : cluster(cluster), codec(codec), metrics(metrics), verifier(cluster) {}
 
   /// Runs a statement outside a transaction.
   /// @param job The statement.
@@ -153,6 +154,15 @@
 
   void NoteRefusal(EndpointPool* pool, StatementError error);
   void NoteCommit(SessionState* state, const StatementAnswer& answer);
+  // Waits until writes can be expected to be confirmed, or for the deadline if that is too late.
+  // @returns Whether the write may be sent.
+  boost::asio::awaitable<bool> MayCommit(const StatementJob& job, ServiceGroup* group);
+  // Waits until no takeover can lose the commit that the primary has acknowledged.
+  // @returns Whether it may be acknowledged to the caller; otherwise it is in doubt.
+  boost::asio::awaitable<bool> IsSafe(const StatementJob& job,
+                                      ServiceGroup* group,
+                                      std::shared_ptr<EndpointPool> pool,
+                                      const StatementAnswer& answer);
   StatementAnswer Fail(const StatementJob& job,
                        StatementError error,
                        std::string_view cause,
@@ -195,6 +205,10 @@
   static constexpr Duration kMaxOverloadPause = 160ms;
   static constexpr int kMaxPauseDoublings = 3;
 
+  // Cause of the error that reports a commit as in doubt although the primary has acknowledged it.
+  static constexpr char kNoCommits[] = "the replicas do not receive the primary's commits";
+  static constexpr char kUnconfirmedCommit[] = "a takeover may lose the acknowledged commit";
+
   // @returns Whether a gateway (a daemon that relays statements) refused the statement to keep
   //     capacity for more urgent ones.
   static bool WasShed(const StatementAttempt& attempt);
@@ -205,6 +219,7 @@
   Cluster* cluster;
   const SessionCodec* codec;
   Metrics* metrics;
+  CommitVerifier verifier;
 };
 
 }  // namespace poplarmoor
--- a/session/statement_runner_transactions.cc
+++ b/session/statement_runner_transactions.cc
@@ -151,6 +151,16 @@
   const auto pool = transaction->pool;
   const bool wrote = transaction->wrote;
   job.commits = wrote;
+  if (wrote) {
+    const bool may_commit = co_await this->MayCommit(job, group);
+    if (!may_commit) {
+      StatementAnswer refused = this->Fail(job, StatementError::kAborted, kNoCommits, pool.get());
+      this->Discard(transaction);
+      *transaction = {};
+      refused.state = TransactionState::kNone;
+      co_return refused;
+    }
+  }
   StatementAttempt attempt = co_await this->Send(&job, Opening::kNone, LogPosition{}, *state, group,
                                                  pool, &transaction->lease, job.TimeLeft());
   StatementAnswer answer = std::move(attempt.answer);
@@ -164,15 +174,22 @@
     answer = this->Fail(job, not_run ? StatementError::kAborted : *answer.error, answer.error_text,
                         pool.get());
   } else {
+    pool->Release(std::move(transaction->lease));
+    bool safe = true;
     if (wrote) {
-      this->NoteCommit(state, answer);
+      safe = co_await this->IsSafe(job, group, pool, answer);
+    }
+    if (!safe) {
+      answer = this->Fail(job, StatementError::kInDoubt, kUnconfirmedCommit, pool.get());
+    } else {
+      if (wrote) {
+        this->NoteCommit(state, answer);
+      }
+      this->NoteServed(job, *pool);
     }
-    this->NoteServed(job, *pool);
   }
   if (answer.error) {
     this->Discard(transaction);
-  } else {
-    pool->Release(std::move(transaction->lease));
   }
   *transaction = {};
   answer.state = TransactionState::kNone;
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -91,9 +91,12 @@
              [this](const StoreSnapshot& snapshot, bool complete) {
                this->ApplyEndpoints(snapshot, complete);
              });
-  start_sync(kTakeoverKind, kDefaultBound, [this](const StoreSnapshot& snapshot, bool complete) {
-    this->ApplyClaims(snapshot, complete);
-  });
+  // Commits can be confirmed over connections that are older than the last confirmed copy of the
+  // claims, so this copy is confirmed as often as that of the endpoints.
+  start_sync(kTakeoverKind, this->bounds.endpoints,
+             [this](const StoreSnapshot& snapshot, bool complete) {
+               this->ApplyClaims(snapshot, complete);
+             });
   SpawnService(this->executor, "track the daemons", [this] { return this->TrackDaemons(); });
 }
 
@@ -255,6 +258,9 @@
   if (kind->name == this->registry->routes_kind()) {
     this->cluster->access().NoteVerified(*kind->verified);
   }
+  if (kind->name == kTakeoverKind) {
+    this->cluster->NoteClaimsVerified(*kind->verified);
+  }
   if (kind->schedule.IsVerified()) {
     kind->changed.NotifyAll();
   }
--- a/telemetry/metric_table.h
+++ b/telemetry/metric_table.h
@@ -37,6 +37,8 @@
   kGroupServing,
   kPromotions,
   kFailoverSeconds,
+  kCommitChecks,
+  kCommitCheckSeconds,
   kMembers,
   kOwnedEndpoints,
   kConfigRevision,
@@ -73,7 +75,7 @@
   std::string_view help;
 };
 
-inline constexpr size_t kMetricCount = 46;
+inline constexpr size_t kMetricCount = 48;
 
 /// Names, labels and meaning of all metrics, indexed by Metric.
 inline constexpr std::array<MetricRow, kMetricCount> kMetricTable{{
@@ -134,6 +136,10 @@
      "Promotions that this daemon attempted."},
     {Metric::kFailoverSeconds, MetricType::kSummary, "poplarmoor_failover_seconds", "service",
      "Time from the first missed probe to the new primary."},
+    {Metric::kCommitChecks, MetricType::kCounter, "poplarmoor_commit_checks_total",
+     "service,verdict", "Commits that the primary has acknowledged, by whether they are safe."},
+    {Metric::kCommitCheckSeconds, MetricType::kSummary, "poplarmoor_commit_check_seconds",
+     "service", "Time from the primary's acknowledgement of a commit to the verdict."},
     {Metric::kMembers, MetricType::kGauge, "poplarmoor_members", "state",
      "Daemons in the member table (alive, suspect or leaving)."},
     {Metric::kOwnedEndpoints, MetricType::kGauge, "poplarmoor_owned_endpoints", "",
--- a/wire/relay_codec.cc
+++ b/wire/relay_codec.cc
@@ -79,7 +79,7 @@
                                uint64_t,
                                bool>;
 using OrderTuple = std::tuple<std::string, std::string, uint64_t, uint64_t>;
-using ReportTuple = std::tuple<std::string, bool, uint64_t, Position, uint64_t>;
+using ReportTuple = std::tuple<std::string, bool, uint64_t, Position, uint64_t, uint64_t>;
 using Revision = std::tuple<uint64_t, uint64_t>;  // Era and number.
 using SyncRequestTuple = std::tuple<std::string, Revision, uint64_t>;
 using ObjectTuple = std::tuple<std::string, Revision, std::string, bool>;
@@ -179,15 +179,16 @@
 
 std::string EncodeRelayReport(const RelayReport& report) {
   return PackTuple(ReportTuple(report.failure, report.is_primary, report.term,
-                               Pack(report.received), report.active_pause_term));
+                               Pack(report.received), report.active_pause_term,
+                               report.connected_us));
 }
 
 RelayReport DecodeRelayReport(std::string_view body) {
   const auto fields = UnpackTuple<ReportTuple>(body, "relay report");
   RelayReport report;
   Position received;
-  std::tie(report.failure, report.is_primary, report.term, received, report.active_pause_term) =
-      fields;
+  std::tie(report.failure, report.is_primary, report.term, received, report.active_pause_term,
+           report.connected_us) = fields;
   report.received = Unpack(received);
   return report;
 }
--- a/wire/relay_codec.h
+++ b/wire/relay_codec.h
@@ -101,6 +101,7 @@
   uint64_t term = 0;
   LogPosition received;
   uint64_t active_pause_term = 0;
+  uint64_t connected_us = 0;  // Age of the gateway's connection to the endpoint.
 };
 
 /// Request to a peer for changes to store objects of one kind.
