--- a/kernel/commit_check.cc
+++ b/kernel/commit_check.cc
@@ -27,22 +27,11 @@
     return CommitVerdict::kUnknown;
   }
   // A member that may have restarted may no longer be paused by a takeover that has read its log
-  // earlier. At least one of the members that such a takeover compares has not restarted.
-  const bool all_received = received == view.witnesses.size();
-  return counted >= view.replicas || (all_received && received >= view.replicas)
-             ? CommitVerdict::kSafe
-             : CommitVerdict::kUnknown;
-}
-
-std::vector<std::string> PendingCandidates(const std::vector<std::string>& ordered,
-                                           const std::string& primary) {
-  const auto leads = std::find(ordered.begin(), ordered.end(), primary);
-  std::vector<std::string> pending(leads == ordered.end() ? ordered.begin() : leads + 1,
-                                   ordered.end());
-  pending.erase(std::remove(pending.begin(), pending.end(), primary), pending.end());
-  std::sort(pending.begin(), pending.end());
-  pending.erase(std::unique(pending.begin(), pending.end()), pending.end());
-  return pending;
+  // earlier. Of several members, at least one has not restarted since.
+  const bool all_received = received == view.witnesses.size() && received >= view.replicas &&
+                            (received > 1 || !view.has_record);
+  return (counted >= view.replicas && view.has_record) || all_received ? CommitVerdict::kSafe
+                                                                       : CommitVerdict::kUnknown;
 }
 
 }  // namespace poplarmoor
--- a/kernel/commit_check.h
+++ b/kernel/commit_check.h
@@ -31,10 +31,13 @@
   std::string primary;    // Endpoint that acknowledged the commit.
   LogPosition position;   // End of the primary's log when it acknowledged the commit.
   uint32_t replicas = 1;  // Number of replicas that must have received an acknowledged commit.
-  // Endpoints whose promotion was ordered and may still take place, as recorded in the store.
+  // Endpoints whose promotion was ordered and may still take place, as recorded in the store, each
+  // once.
   std::vector<std::string> candidates;
   // The members that the store's record of the group names, except for the primary.
   std::vector<CommitWitness> witnesses;
+  // False if the store has no record of the group yet. `witnesses` has all known members then.
+  bool has_record = true;
 };
 
 /// Whether a commit may be acknowledged to the caller.
@@ -58,12 +61,4 @@
 /// @returns The verdict.
 CommitVerdict JudgeCommit(const CommitView& view);
 
-/// @param ordered Endpoints whose promotions were ordered, in the order of their fencing tokens. An
-///     endpoint that was ordered twice may lead by its first order.
-/// @param primary Endpoint that leads; empty: unknown.
-/// @returns The endpoints whose promotion may still take place. The platform carries out no order
-///     with a lower token than that of the endpoint which leads. Each is named once.
-std::vector<std::string> PendingCandidates(const std::vector<std::string>& ordered,
-                                           const std::string& primary);
-
 }  // namespace poplarmoor
--- a/kernel/takeover_plan.cc
+++ b/kernel/takeover_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 
 namespace poplarmoor {
 
@@ -69,17 +70,31 @@
   return found == members.end() ? nullptr : &*found;
 }
 
+// Whether the member was one of those that make commits safe, and has started again without its
+// log.
+bool HasLostItsLog(const MemberStatus& member, LogPosition known_position) {
+  return member.recorded && HasEmptyLog(member) && known_position.index != 0;
+}
+
 // Returns whether the members whose logs are known have every acknowledged commit between them. A
 // member that does not answer has an unknown log. A member with an empty log counts as one of
 // these: it has just joined, or has started again without the log that it had. So does a former
-// primary that does not lead, because this function is called only if its log is not known to be
-// whole.
-bool KnownLogsSuffice(const TakeoverView& view) {
-  const auto unknown =
+// primary that does not lead, unless `old_primary_is_whole`, and a candidate of an ordered
+// promotion that is not a member any more: it may have led since.
+bool KnownLogsSuffice(const TakeoverView& view, bool old_primary_is_whole) {
+  auto unknown =
       std::count_if(view.members.begin(), view.members.end(), [&](const MemberStatus& member) {
-        return !member.reachable || HasEmptyLog(member) || member.id == view.old_primary;
+        const bool is_former = member.id == view.old_primary && !old_primary_is_whole;
+        return !member.reachable || HasEmptyLog(member) || is_former;
       });
-  return static_cast<size_t>(unknown) <= view.synchronous_replicas;
+  std::set<std::string> gone;
+  for (const OrderedPromotion& promotion : view.ordered) {
+    gone.insert(promotion.endpoint);
+  }
+  for (const MemberStatus& member : view.members) {
+    gone.erase(member.id);
+  }
+  return static_cast<size_t>(unknown) + gone.size() <= view.synchronous_replicas;
 }
 
 // Returns the newest candidate of an ordered promotion that can be promoted again, or null.
@@ -110,7 +125,7 @@
 TakeoverStep NextTakeoverStep(const TakeoverView& view) {
   const MemberStatus* primary = nullptr;
   std::vector<const MemberStatus*> replicas;
-  const MemberStatus* unreachable_replica = nullptr;
+  const MemberStatus* unknown_replica = nullptr;
   for (const MemberStatus& member : view.members) {
     const bool leads = member.reachable && member.is_primary;
     if (leads && member.id != view.old_primary && !member.departed) {
@@ -120,23 +135,25 @@
       primary = primary == nullptr || leads ? &member : primary;
     } else if (member.reachable) {
       replicas.push_back(&member);
+      unknown_replica = HasLostItsLog(member, view.known_position) ? &member : unknown_replica;
     } else {
-      unreachable_replica = &member;
+      unknown_replica = &member;
     }
   }
   for (const MemberStatus& member : view.members) {
     // The log of a former primary is unknown as well when a departed member leads.
     if (&member != primary && member.id == view.old_primary && !member.reachable) {
-      unreachable_replica = &member;
+      unknown_replica = &member;
     }
   }
   if (const MemberStatus* ordered = FindOrderedCandidate(view)) {
     return {Kind::kPromote, ordered->id, "an earlier takeover has ordered this promotion"};
   }
   const bool primary_answers = primary != nullptr && primary->reachable;
-  // If the candidate of an earlier order has led since, the log of the old primary is not whole.
-  const bool stepped_down = view.ordered.empty() &&
-                            OldPrimaryHasWholeLog(replicas, view.old_primary, view.known_position);
+  const bool old_primary_is_whole =
+      OldPrimaryHasWholeLog(replicas, view.old_primary, view.known_position);
+  // The candidate of an earlier order may have led since.
+  const bool stepped_down = (view.ordered.empty() || view.none_has_led) && old_primary_is_whole;
   const bool is_unneeded =
       view.reason == TakeoverReason::kPrimaryLost || view.reason == TakeoverReason::kUnfinished;
   if (primary_answers && !primary->departed && is_unneeded && view.ordered.empty()) {
@@ -146,7 +163,7 @@
   // known can be that of a paused replica although the other one has received more since.
   // A silent primary may still lead and send its log to the replicas.
   // So may any member that does not answer, if the former primary is not among the replicas.
-  const bool may_lead = primary != nullptr || (unreachable_replica != nullptr && !stepped_down);
+  const bool may_lead = primary != nullptr || (unknown_replica != nullptr && !stepped_down);
   const bool can_catch_up = may_lead && (primary_answers || !view.catch_up_failed);
   const uint64_t pause_limit = can_catch_up ? view.pause_term : kAnyPauseTerm;
   const MemberStatus* candidate = BestReplica(replicas, false, pause_limit);
@@ -168,14 +185,14 @@
     // More members than these have received each acknowledged commit, so some are not known yet.
     return {Kind::kWait, candidate->id, "fewer members are known than acknowledge a commit"};
   }
-  const bool enough_logs = stepped_down || (!primary_answers && KnownLogsSuffice(view));
-  if (unreachable_replica != nullptr && !enough_logs) {
+  const bool enough_logs =
+      stepped_down || (!primary_answers && KnownLogsSuffice(view, old_primary_is_whole));
+  if (unknown_replica != nullptr && !enough_logs) {
     // The replica that does not answer may hold acknowledged commits that the candidate lacks. No
     // such commit lies beyond the end of the primary's log, and only the primary can report this
     // end.
     if (!primary_answers) {
-      return {Kind::kWait, unreachable_replica->id,
-              "a replica with an unknown log does not answer"};
+      return {Kind::kWait, unknown_replica->id, "a replica with an unknown log does not answer"};
     }
     return {Kind::kStepDown, primary->id, "a replica with an unknown log does not answer"};
   }
@@ -210,6 +227,15 @@
   return {Kind::kPromote, candidate->id, "the candidate holds every acknowledged commit"};
 }
 
+bool NoneHasLed(const TakeoverView& view) {
+  return std::all_of(view.ordered.begin(), view.ordered.end(), [&view](const auto& promotion) {
+    return promotion.term != 0 &&
+           std::any_of(view.members.begin(), view.members.end(), [&](const MemberStatus& member) {
+             return member.reachable && member.active_pause_term == promotion.term;
+           });
+  });
+}
+
 bool LeadsIn(const std::vector<MemberStatus>& members, const std::string& id) {
   return std::any_of(members.begin(), members.end(), [&id](const MemberStatus& member) {
     return member.id == id && member.reachable && member.is_primary;
--- a/kernel/takeover_plan.h
+++ b/kernel/takeover_plan.h
@@ -5,6 +5,7 @@
 
 #include "kernel/log_position.h"
 #include "kernel/name_table.h"
+#include "kernel/ordered_promotion.h"
 
 namespace poplarmoor {
 
@@ -17,6 +18,9 @@
   // The endpoint has no registry entry any more. Its log is still compared, because it may be the
   // only one with some acknowledged commits, but the endpoint is not promoted.
   bool departed = false;
+  // The store's record of the group named the endpoint before the takeover. Its log may have been
+  // one of those that made a commit safe.
+  bool recorded = false;
   bool is_primary = false;
   uint64_t term = 0;     // Highest term that the endpoint knows.
   LogPosition received;  // Position of the last entry in the endpoint's log.
@@ -40,14 +44,6 @@
     {TakeoverReason::kUnfinished, "unfinished"},
 }}};
 
-/// A promotion that was ordered and may still take place.
-struct OrderedPromotion {
-  std::string endpoint;
-  // End of the endpoint's log when the promotion was ordered. A shorter log means that the endpoint
-  // has started again without it.
-  LogPosition received;
-};
-
 /// What a takeover knows after it has called every member of the group for its status.
 struct TakeoverView {
   TakeoverReason reason = TakeoverReason::kPrimaryLost;
@@ -65,6 +61,8 @@
   uint32_t synchronous_replicas = 0;
   // Promotions that earlier takeovers have ordered and that may still take place, oldest first.
   std::vector<OrderedPromotion> ordered;
+  // True if NoneHasLed() was true for the first statuses of this takeover or for later ones.
+  bool none_has_led = false;
   // True if the candidate has lacked entries of a paused replica for longer than replication takes.
   bool catch_up_failed = false;
 };
@@ -106,6 +104,11 @@
 /// @returns The step.
 TakeoverStep NextTakeoverStep(const TakeoverView& view);
 
+/// @returns Whether the members show that none of the ordered promotions has taken place: a
+/// promotion
+///     ends all pauses, and a member is still paused by the takeover that has ordered it.
+bool NoneHasLed(const TakeoverView& view);
+
 /// @returns Whether the member answered as the primary.
 bool LeadsIn(const std::vector<MemberStatus>& members, const std::string& id);
 
--- a/session/commit_verifier.cc
+++ b/session/commit_verifier.cc
@@ -49,10 +49,11 @@
   if (service != this->cluster->routes().services.end()) {
     view.replicas = service->second.synchronous_replicas;
   }
-  view.candidates = group.PendingPromotions(primary);
+  view.candidates = group.PendingCandidates(primary, position.term);
+  view.has_record = !group.claim.members.empty();
   for (const auto& [id, pool] : group.members) {
     const bool recorded =
-        group.claim.members.empty() ||
+        !view.has_record ||
         std::any_of(group.claim.members.begin(), group.claim.members.end(),
                     [&id = id](const TakeoverMember& member) { return member.id == id; });
     if (!recorded || id == primary) {
@@ -64,7 +65,9 @@
     witness.answered = report.has_value();
     if (report) {
       witness.received = report->received;
-      witness.continuous = group.calm_at && report->connected_since < *group.calm_at;
+      // Other daemons may already have forgotten a departed member.
+      witness.continuous =
+          !pool->departed && group.calm_at && report->connected_since < *group.calm_at;
     }
     view.witnesses.push_back(std::move(witness));
   }
@@ -77,6 +80,7 @@
                                                       Duration limit) {
   const TimePoint started = BootNow();
   const auto waiting = group->unconfirmed.insert(started);
+  group->term = std::max(group->term, position.term);
   CommitView view;
   CommitVerdict verdict = CommitVerdict::kUnknown;
   for (;;) {
--- a/session/service_group.cc
+++ b/session/service_group.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "kernel/commit_check.h"
 #include "kernel/ownership.h"
 #include "session/boot_clock.h"
 #include "telemetry/log.h"
@@ -121,7 +120,8 @@
     this->claim = std::move(newer);
     return;
   }
-  if (newer.phase == TakeoverPhase::kResuming) {
+  const bool is_new_resume = newer.resume_pending && !this->claim.resume_pending;
+  if (newer.phase == TakeoverPhase::kResuming || is_new_resume) {
     this->resume_pending_until = BootNow() + kLateOrderWindow;
   } else if (newer.phase == TakeoverPhase::kAbandoned) {
     this->resume_pending_until = {};
@@ -149,12 +149,9 @@
   }
 }
 
-std::vector<std::string> ServiceGroup::PendingPromotions(const std::string& primary) const {
-  std::vector<std::string> ordered;
-  for (const OrderedPromotion& promotion : this->claim.ordered) {
-    ordered.push_back(promotion.endpoint);
-  }
-  return PendingCandidates(ordered, primary);
+std::vector<std::string> ServiceGroup::PendingCandidates(const std::string& primary,
+                                                         uint64_t term) const {
+  return CandidatesOf(PendingPromotions(this->claim.ordered, primary, term), primary);
 }
 
 bool ServiceGroup::HasTakeoverInProgress() const {
@@ -204,6 +201,10 @@
   if (restored.phase == TakeoverPhase::kResuming) {
     this->resume_pending_until = BootNow() + kLateOrderWindow;
   }
+  if (restored.revision.number < this->claim.revision.number) {
+    // The copy is older than the known claim and lacks the promotions that were ordered since.
+    restored.ordered = this->claim.ordered;
+  }
   this->claim = std::move(restored);
   if (!is_same) {
     this->claim_seen = BootNow();
--- a/session/service_group.h
+++ b/session/service_group.h
@@ -61,10 +61,13 @@
   /// @returns Candidates of the ordered promotions that may still take place, as far as the known
   ///     claim tells.
   /// @param primary Endpoint that leads; empty: unknown.
-  std::vector<std::string> PendingPromotions(const std::string& primary) const;
+  /// @param term Term in which it leads; 0: unknown.
+  std::vector<std::string> PendingCandidates(const std::string& primary, uint64_t term) const;
 
   /// @returns Whether an ordered promotion may still take place.
-  bool HasOrderedPromotion() const { return !this->PendingPromotions(this->old_primary).empty(); }
+  bool HasOrderedPromotion() const {
+    return !this->PendingCandidates(this->old_primary, this->term).empty();
+  }
 
   /// @returns Whether a takeover may be in progress, as far as the known claim tells.
   bool HasTakeoverInProgress() const;
--- a/session/takeover_claim.cc
+++ b/session/takeover_claim.cc
@@ -27,14 +27,19 @@
   nlohmann::json ordered = nlohmann::json::array();
   for (const OrderedPromotion& promotion : claim.ordered) {
     ordered.push_back({{"endpoint", promotion.endpoint},
-                       {"term", promotion.received.term},
-                       {"index", promotion.received.index}});
+                       {"received_term", promotion.received.term},
+                       {"received_index", promotion.received.index},
+                       {"term", promotion.term}});
   }
-  return nlohmann::json{
-      {"service", claim.service},   {"phase", kTakeoverPhaseNames.NameOf(claim.phase)},
-      {"holder", claim.holder},     {"nonce", claim.nonce},
-      {"endpoint", claim.endpoint}, {"lost_primary", claim.lost_primary},
-      {"members", members},         {"ordered", ordered}}
+  return nlohmann::json{{"service", claim.service},
+                        {"phase", kTakeoverPhaseNames.NameOf(claim.phase)},
+                        {"holder", claim.holder},
+                        {"nonce", claim.nonce},
+                        {"endpoint", claim.endpoint},
+                        {"lost_primary", claim.lost_primary},
+                        {"members", members},
+                        {"ordered", ordered},
+                        {"resume_pending", claim.resume_pending}}
       .dump();
 }
 
@@ -57,9 +62,11 @@
       claim.members.push_back({member.at("id"), member.at("address"), member.at("failure_domain")});
     }
     for (const nlohmann::json& promotion : body.value("ordered", nlohmann::json::array())) {
-      claim.ordered.push_back(
-          {promotion.at("endpoint"), {promotion.at("term"), promotion.at("index")}});
+      claim.ordered.push_back({promotion.at("endpoint"),
+                               {promotion.at("received_term"), promotion.at("received_index")},
+                               promotion.at("term")});
     }
+    claim.resume_pending = body.value("resume_pending", false);
     claim.revision = revision;
     return claim;
   } catch (const nlohmann::json::exception& error) {
--- a/session/takeover_claim.h
+++ b/session/takeover_claim.h
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "kernel/name_table.h"
+#include "kernel/ordered_promotion.h"
 #include "kernel/store_revision.h"
-#include "kernel/takeover_plan.h"
 
 namespace poplarmoor {
 
@@ -50,7 +50,11 @@
   std::vector<OrderedPromotion> ordered;
   std::string lost_primary;  // Primary that the holder cannot reach; empty when the takeover has
                              // another reason.
-  // All members that the holder knew when it claimed the takeover. Later, members that register are
+  // An earlier holder has ordered replicas to resume replication, and an endpoint may still carry
+  // such an order out. The time for which it may do so starts anew at each daemon that learns of
+  // it.
+  bool resume_pending = false;
+  // Members whose logs takeovers compare. Between takeovers, members that register are
   // added and forgotten ones removed, also before the first takeover (phase kNone). A daemon that
   // starts later may not find all of them in the registry.
   std::vector<TakeoverMember> members;
--- a/session/takeover_controller.h
+++ b/session/takeover_controller.h
@@ -75,7 +75,7 @@
   boost::asio::awaitable<void> ForgetEarlierOrders(std::shared_ptr<Takeover> takeover);
   // Asks the candidate for its log before an order is sent: an endpoint that has started again
   // without its log must not be promoted.
-  // @returns Whether it may be promoted, also if it does not answer.
+  // @returns Whether it has shown its log.
   boost::asio::awaitable<bool> HasLog(OrderedPromotion promotion);
   // Waits until the endpoint whose promotion was accepted leads.
   boost::asio::awaitable<void> AwaitPromotion(ServiceGroup* group, std::string endpoint);
--- a/session/takeover_controller_steps.cc
+++ b/session/takeover_controller_steps.cc
@@ -32,6 +32,8 @@
 // A candidate that lacks entries of a paused replica for this time does not receive the primary's
 // log; replication takes some milliseconds.
 constexpr Duration kCatchUpTimeout = 500ms;
+// A candidate that does not show its log for this time before an order is given up.
+constexpr Duration kCandidateTimeout = 500ms;
 // Interval of status calls to all members during a promotion.
 constexpr Duration kPromotionPollInterval = 100ms;
 // Interval at which a takeover checks during a promotion whether the group has new members.
@@ -69,6 +71,16 @@
                     [](const auto& one, const auto& other) { return one.id == other.id; });
 }
 
+bool IsRecorded(const TakeoverClaim& claim, const std::string& id) {
+  return std::any_of(claim.members.begin(), claim.members.end(),
+                     [&id](const TakeoverMember& member) { return member.id == id; });
+}
+
+TakeoverMember RecordOf(const EndpointPool& pool) {
+  const EndpointRecord& record = pool.record();
+  return {record.id, record.address, record.failure_domain};
+}
+
 bool HaveSameOrders(const TakeoverClaim& left, const TakeoverClaim& right) {
   return std::equal(
       left.ordered.begin(), left.ordered.end(), right.ordered.begin(), right.ordered.end(),
@@ -122,6 +134,7 @@
   claim.phase = TakeoverPhase::kClaimed;
   claim.holder = this->daemon;
   claim.nonce = this->random();
+  claim.resume_pending = BootNow() < group->resume_pending_until;
   claim.ordered = group->claim.ordered;
   if (!claim.ordered.empty() && !group->HasOrderedPromotion()) {
     claim.ordered.erase(claim.ordered.begin(), claim.ordered.end() - 1);
@@ -129,8 +142,12 @@
   if (reason == TakeoverReason::kPrimaryLost) {
     claim.lost_primary = group->old_primary;
   }
+  // A member that has joined since is recorded after the takeover: no commit rests on its log.
+  const bool has_record = !group->claim.members.empty();
   for (const auto& [id, pool] : group->members) {
-    claim.members.push_back({id, pool->record().address, pool->record().failure_domain});
+    if (!has_record || IsRecorded(group->claim, id)) {
+      claim.members.push_back(RecordOf(*pool));
+    }
   }
   std::string cause;
   claim.revision = co_await this->StoreClaim(claim, group->claim.revision.number, &cause);
@@ -231,13 +248,6 @@
   TakeoverView& view = takeover->view;
   view.reason = reason;
   view.old_primary = group->old_primary;
-  if (group->HasOrderedPromotion()) {
-    const auto& ordered = takeover->held.ordered;
-    const auto led = std::find_if(ordered.begin(), ordered.end(), [&view](const auto& promotion) {
-      return promotion.endpoint == view.old_primary;
-    });
-    view.ordered.assign(led == ordered.end() ? ordered.begin() : led + 1, ordered.end());
-  }
   const auto service = this->cluster->routes().services.find(group->name);
   if (service != this->cluster->routes().services.end()) {
     view.synchronous_replicas = service->second.synchronous_replicas;
@@ -249,6 +259,14 @@
   while (BootNow() < deadline && takeover->IsHeld()) {
     if (outdated || !IsCurrent(view, *group)) {
       view.members = co_await this->CollectStatuses(group, kOrderTimeout);
+      for (MemberStatus& member : view.members) {
+        member.recorded = IsRecorded(takeover->held, member.id);
+        if (member.reachable && member.is_primary && member.id == view.old_primary) {
+          group->term = std::max(group->term, member.term);
+        }
+      }
+      view.ordered = PendingPromotions(takeover->held.ordered, view.old_primary, group->term);
+      view.none_has_led |= NoneHasLed(view);
       outdated = false;
       uint64_t newest = group->term;
       for (const MemberStatus& member : view.members) {
@@ -400,8 +418,15 @@
                                                        std::vector<OrderedPromotion> ordered) {
   TakeoverClaim claim = group->claim;
   claim.phase = phase;
+  claim.resume_pending = phase == TakeoverPhase::kResuming ||
+                         (claim.resume_pending && phase != TakeoverPhase::kAbandoned);
   claim.endpoint = ordered.empty() ? std::string() : ordered.back().endpoint;
   claim.ordered = std::move(ordered);
+  const auto candidate = group->members.find(claim.endpoint);
+  if (candidate != group->members.end() && !IsRecorded(claim, claim.endpoint)) {
+    // Daemons ask only recorded members for what they have received.
+    claim.members.push_back(RecordOf(*candidate->second));
+  }
   std::string cause;
   claim.revision = co_await this->StoreClaim(claim, claim.revision.number, &cause);
   if (!claim.revision.Exists()) {
@@ -437,7 +462,7 @@
   if (ordered.empty() || ordered.back().endpoint != endpoint) {
     for (const MemberStatus& member : takeover->view.members) {
       if (member.id == endpoint) {
-        ordered.push_back({endpoint, member.received});
+        ordered.push_back({endpoint, member.received, takeover->view.pause_term});
       }
     }
   }
@@ -452,7 +477,7 @@
   while (takeover->IsHeld()) {
     const bool has_log = co_await this->HasLog(ordered.back());
     if (!has_log) {
-      Log(LogLevel::kWarn, "promotion not ordered: the candidate has started without its log",
+      Log(LogLevel::kWarn, "promotion not ordered: the candidate does not show its log",
           {{"service", group->name}, {"endpoint", endpoint}});
       break;
     }
@@ -501,19 +526,23 @@
 }
 
 asio::awaitable<bool> TakeoverController::HasLog(OrderedPromotion promotion) {
-  const auto pool = this->cluster->FindEndpoint(promotion.endpoint);
-  if (pool == nullptr) {
-    co_return false;
-  }
-  try {
-    const EndpointReport report =
-        co_await pool->SendOrder(EndpointOrder::kStatus, 0, kOrderTimeout, false);
-    co_return report.received >= promotion.received;
-  } catch (const std::runtime_error& error) {
-    Log(LogLevel::kDebug, "status call failed",
-        {{"endpoint", promotion.endpoint}, {"cause", error.what()}});
-  }
-  co_return true;
+  const TimePoint deadline = BootNow() + kCandidateTimeout;
+  do {
+    const auto pool = this->cluster->FindEndpoint(promotion.endpoint);
+    if (pool == nullptr) {
+      co_return false;
+    }
+    try {
+      const EndpointReport report =
+          co_await pool->SendOrder(EndpointOrder::kStatus, 0, kOrderTimeout, false);
+      co_return report.received >= promotion.received;
+    } catch (const std::runtime_error& error) {
+      Log(LogLevel::kDebug, "status call failed",
+          {{"endpoint", promotion.endpoint}, {"cause", error.what()}});
+    }
+    co_await Pause(kStatusRoundInterval);
+  } while (BootNow() < deadline);
+  co_return false;
 }
 
 asio::awaitable<void> TakeoverController::AwaitPromotion(ServiceGroup* group,
--- a/tests/kernel/commit_check_test.cc
+++ b/tests/kernel/commit_check_test.cc
@@ -71,18 +71,19 @@
   CHECK(JudgeCommit(View({Witness("a", 99), earlier})) == CommitVerdict::kUnknown);
 }
 
-// Guards against commits that the candidate of an unanswered order lacks after another promotion.
-TEST_CASE("only orders after that of the endpoint which leads may still be carried out") {
-  using Ids = std::vector<std::string>;
-  CHECK(PendingCandidates({}, "p").empty());
-  CHECK(PendingCandidates({"a"}, "p") == Ids{"a"});
-  CHECK(PendingCandidates({"a"}, "a").empty());
-  CHECK(PendingCandidates({"a", "b"}, "a") == Ids{"b"});
-  CHECK(PendingCandidates({"a", "b"}, "b").empty());
-  CHECK(PendingCandidates({"a", "b"}, "p") == Ids{"a", "b"});
-  // Endpoint a may lead by its first order, so that b's order is not invalid yet.
-  CHECK(PendingCandidates({"a", "b", "a"}, "a") == Ids{"b"});
-  CHECK(PendingCandidates({"a", "b", "a"}, "p") == Ids{"a", "b"});
+// Guards against commits that only one member has which may have restarted, or that only members
+// have which other daemons do not know yet.
+TEST_CASE("a single member shows a commit only if it has not restarted") {
+  CommitView view = View({Witness("a", 100, false)});
+  CHECK(JudgeCommit(view) == CommitVerdict::kUnknown);
+  view.witnesses = {Witness("a", 100)};
+  CHECK(JudgeCommit(view) == CommitVerdict::kSafe);
+  // Without a record, all known members must have the commit.
+  view.has_record = false;
+  view.witnesses = {Witness("a", 100), Witness("b", 99)};
+  CHECK(JudgeCommit(view) == CommitVerdict::kUnknown);
+  view.witnesses = {Witness("a", 100), Witness("b", 100)};
+  CHECK(JudgeCommit(view) == CommitVerdict::kSafe);
 }
 
 }  // namespace
--- a/tests/kernel/takeover_plan_test.cc
+++ b/tests/kernel/takeover_plan_test.cc
@@ -220,6 +220,60 @@
   CHECK(NextTakeoverStep(view).kind == Kind::kWait);
 }
 
+// Guards against the loss of commits that a replica had which has started again without its log:
+// the others may lack them, and the primary has them.
+TEST_CASE("a takeover does not rely on the log of a replica that has lost it") {
+  for (const bool answers : {false, true}) {
+    auto view = View(TakeoverReason::kReplicationStalled,
+                     {Primary(answers), Replica("a", 0), Replica("b", 90)});
+    view.members[1].received = {};
+    view.members[1].active_pause_term = 4;
+    view.known_position = {3, 100};
+    view.synchronous_replicas = 1;
+    // A replica that has just joined never had a log.
+    CHECK(NextTakeoverStep(view).kind == Kind::kPromote);
+    view.members[1].recorded = true;
+    CHECK(NextTakeoverStep(view).kind == (answers ? Kind::kStepDown : Kind::kWait));
+  }
+  // The primary has stepped down and is promoted again.
+  auto view = View(TakeoverReason::kReplicationStalled,
+                   {Replica("p", 100), Replica("a", 0), Replica("b", 90)});
+  view.members[1].received = {};
+  view.members[1].recorded = true;
+  view.known_position = {3, 100};
+  for (int order = 0; order < 3 && NextTakeoverStep(view).kind == Kind::kPause; ++order) {
+    for (MemberStatus& member : view.members) {
+      member.active_pause_term =
+          member.id == NextTakeoverStep(view).endpoint ? 4 : member.active_pause_term;
+    }
+  }
+  CHECK(NextTakeoverStep(view).kind == Kind::kPromote);
+  CHECK(NextTakeoverStep(view).endpoint == "p");
+}
+
+// Guards against a service without a primary for ever when the candidate of an ordered promotion is
+// gone for good.
+TEST_CASE("a takeover promotes another endpoint if the ordered candidate is gone") {
+  MemberStatus gone = Replica("a", 0);
+  gone.reachable = false;
+  auto view = View(TakeoverReason::kUnfinished, {Primary(true), gone, Replica("b", 100)});
+  view.ordered = {{"a", {3, 95}}};
+  view.known_position = {3, 100};
+  view.synchronous_replicas = 1;
+  CHECK(NextTakeoverStep(view).kind == Kind::kStepDown);
+  view.members[0] = Replica("p", 100);
+  REQUIRE(NextTakeoverStep(view).kind == Kind::kPause);
+  view.members[NextTakeoverStep(view).endpoint == "p" ? 0 : 2].active_pause_term = 4;
+  CHECK(NextTakeoverStep(view).kind == Kind::kPromote);
+  // The candidate may have led, and with another unknown log its commits may be missing.
+  view.members.push_back(gone);
+  view.members.back().id = "c";
+  CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+  // The same if the candidate has been forgotten.
+  view.members.erase(view.members.begin() + 1);
+  CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+}
+
 // Guards against the promotion of an endpoint that has started again without its log while the
 // primary, which is the only one with the log, cannot be reached or cannot reach its replicas.
 TEST_CASE("a replica with an empty log is not promoted if the service has commits") {
@@ -242,8 +296,19 @@
   auto view = View(TakeoverReason::kPrimaryLost, {Replica("p", 100), Replica("a", 90), silent});
   view.synchronous_replicas = 1;
   CHECK(NextTakeoverStep(view).kind == Kind::kPause);
-  view.ordered = {{"b", {3, 90}}};
+  // Endpoint b may have led, and its commits may be at c alone.
+  MemberStatus other = silent;
+  other.id = "c";
+  view.members.push_back(other);
+  CHECK(NextTakeoverStep(view).kind == Kind::kPause);
+  view.ordered = {{"b", {3, 90}, 4}};
   CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+  // A promotion of b would have ended the pause that was ordered before it.
+  CHECK_FALSE(NoneHasLed(view));
+  view.members[1].active_pause_term = 4;
+  CHECK(NoneHasLed(view));
+  view.none_has_led = true;
+  CHECK(NextTakeoverStep(view).kind == Kind::kPause);
 }
 
 // The statuses of a takeover are read one after the other while the primary commits, a replica
