peers: a call that was given up behind a cut does not run once the cut heals

Cause: when a peer does not answer, a daemon gives its repeatable calls up and sends them through another gateway, but the connection was closed without a reset, and only when its last call had ended; the long poll for changes of the store kept it open.

Change: connections to peers are reset when they are closed, also when the process ends (linger 0), and a connection that gets no new calls is closed as soon as only long polls are unanswered. Those fail and are sent again over a new connection.

Ruled out: closing at once although writes are unanswered, because they would be in doubt without need. Calls that were given up can still arrive while such a write waits for its time limit.

--- a/net/outgoing_peer.cc
+++ b/net/outgoing_peer.cc
@@ -30,7 +30,7 @@
       }
     }
     this->draining = true;
-    done = this->calls.empty();
+    done = this->ShouldClose();
   }
   for (const Call& call : ended) {
     call.promise->Set({{}, "peer " + this->address + " does not answer", call.sent});
@@ -40,4 +40,11 @@
   }
 }
 
+bool OutgoingPeer::ShouldClose() const {
+  return this->draining &&
+         std::all_of(this->calls.begin(), this->calls.end(), [](const auto& entry) {
+           return entry.second.kind == PeerCallKind::kLongPoll;
+         });
+}
+
 }  // namespace poplarmoor
--- a/net/outgoing_peer.h
+++ b/net/outgoing_peer.h
@@ -41,7 +41,7 @@
   bool open = false;
   bool closed = false;
   // Whether the connection was removed from PeerNetwork's cache, so that it gets no new calls. The
-  // connection is closed when its last unanswered call ends.
+  // connection is closed when its last unanswered call other than a long poll ends.
   bool draining = false;
   TimePoint last_used;  // Time at which the latest call started.
 
@@ -51,10 +51,15 @@
   ///     wait long before it answers them.
   bool IsUnresponsiveSince(TimePoint since);
 
-  /// Ends all repeatable calls and all unsent non-repeatable calls with an error. The other calls
-  /// continue, and the connection is closed when the last of them ends. Remove the connection from
-  /// PeerNetwork's cache before calling this.
+  /// Ends all repeatable calls and all unsent non-repeatable calls with an error. The sent
+  /// non-repeatable calls continue; when the last of them ends, the connection is closed, and long
+  /// polls end with an error. Remove the connection from PeerNetwork's cache before calling this.
   void FailRetryableCalls();
+
+  /// @returns Whether the connection is to be closed now, because it is draining and only long polls
+  ///     are unanswered. They would keep it open, and calls that were given up on it would run at
+  ///     the peer once a partition has healed. The caller holds `mutex`.
+  bool ShouldClose() const;
 };
 
 }  // namespace poplarmoor
--- a/net/peer_connection.cc
+++ b/net/peer_connection.cc
@@ -123,6 +123,9 @@
   this->remote_address = address;
   co_await this->socket.async_connect(ParseAddress(address), asio::use_awaitable);
   this->socket.set_option(asio::ip::tcp::no_delay(true));
+  // Closing resets the connection, also when the process ends: bytes that a partition holds up
+  // belong to calls that nobody waits for, and the peer would run them once the partition heals.
+  this->socket.set_option(asio::socket_base::linger(true, 0));
 
   Handshake handshake{keys->current(), daemon, MakeNonce(), {}, {}};
   this->Send(PackHandshakeMessage("hello", daemon, handshake.key_id, handshake.client_nonce, ""));
--- a/net/peer_connection.h
+++ b/net/peer_connection.h
@@ -29,7 +29,8 @@
   /// @param traffic Counts the bytes that are sent and received; must not be null.
   PeerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<TrafficCounter> traffic);
 
-  /// Connects to another daemon; then both daemons authenticate each other.
+  /// Connects to another daemon; then both daemons authenticate each other. Closing a connection
+  /// that was opened so resets it: bytes that have not reached the peer are lost.
   /// @param address Address of the other daemon's peer listener, "IP:port".
   /// @param daemon Name of this daemon.
   /// @param keys Shared keys of the daemons.
--- a/net/peer_network.cc
+++ b/net/peer_network.cc
@@ -312,7 +312,7 @@
     }
     promise = std::move(found->second.promise);
     peer.calls.erase(found);
-    done = peer.draining && peer.calls.empty();
+    done = peer.ShouldClose();
   }
   CallOutcome outcome;
   if (frame.message.type == kRefused || frame.message.type == kFailed) {
@@ -381,11 +381,12 @@
     silent = peer->connection->last_received() <= found->second.started;
     peer->calls.erase(found);
     peer->draining = peer->draining || silent;
-    done = peer->draining && peer->calls.empty();
+    done = peer->ShouldClose();
   }
   if (silent) {
     // No byte has arrived since the call started, so the connection may be dead. New calls use a
-    // new connection. The old one stays open, because its other calls may still get their answers.
+    // new connection. The old one stays open while calls other than long polls may still get their
+    // answers.
     this->RemoveFromCache(peer);
   }
   if (done) {
--- a/tests/net/peer_network_test.cc
+++ b/tests/net/peer_network_test.cc
@@ -1,8 +1,11 @@
+#include <poll.h>
+
 #include <utility>
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <future>
+#include <mutex>
 #include <thread>
 
 #include "net/address.h"
@@ -114,6 +117,101 @@
   std::vector<std::thread> threads;
 };
 
+// Link to a peer that can be cut: bytes sent meanwhile arrive once it heals, unless their sender
+// has reset the connection.
+class CuttableLink {
+ public:
+  explicit CuttableLink(const std::string& target) : target(ParseAddress(target)) {
+    this->acceptor.non_blocking(true);
+    this->thread = std::thread([this] {
+      while (!this->stopping) {
+        {
+          std::lock_guard lock(this->mutex);
+          this->Accept();
+          if (!this->cut) {
+            std::erase_if(this->connections, [](auto& pair) { return !Pass(&pair); });
+          }
+        }
+        std::this_thread::sleep_for(1ms);
+      }
+    });
+  }
+
+  ~CuttableLink() {
+    this->stopping = true;
+    this->thread.join();
+  }
+
+  std::string address() const { return FormatAddress(this->acceptor.local_endpoint()); }
+
+  void SetCut(bool cut) {
+    std::lock_guard lock(this->mutex);
+    this->cut = cut;
+  }
+
+  /// Waits until the caller has closed its oldest connection.
+  /// @returns Whether it did so within kMaxStartWait.
+  bool AwaitClose() {
+    const auto deadline = std::chrono::steady_clock::now() + kMaxStartWait;
+    while (std::chrono::steady_clock::now() < deadline) {
+      {
+        std::lock_guard lock(this->mutex);
+        pollfd state{this->connections.front().caller.native_handle(), POLLRDHUP, 0};
+        if (::poll(&state, 1, 0) > 0) {
+          return true;
+        }
+      }
+      std::this_thread::sleep_for(1ms);
+    }
+    return false;
+  }
+
+ private:
+  struct Pair {
+    tcp::socket caller;
+    tcp::socket peer;
+  };
+
+  void Accept() {
+    boost::system::error_code error;
+    tcp::socket caller(this->context);
+    this->acceptor.accept(caller, error);
+    if (!error) {
+      tcp::socket peer(this->context);
+      peer.connect(this->target);
+      caller.non_blocking(true);
+      peer.non_blocking(true);
+      this->connections.push_back({std::move(caller), std::move(peer)});
+    }
+  }
+
+  // Returns whether the connection is still open.
+  static bool Pass(Pair* pair) {
+    return PassOn(&pair->caller, &pair->peer) && PassOn(&pair->peer, &pair->caller);
+  }
+
+  static bool PassOn(tcp::socket* from, tcp::socket* to) {
+    std::string bytes;
+    boost::system::error_code error;
+    asio::read(*from, asio::dynamic_buffer(bytes), error);
+    if (error == asio::error::connection_reset) {
+      return false;
+    }
+    boost::system::error_code ignored;
+    asio::write(*to, asio::buffer(bytes), ignored);
+    return error == asio::error::would_block;
+  }
+
+  tcp::endpoint target;
+  asio::io_context context;
+  tcp::acceptor acceptor{context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
+  std::mutex mutex;
+  bool cut = false;
+  std::vector<Pair> connections;
+  std::atomic<bool> stopping{false};
+  std::thread thread;
+};
+
 TEST_CASE_METHOD(
     PeerFixture,
     "a call to a peer returns the handler's answer, and the handler gets the name of the calling "
@@ -306,5 +404,43 @@
   CHECK(fixture.client.UnresponsivePeers(60000ms).empty());
 }
 
+// Guards against statements that reach an endpoint long after their callers were answered: a daemon
+// gives a call up behind a cut and sends the statement through another gateway.
+TEST_CASE("a call that was given up behind a cut does not run once the cut heals") {
+  PeerFixture fixture;
+  CuttableLink link(fixture.server.address());
+  const auto call = [&](std::string type, std::chrono::milliseconds limit, PeerCallKind kind) {
+    return asio::co_spawn(
+        asio::make_strand(fixture.context),
+        fixture.client.Call(link.address(), PeerMessage(std::move(type), ""), limit, kind),
+        asio::use_future);
+  };
+  REQUIRE(call("echo", 20000ms, PeerCallKind::kRepeatable).get().body == "client:");
+  int running = 0;
+  std::future<PeerMessage> poll;
+  const bool polls = GENERATE(false, true);  // Whether a long poll is in progress.
+  if (polls) {
+    poll = call("hang", 60000ms, PeerCallKind::kLongPoll);
+    REQUIRE(fixture.HangCallsStarted(++running));
+  }
+  link.SetCut(true);
+  SECTION("the call reaches its time limit") {
+    CHECK_THROWS_AS(call("hang", 50ms, PeerCallKind::kRepeatable).get(), PeerError);
+  }
+  SECTION("the peer does not respond") {
+    auto given_up = call("hang", 20000ms, PeerCallKind::kRepeatable);
+    while (fixture.client.UnresponsivePeers(50ms).empty()) {
+      std::this_thread::sleep_for(5ms);
+    }
+    fixture.client.FailRetryableCalls(link.address());
+    CHECK_THROWS_AS(given_up.get(), PeerError);
+  }
+  CHECK(link.AwaitClose());
+  link.SetCut(false);
+  CHECK(call("echo", 20000ms, PeerCallKind::kRepeatable).get().body == "client:");
+  std::this_thread::sleep_for(100ms);  // A call that was held up would have started by then.
+  CHECK(fixture.hang_calls_started == running);
+}
+
 }  // namespace
 }  // namespace poplarmoor
