relays: the time limit of a relayed statement counts from when it was sent

Change: the request carries its sending time and an id of the sender's clock. The gateway takes the smallest difference of arrival and sending time of the last one to two minutes for the usual way, and subtracts what exceeds it from the time limit (DeliveryDelay). It does not send a statement whose limit has passed, nor after a wait for a connection; a transaction of such a statement is rolled back. Older daemons send no time: the limit then counts from the arrival, as before.

The first request of a daemon's process sets the measure; if it is held up itself, this is not seen.

--- a/session/relay_channel.cc
+++ b/session/relay_channel.cc
@@ -1,5 +1,6 @@
 #include "session/relay_channel.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -132,6 +133,7 @@
   }
   request.opening = kOpeningNames.NameOf(spec.opening);
   request.demanded = spec.demanded;
+  request.clock = this->router->clock();
   request.id = spec.id;
   request.text = spec.text;
   request.limit_us = static_cast<uint64_t>(limit.count());
@@ -163,7 +165,9 @@
       break;
     }
     ++tries;
-    request.limit_us = static_cast<uint64_t>((deadline - BootNow()).count());
+    const TimePoint now = BootNow();
+    request.limit_us = static_cast<uint64_t>(std::max(deadline - now, Duration{}).count());
+    request.sent_us = static_cast<uint64_t>(now.time_since_epoch().count());
     std::string body = EncodeRelayRequest(request);
     PeerMessage message(kRelayMessage, std::move(body));
     bool sent = false;
--- a/session/relay_router.cc
+++ b/session/relay_router.cc
@@ -43,7 +43,8 @@
     : self(self),
       gateways(std::move(self)),
       peer_health(std::move(failure_domain)),
-      random(std::random_device{}()) {}
+      random(std::random_device{}()),
+      clock_id(this->random() | 1U) {}
 
 std::unique_ptr<EndpointChannel> RelayRouter::OpenChannel(const EndpointRecord& endpoint,
                                                           int rank,
--- a/session/relay_router.h
+++ b/session/relay_router.h
@@ -46,6 +46,10 @@
   /// @param failure_domain Failure domain of this daemon.
   RelayRouter(std::string self, std::string failure_domain);
 
+  /// @returns Id of this process's clock, by which a gateway tells it from the clocks of the
+  ///     daemon's earlier processes.
+  uint64_t clock() const { return this->clock_id; }
+
   /// Sets the network over which the daemons call each other. Without a network nothing is relayed.
   /// The network must outlive this object.
   void SetNetwork(PeerNetwork* network) { this->network = network; }
@@ -134,6 +138,7 @@
   // By service: number of connections that all daemons together may open to each endpoint.
   std::map<std::string, uint32_t> connections_by_service;
   RandomEngine random;
+  uint64_t clock_id;
 };
 
 }  // namespace poplarmoor
--- a/session/relay_server.cc
+++ b/session/relay_server.cc
@@ -74,8 +74,8 @@
 }
 
 void RelayServer::RegisterHandlers(PeerNetwork* network) {
-  network->SetHandler(kRelayMessage, [this](std::string, PeerMessage message) {
-    return this->OnStatement(std::move(message));
+  network->SetHandler(kRelayMessage, [this](std::string from, PeerMessage message) {
+    return this->OnStatement(std::move(from), std::move(message));
   });
   network->SetHandler(kRelayEndMessage, [this](std::string, PeerMessage message) {
     return this->OnEnd(std::move(message));
@@ -88,12 +88,16 @@
   });
 }
 
-asio::awaitable<PeerMessage> RelayServer::OnStatement(PeerMessage message) {
+asio::awaitable<PeerMessage> RelayServer::OnStatement(std::string from, PeerMessage message) {
   const RelayRequest request = DecodeRelayRequest(message.body);
+  const TimePoint now = BootNow();
+  const TimePoint sent = TimePoint(Duration(static_cast<int64_t>(request.sent_us)));
+  const Duration delay = this->delays.Record(from, request.clock, sent, now);
+  const TimePoint deadline = now + Duration(static_cast<int64_t>(request.limit_us)) - delay;
   RelayAnswer answer;
   ++this->running;
   try {
-    answer = co_await this->Run(request);
+    answer = co_await this->Run(request, deadline);
   } catch (...) {
     --this->running;
     throw;
@@ -103,13 +107,14 @@
   co_return PeerMessage(kRelayMessage, std::move(body));
 }
 
-asio::awaitable<RelayAnswer> RelayServer::Run(const RelayRequest& request) {
-  const TimePoint deadline = BootNow() + Duration(static_cast<int64_t>(request.limit_us));
+asio::awaitable<RelayAnswer> RelayServer::Run(const RelayRequest& request, TimePoint deadline) {
+  const TimePoint arrived = BootNow();
   const SessionState state = ToState(request);
   const RelayedAccess access = ToAccess(request);
   StatementAttempt attempt;
   LeasedConnection leased;
   const auto existing = this->transactions.find(request.lease);
+  const bool continues = existing != this->transactions.end();  // A transaction is open.
   if (const auto refusal = this->Refuse(request, access)) {
     if (existing != this->transactions.end()) {
       leased = std::move(existing->second);
@@ -144,6 +149,17 @@
       co_return *refusal;
     }
   }
+  if (leased.lease.connection != nullptr && BootNow() >= deadline) {
+    // The sender has answered its caller. The endpoint may have left since.
+    Log(LogLevel::kInfo, "relayed statement not sent: its time limit has passed",
+        {{"request_id", request.id},
+         {"endpoint", request.endpoint},
+         {"late_ms", ToMillis(BootNow() - deadline)}});
+    this->EndLease(leased.pool, std::move(leased.lease), continues);
+    attempt.failure = AcquireFailure::kOverloaded;
+    attempt.cause = "the statement's time limit has passed";
+    co_return ToAnswer(attempt);
+  }
   if (leased.lease.connection == nullptr) {
     attempt.failure = leased.lease.failure;
     attempt.cause = kAcquireFailureNames.NameOf(leased.lease.failure);
@@ -162,10 +178,9 @@
   RelayAnswer answer = ToAnswer(attempt);
   if (group != nullptr) {
     if (attempt.opening_position) {
-      // The request arrived at `deadline` minus its time limit. The endpoint's log position was
-      // read later, so it covers every commit that was acknowledged before the request arrived.
-      group->freshness.Record(deadline - Duration(static_cast<int64_t>(request.limit_us)),
-                              *attempt.opening_position);
+      // The endpoint's log position was read after the request had arrived, so it covers every
+      // commit that was acknowledged before.
+      group->freshness.Record(arrived, *attempt.opening_position);
     }
     if (const auto newest = group->freshness.Newest()) {
       answer.newest = newest->position;
--- a/session/relay_server.h
+++ b/session/relay_server.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "kernel/delivery_delay.h"
 #include "session/access_control.h"
 #include "session/endpoint_pool.h"
 
@@ -57,10 +58,11 @@
     bool busy = false;
   };
 
-  boost::asio::awaitable<PeerMessage> OnStatement(PeerMessage message);
+  boost::asio::awaitable<PeerMessage> OnStatement(std::string from, PeerMessage message);
   boost::asio::awaitable<PeerMessage> OnEnd(PeerMessage message);
   boost::asio::awaitable<PeerMessage> OnOrder(PeerMessage message);
-  boost::asio::awaitable<RelayAnswer> Run(const RelayRequest& request);
+  // @param deadline Time after which the request's sender no longer waits for an answer.
+  boost::asio::awaitable<RelayAnswer> Run(const RelayRequest& request, TimePoint deadline);
   // Leases one of this daemon's connections for a relayed statement. The wait ends when the
   // configuration withdraws the statement's API key.
   boost::asio::awaitable<EndpointLease> Acquire(std::shared_ptr<EndpointPool> pool,
@@ -78,6 +80,7 @@
   // Connections leased to relayed transactions, by lease number. The entry of a transaction is
   // missing while one of its statements runs.
   std::map<uint64_t, LeasedConnection> transactions;
+  DeliveryDelay delays;   // Delays of the requests of other daemons on their way.
   size_t running = 0;     // Number of statements of other daemons that run.
   bool draining = false;  // The daemon is about to stop.
   bool ending_transactions = false;
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -219,6 +219,37 @@
   CHECK(fixture.group.executed.size() == 1);
 }
 
+// Guards against statements that reach an endpoint long after their callers were answered: a cut
+// holds a request up on its way to the gateway, and the caller's time limit passes.
+TEST_CASE("a gateway does not run a relayed statement whose time limit has passed on the way") {
+  RelayFixture fixture;
+  RelayRequest request;
+  request.endpoint = "p";
+  request.opening = kOpeningNames.NameOf(Opening::kNone);
+  request.text = "READ 1";
+  request.clock = 7;
+  const auto relay = [&](std::string id, Duration held, Duration limit) {
+    request.id = std::move(id);
+    request.limit_us = static_cast<uint64_t>(limit.count());
+    request.sent_us = static_cast<uint64_t>((BootNow() - held).time_since_epoch().count());
+    PeerMessage message(kRelayMessage, EncodeRelayRequest(request));
+    const auto call = [&](PeerMessage message) -> asio::awaitable<StatementAnswer> {
+      const PeerMessage answer = co_await fixture.entry.peers.Call(
+          fixture.gate.peers.address(), std::move(message), std::chrono::milliseconds(60000));
+      StatementAnswer result;
+      result.error_text = DecodeRelayAnswer(answer.body).outcome;
+      co_return result;
+    };
+    return fixture.Await(call(std::move(message))).error_text;
+  };
+  CHECK(relay("r1", 0s, 30s) == "answered");
+  CHECK(relay("r2", 100s, 30s) == "not_sent");
+  CHECK(relay("r3", 0s, 0s) == "not_sent");
+  CHECK(relay("r4", 10s, 60s) == "answered");
+  REQUIRE(fixture.group.executed.size() == 2);
+  CHECK(fixture.group.executed[1].id == "r4");
+}
+
 // Failure: a gateway has lost power or is cut off. Connections to the gateway can be opened, but it
 // answers no call.
 TEST_CASE(
--- a/tests/wire/relay_codec_test.cc
+++ b/tests/wire/relay_codec_test.cc
@@ -27,6 +27,8 @@
   request.key = ~uint64_t{1};
   request.config_version = 7;
   request.verified_age_us = 12;
+  request.clock = ~uint64_t{2};
+  request.sent_us = 9000000;
   const RelayRequest decoded = DecodeRelayRequest(EncodeRelayRequest(request));
   CHECK(decoded.lease == 7);
   CHECK(decoded.transaction);
@@ -39,6 +41,8 @@
   CHECK(decoded.key == request.key);
   CHECK(decoded.config_version == 7);
   CHECK(decoded.verified_age_us == 12);
+  CHECK(decoded.clock == request.clock);
+  CHECK(decoded.sent_us == 9000000);
 }
 
 TEST_CASE("encoding a RelayAnswer does not lose rows, signature or log positions") {
--- a/wire/relay_codec.cc
+++ b/wire/relay_codec.cc
@@ -64,6 +64,8 @@
                                 std::string,
                                 uint64_t,
                                 uint64_t,
+                                uint64_t,
+                                uint64_t,
                                 uint64_t>;
 using AnswerTuple = std::tuple<std::string,
                                std::string,
@@ -124,11 +126,12 @@
 }  // namespace
 
 std::string EncodeRelayRequest(const RelayRequest& request) {
-  return PackTuple(RequestTuple(
-      request.lease, request.endpoint, request.rank, request.transaction, request.session,
-      request.values, request.has_prepared, request.prepared_read_only, request.prepared_shape,
-      request.opening, Pack(request.demanded), request.id, request.text, request.limit_us,
-      request.organisation, request.key, request.config_version, request.verified_age_us));
+  return PackTuple(RequestTuple(request.lease, request.endpoint, request.rank, request.transaction,
+                                request.session, request.values, request.has_prepared,
+                                request.prepared_read_only, request.prepared_shape, request.opening,
+                                Pack(request.demanded), request.id, request.text, request.limit_us,
+                                request.organisation, request.key, request.config_version,
+                                request.verified_age_us, request.clock, request.sent_us));
 }
 
 RelayRequest DecodeRelayRequest(std::string_view body) {
@@ -138,8 +141,8 @@
   std::tie(request.lease, request.endpoint, request.rank, request.transaction, request.session,
            request.values, request.has_prepared, request.prepared_read_only, request.prepared_shape,
            request.opening, demanded, request.id, request.text, request.limit_us,
-           request.organisation, request.key, request.config_version, request.verified_age_us) =
-      fields;
+           request.organisation, request.key, request.config_version, request.verified_age_us,
+           request.clock, request.sent_us) = fields;
   request.demanded = Unpack(demanded);
   return request;
 }
--- a/wire/relay_codec.h
+++ b/wire/relay_codec.h
@@ -62,7 +62,11 @@
   LogPosition demanded;
   std::string id;
   std::string text;
-  uint64_t limit_us = 0;  // Time left until the statement's deadline.
+  uint64_t limit_us = 0;  // Time left until the statement's deadline when the request was sent.
+  // Clock of the sender's process, a random number, and its time when the request was sent, in
+  // microseconds. 0: an older daemon, which does not send them.
+  uint64_t clock = 0;
+  uint64_t sent_us = 0;
 };
 
 /// Answer of a gateway to a RelayRequest. `outcome`, `failure`, `error` and `state` hold names of
