endpoints: a statement that has waited is not sent once the drain bound of its endpoint is near

Cause: whether an endpoint leaves is looked at when it is chosen. A read can then wait for a connection up to its route's time limit and was sent to a leaving replica at any time; only a primary stops being used near its bound. A gateway looked at the endpoint before the wait only, so that a relayed statement reached also a primary that had been retired meanwhile.

Change: Cluster::TakesStatements says so for every endpoint that leaves, primary or replica; StatementRunner asks it before each statement outside a transaction, a gateway after its wait. The statement is refused as not run; a read goes on at another endpoint. Open read-only transactions go on at the replica (the rule counts only the first statement of a transaction).

Tests, which fail without the change (with TakesStatements as !departed): session_test "a read that has waited until a replica's drain bound was near runs elsewhere" (ran at the replica), relay_test "a gateway does not send a statement that has waited until the drain bound was near" (was answered, in both sections). They pass with it.

--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -30,9 +30,9 @@
 // urgent statements would then miss that objective.
 constexpr int kStatementTimeLimitDivisor = 2;
 
-// A primary that leaves gets no statements once the rest of its drain bound is less than the bound
-// divided by this number. The rest covers the time until the announcement reaches this daemon (a
-// fifth of the bound at most in large fleets), and statements on their way through a gateway.
+// An endpoint that leaves gets no statements once the rest of its drain bound is less than the
+// bound divided by this number. The rest covers the time until the announcement reaches this daemon
+// (a fifth of the bound at most in large fleets), and statements on their way through a gateway.
 constexpr int kDrainMarginDivisor = 5;
 
 // Compares an endpoint's first registry entry of an era, which may come from an older copy of the
@@ -169,9 +169,20 @@
   group->ApplyClaim(std::move(claim));
 }
 
+Duration Cluster::UseTime() const {
+  return this->drain_bound - this->drain_bound / kDrainMarginDivisor;
+}
+
+bool Cluster::TakesStatements(const EndpointPool& pool) const {
+  const auto since = this->leaving_since.find(pool.record().id);
+  const bool is_due =
+      since != this->leaving_since.end() && BootNow() - since->second >= this->UseTime();
+  return !pool.departed && !is_due;
+}
+
 void Cluster::RetireLeavingPrimaries() {
   const TimePoint now = BootNow();
-  const Duration use_time = this->drain_bound - this->drain_bound / kDrainMarginDivisor;
+  const Duration use_time = this->UseTime();
   for (auto& [service, group] : this->by_service) {
     const auto primary = group->Primary();
     const auto since = primary == nullptr ? this->leaving_since.end()
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -39,6 +39,10 @@
   /// the only effect is that the endpoint no longer counts as missing from the registry.
   void ApplyEndpoint(EndpointRecord record);
 
+  /// @returns Whether statements outside transactions may be sent to the endpoint: it has not
+  ///     departed, and if it leaves, its drain bound is not near.
+  bool TakesStatements(const EndpointPool& pool) const;
+
   /// Records that the registry has no entry for the endpoint. RunMaintenance() acts on it only
   /// after a grace period, because entries also expire during an outage of the registry.
   void MarkEndpointMissing(const std::string& id);
@@ -99,6 +103,8 @@
 
  private:
   void SetLimits(EndpointPool* pool);
+  // Time after its announcement for which an endpoint that leaves gets statements.
+  Duration UseTime() const;
   // Stops the use of primaries whose drain bound is near.
   void RetireLeavingPrimaries();
   void SetAllLimits();
--- a/session/relay_server.cc
+++ b/session/relay_server.cc
@@ -149,6 +149,14 @@
       co_return *refusal;
     }
   }
+  const bool too_late = !continues && !this->cluster->TakesStatements(*leased.pool);
+  if (leased.lease.connection != nullptr && too_late) {
+    // kUnreachable would say that the endpoint may be down.
+    leased.pool->Release(std::move(leased.lease));
+    attempt.failure = AcquireFailure::kTooMany;
+    attempt.cause = "the endpoint takes no more statements";
+    co_return ToAnswer(attempt);
+  }
   if (leased.lease.connection != nullptr && BootNow() >= deadline) {
     // The sender has answered its caller. The endpoint may have left since.
     Log(LogLevel::kInfo, "relayed statement not sent: its time limit has passed",
--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -61,9 +61,10 @@
     co_return refused;
   }
   ++job->attempts;
-  if (pool->departed) {
+  const bool continues = lease->transaction && opening == Opening::kNone;
+  if (pool->departed || (!continues && !this->cluster->TakesStatements(*pool))) {
     // The endpoint has left, or its drain bound is near, since the statement waited for it or its
-    // transaction began.
+    // transaction began. Open transactions go on at a replica that leaves.
     StatementAttempt refused;
     refused.cause = "the endpoint takes no more statements";
     co_return refused;
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -250,6 +250,51 @@
   CHECK(fixture.group.executed[1].id == "r4");
 }
 
+// Guards against statements that reach an endpoint after its drain bound because they waited for
+// one of the gateway's connections.
+TEST_CASE("a gateway does not send a statement that has waited until the drain bound was near") {
+  RelayFixture fixture;
+  const auto pool = fixture.gate.cluster.FindEndpoint("p");
+  pool->SetLimits(1, 1, 0);
+  SessionState state;
+  state.session = 7;
+  SessionTransaction transaction;  // Holds the only connection.
+  CHECK_FALSE(fixture
+                  .Await(fixture.entry.runner.RunInTransaction(fixture.Job("w1", "WRITE 1 x", true),
+                                                               &state, &transaction))
+                  .error);
+  fixture.route.statement_timeout = 10s;
+  SessionState waiting_state;
+  waiting_state.session = 8;
+  std::optional<StatementAnswer> waited;
+  asio::co_spawn(fixture.context,
+                 fixture.entry.runner.Run(fixture.Job("w2", "WRITE 2 x", true), &waiting_state),
+                 [&waited](std::exception_ptr, StatementAnswer answer) { waited = answer; });
+  const TimePoint limit = BootNow() + 60s;
+  while (pool->busy() < 2 && BootNow() < limit) {
+    fixture.context.run_one_for(std::chrono::milliseconds(20));
+  }
+  REQUIRE(pool->busy() == 2);
+  EndpointRecord record = pool->record();
+  record.leaving = true;
+  record.revision = {0, 3};
+  SECTION("the endpoint is the primary") {}
+  SECTION("the gateway takes it for a replica") {
+    fixture.gate.cluster.FindGroup("ledger")->ClearPrimary("p", "test");
+  }
+  fixture.gate.cluster.SetDrainBound(Duration{});
+  fixture.gate.cluster.ApplyEndpoint(record);
+  fixture.gate.cluster.RunMaintenance();
+  fixture.entry.runner.Discard(&transaction);
+  while (!waited && BootNow() < limit) {
+    fixture.context.run_one_for(std::chrono::milliseconds(20));
+  }
+  REQUIRE(waited);
+  REQUIRE(waited->error);
+  CHECK(HasNotRun(*waited->error));
+  CHECK(fixture.group.executed.size() == 1);
+}
+
 // Failure: a gateway has lost power or is cut off. Connections to the gateway can be opened, but it
 // answers no call.
 TEST_CASE(
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -783,6 +783,38 @@
   CHECK(caller.Query("WRITE 5 x").starts_with("COMPLETE signed."));
 }
 
+// Guards against reads that reach a replica after its drain bound because they waited for a
+// connection to it.
+TEST_CASE("a read that has waited until a replica's drain bound was near runs elsewhere") {
+  Fixture fixture;
+  fixture.RaiseTimeLimits();
+  const auto pool = fixture.cluster.FindEndpoint("a");
+  fixture.cluster.FindEndpoint("b")->avoid_until = BootNow() + 1h;
+  pool->SetLimits(1, 1, 0);
+  Caller busy(&fixture, "lookups");
+  Caller caller(&fixture, "lookups");
+  busy.Receive();
+  caller.Receive();
+  caller.Query("READ 0");  // A replica serves only once the primary's log position is known.
+  fixture.RunUntil(
+      [&] { return fixture.cluster.FindGroup("ledger")->freshness.Newest().has_value(); });
+  busy.Query("BEGIN READ");
+  REQUIRE(busy.Query("READ 1").starts_with("ROW"));
+  REQUIRE(pool->busy() == 1);
+  caller.Send("QUERY w READ 2");
+  fixture.RunUntil([&] { return pool->busy() == 2; });
+  EndpointRecord record = pool->record();
+  record.leaving = true;
+  record.revision = fixture.store.NextRevision();
+  fixture.cluster.SetDrainBound(Duration{});
+  fixture.cluster.ApplyEndpoint(record);
+  CHECK(busy.Query("READ 3").starts_with("ROW"));
+  busy.Query("ROLLBACK");
+  CHECK(caller.Receive().starts_with("ROW"));
+  REQUIRE(fixture.group.executed.back().id == "w");
+  CHECK(fixture.group.executed.back().as_primary);
+}
+
 // Guards against takeovers that wait for an endpoint that has left for good.
 TEST_CASE("a replica that has left is forgotten once the other replicas have the primary's log") {
   Fixture fixture;
