endpoints: the drain bound of an endpoint does not start anew when its registry entry comes back

Cause: when the entry of a leaving endpoint had been missing for 2.5 s, Cluster forgot since when it leaves. If it came back with the revision that the daemon knew, for example from a peer's copy, nothing was counted: ApplyEndpoint had cleared the departed flag and returned early, and a leaving primary was used without a bound.

Change: the time is kept until the endpoint starts again or is forgotten. Which leaving primaries were retired is kept on its own.

--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -92,9 +92,7 @@
   this->missing_since.erase(record.id);
   const auto known = this->FindEndpoint(record.id);
   if (known != nullptr && record.revision >= known->record().revision) {
-    const bool retired =
-        known->departed && record.leaving && this->leaving_since.contains(record.id);
-    known->departed = retired;
+    known->departed = record.leaving && this->retired.contains(record.id);
   }
   if (known != nullptr && record.revision <= known->record().revision) {
     // The record was applied before, or it is older: records also come from peers, whose copy may
@@ -126,6 +124,7 @@
   }
   if (!record.leaving) {
     this->leaving_since.erase(record.id);
+    this->retired.erase(record.id);
   } else {
     this->leaving_since.emplace(record.id, BootNow());
   }
@@ -192,6 +191,7 @@
       // it, and it is not promoted again.
       group->RetirePrimary();
       primary->departed = true;
+      this->retired.insert(primary->record().id);
     }
   }
 }
@@ -199,6 +199,8 @@
 void Cluster::RunMaintenance() {
   const TimePoint now = BootNow();
   this->RetireLeavingPrimaries();
+  std::erase_if(this->leaving_since,
+                [this](const auto& entry) { return this->FindEndpoint(entry.first) == nullptr; });
   for (auto& [service, group] : this->by_service) {
     for (auto& [id, pool] : group->members) {
       if (this->table.organisations && !pool->is_relayed()) {
@@ -231,7 +233,9 @@
       found->second->suspected = true;
       found->second->CloseAll();
     }
-    this->leaving_since.erase(missing->first);
+    // The entry may come back, for example after an outage of the registry: the time since the
+    // announcement is kept until the endpoint is forgotten.
+    this->retired.erase(missing->first);
     missing = this->missing_since.erase(missing);
   }
 }
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -5,6 +5,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "kernel/placement/gateway_plan.h"
@@ -118,6 +119,8 @@
   std::map<std::string, std::unique_ptr<ServiceGroup>> by_service;
   // By endpoint id: when this daemon found that the endpoint's registry entry was missing.
   std::map<std::string, TimePoint> missing_since;
+  // Ids of the leaving primaries that get no statements because their drain bound is near.
+  std::set<std::string> retired;
   // By endpoint id: when this daemon learned that the endpoint leaves.
   std::map<std::string, TimePoint> leaving_since;
   Duration drain_bound = Duration::max();
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -815,6 +815,34 @@
   CHECK(fixture.group.executed.back().as_primary);
 }
 
+// Guards against statements that reach an endpoint after its drain bound: its registry entry
+// expires while the store is down or the endpoint is cut off from it, and comes back.
+TEST_CASE("the drain bound of an endpoint does not start anew when its registry entry comes back") {
+  Fixture fixture;
+  fixture.cluster.SetDrainBound(1h);
+  fixture.AnnouncePrimaryLeaves();
+  const auto pool = fixture.cluster.FindEndpoint("p");
+  EndpointRecord record = pool->record();
+  fixture.cluster.MarkEndpointMissing("p");
+  fixture.RunUntil([&] {
+    fixture.cluster.RunMaintenance();
+    return pool->departed;
+  });
+  SECTION("with a new revision") {
+    record.revision = fixture.store.NextRevision();
+  }
+  SECTION("with the revision that it had") {}
+  fixture.cluster.ApplyEndpoint(record);
+  CHECK(fixture.cluster.TakesStatements(*pool));
+  ServiceGroup* group = fixture.cluster.FindGroup("ledger");
+  group->SetPrimary("p", 0, "test");
+  REQUIRE(group->Primary() == pool);
+  fixture.cluster.SetDrainBound(2500ms);  // The entry was missing for a longer time.
+  CHECK_FALSE(fixture.cluster.TakesStatements(*pool));
+  fixture.cluster.RunMaintenance();
+  CHECK(group->Primary() == nullptr);
+}
+
 // Guards against takeovers that wait for an endpoint that has left for good.
 TEST_CASE("a replica that has left is forgotten once the other replicas have the primary's log") {
   Fixture fixture;
