endpoints: the drain bound counts from when the announcement may have been made

Cause: a daemon counted the time since an endpoint's announcement from when it learned of it. One that had been cut off from the store and the peers meanwhile used a leaving endpoint later than the bound, by the length of the cut less a fifth of the bound; for the rule it is in touch again 4 s after the cut.

Change: a change that arrives after this daemon could not read the endpoints counts from when its copy was last confirmed. Entries hold no time of the announcement. A daemon that starts after the announcement still counts from its start.

The price: after an outage of the store of more than 5.6 s, a primary that announces its end before this daemon has listed the endpoints gets no more statements from it, until another one is promoted.

--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -88,7 +88,7 @@
   this->access_control.NotifyChange();
 }
 
-void Cluster::ApplyEndpoint(EndpointRecord record) {
+void Cluster::ApplyEndpoint(EndpointRecord record, std::optional<TimePoint> unchanged_until) {
   this->missing_since.erase(record.id);
   const auto known = this->FindEndpoint(record.id);
   if (known != nullptr && record.revision >= known->record().revision) {
@@ -126,7 +126,7 @@
     this->leaving_since.erase(record.id);
     this->retired.erase(record.id);
   } else {
-    this->leaving_since.emplace(record.id, BootNow());
+    this->leaving_since.emplace(record.id, unchanged_until.value_or(BootNow()));
   }
   this->SetLimits(pool.get());
   // The role in the first entry of an era may be older than what this daemon knows. It is used only
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -5,6 +5,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -38,7 +39,10 @@
 
   /// Adds an endpoint or updates a known one. If the record is older than the one already applied,
   /// the only effect is that the endpoint no longer counts as missing from the registry.
-  void ApplyEndpoint(EndpointRecord record);
+  /// @param unchanged_until Latest time at which the registry is known not to have had the record
+  ///     yet; an endpoint that leaves is taken to leave from then on. Empty: now.
+  void ApplyEndpoint(EndpointRecord record,
+                     std::optional<TimePoint> unchanged_until = std::nullopt);
 
   /// @returns Whether statements outside transactions may be sent to the endpoint: it has not
   ///     departed, and if it leaves, its drain bound is not near.
@@ -121,7 +125,7 @@
   std::map<std::string, TimePoint> missing_since;
   // Ids of the leaving primaries that get no statements because their drain bound is near.
   std::set<std::string> retired;
-  // By endpoint id: when this daemon learned that the endpoint leaves.
+  // By endpoint id: when the endpoint announced that it leaves, as far as this daemon knows.
   std::map<std::string, TimePoint> leaving_since;
   Duration drain_bound = Duration::max();
   RelayRouter router;
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -86,14 +86,18 @@
                  [this, kind] { return this->SyncKind(kind); });
   };
   start_sync(this->registry->routes_kind(), this->bounds.routes,
-             [this](const StoreSnapshot& snapshot, bool) { this->ApplyRoutes(snapshot); });
+             [this](const StoreSnapshot& snapshot, bool, std::optional<TimePoint>) {
+               this->ApplyRoutes(snapshot);
+             });
   start_sync(this->registry->endpoint_kind(), this->bounds.endpoints,
-             [this](const StoreSnapshot& snapshot, bool complete) {
-               this->ApplyEndpoints(snapshot, complete);
+             [this](const StoreSnapshot& snapshot, bool complete,
+                    std::optional<TimePoint> unchanged_until) {
+               this->ApplyEndpoints(snapshot, complete, unchanged_until);
+             });
+  start_sync(kTakeoverKind, kDefaultBound,
+             [this](const StoreSnapshot& snapshot, bool complete, std::optional<TimePoint>) {
+               this->ApplyClaims(snapshot, complete);
              });
-  start_sync(kTakeoverKind, kDefaultBound, [this](const StoreSnapshot& snapshot, bool complete) {
-    this->ApplyClaims(snapshot, complete);
-  });
   SpawnService(this->executor, "track the daemons", [this] { return this->TrackDaemons(); });
 }
 
@@ -197,8 +201,8 @@
     Log(LogLevel::kInfo, "store regained",
         {{"kind", kind->name}, {"revision", snapshot.revision.ToText()}});
   }
-  kind->confirmed = BootNow();
   this->Merge(kind.get(), snapshot, true);
+  kind->confirmed = BootNow();
   if (!stale_ok) {
     this->NoteVerified(kind.get(), sent);
   }
@@ -236,8 +240,8 @@
         {{"kind", kind->name}, {"revision", snapshot.revision.ToText()}});
   }
   if (snapshot.revision.era == since.era && kind->revision.era == since.era) {
-    kind->confirmed = BootNow();
     this->Merge(kind.get(), snapshot, false);
+    kind->confirmed = BootNow();
     this->NoteVerified(kind.get(), sent);
     co_return;
   }
@@ -277,7 +281,13 @@
     }
   }
   kind->revision = std::max(kind->revision, snapshot.revision);
-  kind->apply(snapshot, complete);
+  // While this daemon was cut off from the store, the objects may have changed at any time since
+  // its copy was last confirmed.
+  std::optional<TimePoint> unchanged_until;
+  if (!kind->reachable && kind->confirmed != TimePoint{}) {
+    unchanged_until = kind->confirmed;
+  }
+  kind->apply(snapshot, complete, unchanged_until);
   if (complete || !snapshot.objects.empty()) {
     kind->changed.NotifyAll();
   }
@@ -300,7 +310,9 @@
   }
 }
 
-void StoreSync::ApplyEndpoints(const StoreSnapshot& snapshot, bool complete) {
+void StoreSync::ApplyEndpoints(const StoreSnapshot& snapshot,
+                               bool complete,
+                               std::optional<TimePoint> unchanged_until) {
   std::set<std::string> present;
   for (const StoredObject& object : snapshot.objects) {
     if (object.deleted) {
@@ -315,7 +327,7 @@
       continue;
     }
     present.insert(record->id);
-    this->cluster->ApplyEndpoint(*record);
+    this->cluster->ApplyEndpoint(*record, unchanged_until);
   }
   if (!complete) {
     return;
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -66,8 +66,10 @@
 
  private:
   // Applies objects of one kind from the store. The snapshot has all objects of the kind if
-  // `complete` is true, else only the changed ones.
-  using Apply = std::function<void(const StoreSnapshot& snapshot, bool complete)>;
+  // `complete` is true, else only the changed ones. They may have changed at any time since
+  // `unchanged_until`; empty: they have changed just now, as far as this daemon knows.
+  using Apply = std::function<
+      void(const StoreSnapshot& snapshot, bool complete, std::optional<TimePoint> unchanged_until)>;
 
   // This daemon's copy of the objects of one kind.
   struct KindState {
@@ -157,7 +159,9 @@
                                                 std::optional<StoredObject> listed,
                                                 EntryWrite write);
   void ApplyRoutes(const StoreSnapshot& snapshot);
-  void ApplyEndpoints(const StoreSnapshot& snapshot, bool complete);
+  void ApplyEndpoints(const StoreSnapshot& snapshot,
+                      bool complete,
+                      std::optional<TimePoint> unchanged_until);
   void ApplyClaims(const StoreSnapshot& snapshot, bool complete);
 
   boost::asio::any_io_executor executor;
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -843,6 +843,21 @@
   CHECK(group->Primary() == nullptr);
 }
 
+// Guards against statements that reach an endpoint after its drain bound because this daemon was
+// cut off from the registry when the endpoint announced its end.
+TEST_CASE("the drain bound of an endpoint counts from when it may have announced its end") {
+  Fixture fixture;
+  fixture.cluster.SetDrainBound(1h);
+  const auto pool = fixture.cluster.FindEndpoint("p");
+  EndpointRecord record = pool->record();
+  record.leaving = true;
+  record.revision = fixture.store.NextRevision();
+  fixture.cluster.ApplyEndpoint(record, BootNow() - 1h);
+  CHECK_FALSE(fixture.cluster.TakesStatements(*pool));
+  fixture.cluster.RunMaintenance();
+  CHECK(fixture.cluster.FindGroup("ledger")->Primary() == nullptr);
+}
+
 // Guards against takeovers that wait for an endpoint that has left for good.
 TEST_CASE("a replica that has left is forgotten once the other replicas have the primary's log") {
   Fixture fixture;
--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "net/key_ring.h"
 #include "net/peer_network.h"
@@ -31,13 +32,16 @@
     co_return snapshot;
   }
 
-  asio::awaitable<StoreSnapshot> Watch(std::string,
+  asio::awaitable<StoreSnapshot> Watch(std::string kind,
                                        uint64_t since,
                                        std::chrono::milliseconds) override {
     ++this->watches;
     if (this->down) {
       throw StoreError(StoreFailure::kRefused, "the store is down");
     }
+    if (this->history_gone.erase(kind) > 0) {
+      throw StoreError(StoreFailure::kHistoryGone, "the history was discarded");
+    }
     co_await Pause(60s);
     StoreSnapshot snapshot;
     snapshot.revision = {this->era, since};
@@ -61,7 +65,8 @@
   int stale_lists = 0;
   int watches = 0;
   bool down = false;
-  bool outdated_lists = false;  // The objects of a listing are removed right after it.
+  std::set<std::string> history_gone;  // Kinds whose next watch fails, so that they are listed.
+  bool outdated_lists = false;         // The objects of a listing are removed right after it.
 };
 
 struct SyncFixture {
@@ -190,6 +195,35 @@
   CHECK(fixture.store.watches - before <= 8);
 }
 
+// Guards against statements that reach an endpoint after its drain bound because this daemon was
+// cut off from the store when the endpoint announced its end.
+TEST_CASE("an endpoint may have announced its end as soon as a daemon lost the store") {
+  SyncFixture fixture;
+  const auto set_state = [&fixture](const std::string& state) {
+    const std::string value = R"({"service":"ledger","address":"127.0.0.1:1","zone":"fd0",)"
+                              R"("slots":2,"dbRole":"primary","state":")" +
+                              state + R"("})";
+    const std::string kind = fixture.registry.endpoint_kind();
+    fixture.store.kinds[kind]["p"] = {"p", fixture.store.NextRevision(), value, false};
+  };
+  set_state("ready");
+  fixture.store.down = true;
+  fixture.sync.Start();
+  fixture.RunUntil([&fixture] { return fixture.cluster.FindEndpoint("p") != nullptr; });
+  fixture.RunUntil([&fixture] { return fixture.store.watches > 2; });
+  const auto pool = fixture.cluster.FindEndpoint("p");
+  const TimePoint lost = BootNow();
+  fixture.RunUntil([lost] { return BootNow() - lost > 1s; });
+  set_state("draining");
+  fixture.cluster.SetDrainBound(1s);
+  CHECK(fixture.cluster.TakesStatements(*pool));
+  fixture.store.down = false;
+  fixture.store.history_gone = {fixture.registry.endpoint_kind(), fixture.registry.routes_kind(),
+                                kTakeoverKind};
+  fixture.RunUntil([&pool] { return pool->record().leaving; });
+  CHECK_FALSE(fixture.cluster.TakesStatements(*pool));
+}
+
 // Guards against late configuration changes when the watchers of a failure domain are cut off:
 // waiting for several silent watchers, one after the other, would take longer than a change may
 // take to arrive.
