endpoints: connections to endpoints are reset when they are closed

Cause: a statement that was given up at its time limit stayed in the send buffer of its connection, which was closed without a reset. Behind a cut between daemon and endpoint it arrived, and ran, once the cut healed, long after its caller had been answered.

Change: linger 0 from the connect on, because Boost.Beast closes the socket itself at a time limit, and so that it holds for the end of the process as well. A connection that returned its last answer loses nothing by it.

--- a/session/endpoint_session.cc
+++ b/session/endpoint_session.cc
@@ -52,6 +52,9 @@
   }
   this->open = true;
   this->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  // Closing resets the connection, also at a time limit: a statement that a partition holds up has
+  // been given up then, and the endpoint would run it once the partition heals.
+  this->stream.socket().set_option(asio::socket_base::linger(true, 0), error);
   const std::string opening_message = this->codec->EncodeOpen(service, organisation, endpoint);
   co_await asio::async_write(this->stream, asio::buffer(opening_message),
                              asio::redirect_error(asio::use_awaitable, error));
--- a/session/endpoint_session.h
+++ b/session/endpoint_session.h
@@ -66,6 +66,7 @@
   ///     data nor a close.
   bool IsReusable();
 
+  /// Resets the connection: what has not reached the endpoint is lost.
   void Close();
 
   bool is_open() const { return this->open; }
