--- a/net/peer_network.cc
+++ b/net/peer_network.cc
@@ -385,8 +385,7 @@
   }
   if (silent) {
     // No byte has arrived since the call started, so the connection may be dead. New calls use a
-    // new connection. The old one stays open while calls other than long polls may still get their
-    // answers.
+    // new connection. The old one stays open for the answers to calls other than long polls.
     this->RemoveFromCache(peer);
   }
   if (done) {
