--- a/net/outgoing_peer.h
+++ b/net/outgoing_peer.h
@@ -56,10 +56,9 @@
   /// polls end with an error. Remove the connection from PeerNetwork's cache before calling this.
   void FailRetryableCalls();
 
-  /// @returns Whether the connection is to be closed now, because it is draining and only long
-  /// polls
-  ///     are unanswered. They would keep it open, and calls that were given up on it would run at
-  ///     the peer once a partition has healed. The caller holds `mutex`.
+  /// @returns Whether the connection is to be closed now: it is draining, and only long polls are
+  ///     unanswered. Left open by them, it would run calls that were given up at the peer once a
+  ///     partition has healed. The caller holds `mutex`.
   bool ShouldClose() const;
 };
 
