--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -33,9 +33,9 @@
 // urgent statements would then miss that objective.
 constexpr int kStatementTimeLimitDivisor = 2;
 
-// A primary that leaves gets no statements once the rest of its drain bound is less than the bound
-// divided by this number. The rest covers the time until the announcement reaches this daemon (a
-// fifth of the bound at most in large fleets), and statements on their way through a gateway.
+// An endpoint that leaves gets no statements once the rest of its drain bound is less than the
+// bound divided by this number. The rest covers the time until the announcement reaches this daemon
+// (a fifth of the bound at most in large fleets), and statements on their way through a gateway.
 constexpr int kDrainMarginDivisor = 5;
 
 // Compares an endpoint's first registry entry of an era, which may come from an older copy of the
@@ -91,13 +91,11 @@
   this->access_control.NotifyChange();
 }
 
-void Cluster::ApplyEndpoint(EndpointRecord record) {
+void Cluster::ApplyEndpoint(EndpointRecord record, std::optional<TimePoint> unchanged_until) {
   this->missing_since.erase(record.id);
   const auto known = this->FindEndpoint(record.id);
   if (known != nullptr && record.revision >= known->record().revision) {
-    const bool retired =
-        known->departed && record.leaving && this->leaving_since.contains(record.id);
-    known->departed = retired;
+    known->departed = record.leaving && this->retired.contains(record.id);
   }
   if (known != nullptr && record.revision <= known->record().revision) {
     // The record was applied before, or it is older: records also come from peers, whose copy may
@@ -129,8 +127,9 @@
   }
   if (!record.leaving) {
     this->leaving_since.erase(record.id);
+    this->retired.erase(record.id);
   } else {
-    this->leaving_since.emplace(record.id, BootNow());
+    this->leaving_since.emplace(record.id, unchanged_until.value_or(BootNow()));
   }
   this->SetLimits(pool.get());
   // The role in the first entry of an era may be older than what this daemon knows. It is used only
@@ -189,9 +188,20 @@
   }
 }
 
+Duration Cluster::UseTime() const {
+  return this->drain_bound - this->drain_bound / kDrainMarginDivisor;
+}
+
+bool Cluster::TakesStatements(const EndpointPool& pool) const {
+  const auto since = this->leaving_since.find(pool.record().id);
+  const bool is_due =
+      since != this->leaving_since.end() && BootNow() - since->second >= this->UseTime();
+  return !pool.departed && !is_due;
+}
+
 void Cluster::RetireLeavingPrimaries() {
   const TimePoint now = BootNow();
-  const Duration use_time = this->drain_bound - this->drain_bound / kDrainMarginDivisor;
+  const Duration use_time = this->UseTime();
   for (auto& [service, group] : this->by_service) {
     const auto primary = group->Primary();
     const auto since = primary == nullptr ? this->leaving_since.end()
@@ -201,6 +211,7 @@
       // it, and it is not promoted again.
       group->RetirePrimary();
       primary->departed = true;
+      this->retired.insert(primary->record().id);
     }
   }
 }
@@ -208,6 +219,8 @@
 void Cluster::RunMaintenance() {
   const TimePoint now = BootNow();
   this->RetireLeavingPrimaries();
+  std::erase_if(this->leaving_since,
+                [this](const auto& entry) { return this->FindEndpoint(entry.first) == nullptr; });
   for (auto& [service, group] : this->by_service) {
     for (auto& [id, pool] : group->members) {
       if (this->table.organisations && !pool->is_relayed()) {
@@ -240,7 +253,9 @@
       found->second->suspected = true;
       found->second->CloseAll();
     }
-    this->leaving_since.erase(missing->first);
+    // The entry may come back, for example after an outage of the registry: the time since the
+    // announcement is kept until the endpoint is forgotten.
+    this->retired.erase(missing->first);
     missing = this->missing_since.erase(missing);
   }
 }
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "kernel/placement/gateway_plan.h"
@@ -38,7 +40,14 @@
 
   /// Adds an endpoint or updates a known one. If the record is older than the one already applied,
   /// the only effect is that the endpoint no longer counts as missing from the registry.
-  void ApplyEndpoint(EndpointRecord record);
+  /// @param unchanged_until Latest time at which the registry is known not to have had the record
+  ///     yet; an endpoint that leaves is taken to leave from then on. Empty: now.
+  void ApplyEndpoint(EndpointRecord record,
+                     std::optional<TimePoint> unchanged_until = std::nullopt);
+
+  /// @returns Whether statements outside transactions may be sent to the endpoint: it has not
+  ///     departed, and if it leaves, its drain bound is not near.
+  bool TakesStatements(const EndpointPool& pool) const;
 
   /// Records that the registry has no entry for the endpoint. RunMaintenance() acts on it only
   /// after a grace period, because entries also expire during an outage of the registry.
@@ -110,6 +119,8 @@
 
  private:
   void SetLimits(EndpointPool* pool);
+  // Time after its announcement for which an endpoint that leaves gets statements.
+  Duration UseTime() const;
   // Stops the use of primaries whose drain bound is near.
   void RetireLeavingPrimaries();
   void SetAllLimits();
@@ -123,7 +134,9 @@
   std::map<std::string, std::unique_ptr<ServiceGroup>> by_service;
   // By endpoint id: when this daemon found that the endpoint's registry entry was missing.
   std::map<std::string, TimePoint> missing_since;
-  // By endpoint id: when this daemon learned that the endpoint leaves.
+  // Ids of the leaving primaries that get no statements because their drain bound is near.
+  std::set<std::string> retired;
+  // By endpoint id: when the endpoint announced that it leaves, as far as this daemon knows.
   std::map<std::string, TimePoint> leaving_since;
   Duration drain_bound = Duration::max();
   RelayRouter router;
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -21,10 +21,6 @@
 
 namespace {
 
-// Time within which a change must be applied, for a kind of objects whose changes have no bound.
-// Watch calls then wait for 15 s, which is shorter than the 20 s for which the store usually keeps
-// changes, so that this daemon rarely has to list all objects again before the next watch call.
-constexpr Duration kDefaultBound = 23s;
 // Delay before a failed store call is retried. Each further failure doubles the delay up to the
 // maximum. Random jitter is added so that the daemons do not retry at the same time.
 constexpr Duration kInitialRetryDelay = 100ms;
@@ -86,15 +82,18 @@
                  [this, kind] { return this->SyncKind(kind); });
   };
   start_sync(this->registry->routes_kind(), this->bounds.routes,
-             [this](const StoreSnapshot& snapshot, bool) { this->ApplyRoutes(snapshot); });
+             [this](const StoreSnapshot& snapshot, bool, std::optional<TimePoint>) {
+               this->ApplyRoutes(snapshot);
+             });
   start_sync(this->registry->endpoint_kind(), this->bounds.endpoints,
-             [this](const StoreSnapshot& snapshot, bool complete) {
-               this->ApplyEndpoints(snapshot, complete);
+             [this](const StoreSnapshot& snapshot, bool complete,
+                    std::optional<TimePoint> unchanged_until) {
+               this->ApplyEndpoints(snapshot, complete, unchanged_until);
              });
   // Commits can be confirmed over connections that are older than the last confirmed copy of the
   // claims, so this copy is confirmed as often as that of the endpoints.
   start_sync(kTakeoverKind, this->bounds.endpoints,
-             [this](const StoreSnapshot& snapshot, bool complete) {
+             [this](const StoreSnapshot& snapshot, bool complete, std::optional<TimePoint>) {
                this->ApplyClaims(snapshot, complete);
              });
   SpawnService(this->executor, "track the daemons", [this] { return this->TrackDaemons(); });
@@ -200,8 +199,8 @@
     Log(LogLevel::kInfo, "store regained",
         {{"kind", kind->name}, {"revision", snapshot.revision.ToText()}});
   }
-  kind->confirmed = BootNow();
   this->Merge(kind.get(), snapshot, true);
+  kind->confirmed = BootNow();
   if (!stale_ok) {
     this->NoteVerified(kind.get(), sent);
   }
@@ -239,8 +238,8 @@
         {{"kind", kind->name}, {"revision", snapshot.revision.ToText()}});
   }
   if (snapshot.revision.era == since.era && kind->revision.era == since.era) {
-    kind->confirmed = BootNow();
     this->Merge(kind.get(), snapshot, false);
+    kind->confirmed = BootNow();
     this->NoteVerified(kind.get(), sent);
     co_return;
   }
@@ -283,7 +282,13 @@
     }
   }
   kind->revision = std::max(kind->revision, snapshot.revision);
-  kind->apply(snapshot, complete);
+  // While this daemon was cut off from the store, the objects may have changed at any time since
+  // its copy was last confirmed.
+  std::optional<TimePoint> unchanged_until;
+  if (!kind->reachable && kind->confirmed != TimePoint{}) {
+    unchanged_until = kind->confirmed;
+  }
+  kind->apply(snapshot, complete, unchanged_until);
   if (complete || !snapshot.objects.empty()) {
     kind->changed.NotifyAll();
   }
@@ -306,7 +311,9 @@
   }
 }
 
-void StoreSync::ApplyEndpoints(const StoreSnapshot& snapshot, bool complete) {
+void StoreSync::ApplyEndpoints(const StoreSnapshot& snapshot,
+                               bool complete,
+                               std::optional<TimePoint> unchanged_until) {
   std::set<std::string> present;
   for (const StoredObject& object : snapshot.objects) {
     if (object.deleted) {
@@ -321,7 +328,7 @@
       continue;
     }
     present.insert(record->id);
-    this->cluster->ApplyEndpoint(*record);
+    this->cluster->ApplyEndpoint(*record, unchanged_until);
   }
   if (!complete) {
     return;
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -784,6 +784,81 @@
   CHECK(caller.Query("WRITE 5 x").starts_with("COMPLETE signed."));
 }
 
+// Guards against reads that reach a replica after its drain bound because they waited for a
+// connection to it.
+TEST_CASE("a read that has waited until a replica's drain bound was near runs elsewhere") {
+  Fixture fixture;
+  fixture.RaiseTimeLimits();
+  const auto pool = fixture.cluster.FindEndpoint("a");
+  fixture.cluster.FindEndpoint("b")->avoid_until = BootNow() + 1h;
+  pool->SetLimits(1, 1, 0);
+  Caller busy(&fixture, "lookups");
+  Caller caller(&fixture, "lookups");
+  busy.Receive();
+  caller.Receive();
+  caller.Query("READ 0");  // A replica serves only once the primary's log position is known.
+  fixture.RunUntil(
+      [&] { return fixture.cluster.FindGroup("ledger")->freshness.Newest().has_value(); });
+  busy.Query("BEGIN READ");
+  REQUIRE(busy.Query("READ 1").starts_with("ROW"));
+  REQUIRE(pool->busy() == 1);
+  caller.Send("QUERY w READ 2");
+  fixture.RunUntil([&] { return pool->busy() == 2; });
+  EndpointRecord record = pool->record();
+  record.leaving = true;
+  record.revision = fixture.store.NextRevision();
+  fixture.cluster.SetDrainBound(Duration{});
+  fixture.cluster.ApplyEndpoint(record);
+  CHECK(busy.Query("READ 3").starts_with("ROW"));
+  busy.Query("ROLLBACK");
+  CHECK(caller.Receive().starts_with("ROW"));
+  REQUIRE(fixture.group.executed.back().id == "w");
+  CHECK(fixture.group.executed.back().as_primary);
+}
+
+// Guards against statements that reach an endpoint after its drain bound: its registry entry
+// expires while the store is down or the endpoint is cut off from it, and comes back.
+TEST_CASE("the drain bound of an endpoint does not start anew when its registry entry comes back") {
+  Fixture fixture;
+  fixture.cluster.SetDrainBound(1h);
+  fixture.AnnouncePrimaryLeaves();
+  const auto pool = fixture.cluster.FindEndpoint("p");
+  EndpointRecord record = pool->record();
+  fixture.cluster.MarkEndpointMissing("p");
+  fixture.RunUntil([&] {
+    fixture.cluster.RunMaintenance();
+    return pool->departed;
+  });
+  SECTION("with a new revision") {
+    record.revision = fixture.store.NextRevision();
+  }
+  SECTION("with the revision that it had") {}
+  fixture.cluster.ApplyEndpoint(record);
+  CHECK(fixture.cluster.TakesStatements(*pool));
+  ServiceGroup* group = fixture.cluster.FindGroup("ledger");
+  group->SetPrimary("p", 0, "test");
+  REQUIRE(group->Primary() == pool);
+  fixture.cluster.SetDrainBound(2500ms);  // The entry was missing for a longer time.
+  CHECK_FALSE(fixture.cluster.TakesStatements(*pool));
+  fixture.cluster.RunMaintenance();
+  CHECK(group->Primary() == nullptr);
+}
+
+// Guards against statements that reach an endpoint after its drain bound because this daemon was
+// cut off from the registry when the endpoint announced its end.
+TEST_CASE("the drain bound of an endpoint counts from when it may have announced its end") {
+  Fixture fixture;
+  fixture.cluster.SetDrainBound(1h);
+  const auto pool = fixture.cluster.FindEndpoint("p");
+  EndpointRecord record = pool->record();
+  record.leaving = true;
+  record.revision = fixture.store.NextRevision();
+  fixture.cluster.ApplyEndpoint(record, BootNow() - 1h);
+  CHECK_FALSE(fixture.cluster.TakesStatements(*pool));
+  fixture.cluster.RunMaintenance();
+  CHECK(fixture.cluster.FindGroup("ledger")->Primary() == nullptr);
+}
+
 // Guards against takeovers that wait for an endpoint that has left for good.
 TEST_CASE("a replica that has left is forgotten once the other replicas have the primary's log") {
   Fixture fixture;
