takeovers: an unfinished takeover does not wait without end for a candidate that receives nothing

The primary steps down then, so that a paused replica or the former primary is promoted. Test: 'a takeover goes on with the promotion that an earlier one has ordered', whose last check waited before.

--- a/kernel/takeover_plan.cc
+++ b/kernel/takeover_plan.cc
@@ -214,8 +214,12 @@
   }
   for (const MemberStatus* replica : replicas) {
     if (replica->received > candidate->received) {
-      if (primary_answers && view.catch_up_failed && view.ordered.empty()) {
-        return {Kind::kAbandon, candidate->id, "the candidate does not receive log entries"};
+      if (primary_answers && view.catch_up_failed) {
+        // An ordered promotion cannot be abandoned. After a step-down, a paused replica or the
+        // former primary can be promoted.
+        return {view.ordered.empty() ? Kind::kAbandon : Kind::kStepDown,
+                view.ordered.empty() ? candidate->id : primary->id,
+                "the candidate does not receive log entries"};
       }
       return {Kind::kWait, candidate->id, "the candidate has not caught up with a paused replica",
               true};
--- a/tests/kernel/takeover_plan_test.cc
+++ b/tests/kernel/takeover_plan_test.cc
@@ -211,13 +211,16 @@
   CHECK(NextTakeoverStep(view).endpoint == "a");
   view.members[1].received = {};
   CHECK(NextTakeoverStep(view).kind == Kind::kPause);
-  // The takeover is not abandoned, although the primary answers and the candidate lacks entries.
+  // The takeover is not abandoned, although the primary answers and the candidate lacks entries. It
+  // would wait for ever for a candidate that receives nothing while the others are paused.
   view.members[2] = Replica("b", 90);
   view.ordered = {{"b", {3, 95}}};
   view.members[1].active_pause_term = view.members[3].active_pause_term = 4;
   view.members[1].received = {3, 101};
-  view.catch_up_failed = true;
   CHECK(NextTakeoverStep(view).kind == Kind::kWait);
+  view.catch_up_failed = true;
+  CHECK(NextTakeoverStep(view).kind == Kind::kStepDown);
+  CHECK(NextTakeoverStep(view).endpoint == "p");
 }
 
 // Guards against the loss of commits that a replica had which has started again without its log:
