takeovers: the test of promotions that have not taken place expects the former primary's promotion

A status call that ends with an unexpected exception no longer leaves its member marked as being asked.

--- a/session/commit_verifier.cc
+++ b/session/commit_verifier.cc
@@ -181,11 +181,13 @@
     }
     pool->next_status = BootNow() + pool->status_pause;
     pool->status_pause = std::clamp(pool->status_pause * 2, kMinStatusPause, kMaxStatusPause);
+  };
+  const auto on_end = [group, pool] {
     pool->asking_status = false;
     group->statuses_changed.NotifyAll();
   };
   pool->asking_status = true;
-  SpawnTask(pool->io_executor(), "ask a member for its log position", ask(group, pool));
+  SpawnTask(pool->io_executor(), "ask a member for its log position", ask(group, pool), on_end);
 }
 
 }  // namespace poplarmoor
--- a/tests/kernel/takeover_plan_test.cc
+++ b/tests/kernel/takeover_plan_test.cc
@@ -311,7 +311,8 @@
   view.members[1].active_pause_term = 4;
   CHECK(NoneHasLed(view));
   view.none_has_led = true;
-  CHECK(NextTakeoverStep(view).kind == Kind::kPause);
+  CHECK(NextTakeoverStep(view).kind == Kind::kPromote);
+  CHECK(NextTakeoverStep(view).endpoint == "p");
 }
 
 // The statuses of a takeover are read one after the other while the primary commits, a replica
