--- a/tests/kernel/simulated_store.h
+++ b/tests/kernel/simulated_store.h
@@ -19,6 +19,7 @@
   int holder = -1;
   uint64_t nonce = 0;
   std::vector<std::string> members;
+  std::vector<OrderedPromotion> ordered;  // Promotions that may still take place, oldest first.
   uint64_t revision = 0;  // Also the fencing token if the revision belongs to a new claim.
 };
 
--- a/tests/kernel/takeover_simulation_faults.cc
+++ b/tests/kernel/takeover_simulation_faults.cc
@@ -39,6 +39,9 @@
       this->ScheduleRestart(this->RandomReplica(), this->Between(0ms, 2500ms));
     }
   }
+  if (this->Scenario().Has(ExtraFault::kStoreCuts)) {
+    this->ScheduleStoreCut();
+  }
   if (this->Scenario().Has(ExtraFault::kDeaf)) {
     SimulatedGroup::Endpoint* endpoint = this->RandomReplica();
     const Duration start = this->Chance(50) ? this->Between(-200ms, 1500ms) : this->Between(1s, 6s);
@@ -50,6 +53,16 @@
   }
 }
 
+void TakeoverSimulation::ScheduleStoreCut() {
+  SimulatedNetwork::Nodes some_daemons = 0;
+  for (const auto& daemon : this->daemons) {
+    some_daemons |= this->Chance(50) ? SimulatedNetwork::Node(daemon->Node()) : 0;
+  }
+  const TimePoint begin = this->fault_start + this->Between(-250ms, 2s);
+  this->network.Cut(some_daemons, SimulatedNetwork::Node(SimulatedNetwork::kStore), begin,
+                    begin + this->Between(500ms, 5s));
+}
+
 void TakeoverSimulation::ScheduleRestart(SimulatedGroup::Endpoint* endpoint, Duration start) {
   const bool keeps_log = this->Chance(50);
   const Duration begin = this->fault_start - this->clock.Now() + start;
@@ -105,6 +118,16 @@
       this->network.Cut(beside, ~beside, this->fault_start, this->fault_end);
       break;
     }
+    case PrimaryFault::kLeaves:
+      this->clock.After(this->fault_start - this->clock.Now(), [=, this] {
+        primary->leaving = true;
+        this->Trace(primary->id + " announces that it leaves");
+      });
+      this->clock.After(this->fault_end + 1s - this->clock.Now(), [=, this] {
+        this->group.Remove(primary);
+        this->Trace(primary->id + " is gone");
+      });
+      break;
     case PrimaryFault::kCrash: {
       const bool keeps_log = this->Chance(80);
       this->clock.After(this->fault_start - this->clock.Now(), [=, this] {
