tests: the model of takeovers checks the last leader's log at the end

And commits acknowledged after the last promotion were checked only at once.

Change: such a commit is judged by the next promotion, and at the end of a run the log of the endpoint that was promoted last must have every acknowledged commit, unless it has lost its log since.

--- a/tests/kernel/takeover_simulation.h
+++ b/tests/kernel/takeover_simulation.h
@@ -78,6 +78,10 @@
   void Report(const AcknowledgedCommit& commit, const std::string& promoted);
   // Whether the log that was promoted last lacks an entry that some log had before.
   bool IsMissing(LogPosition entry) const;
+  // Whether the endpoint that was promoted last still has the log of its promotion.
+  bool LeaderKeepsLog() const;
+  // Checks that the log of the last leader has all acknowledged commits.
+  void CheckLeader();
   void RunReplication();
   void RunHeartbeats();
   void ScheduleFaults();
