--- a/tests/kernel/simulated_daemon.cc
+++ b/tests/kernel/simulated_daemon.cc
@@ -164,11 +164,12 @@
     }
   }
   const bool same_takeover = newer.nonce == this->claim.nonce && newer.phase == this->claim.phase;
+  const bool is_new_resume = newer.resume_pending && !this->claim.resume_pending;
   this->claim = newer;
   if (same_takeover) {
     return;
   }
-  if (newer.phase == SimulatedPhase::kResuming) {
+  if (newer.phase == SimulatedPhase::kResuming || is_new_resume) {
     this->resume_pending_until = this->Now() + kLateOrderWindow;
   } else if (newer.phase == SimulatedPhase::kAbandoned) {
     this->resume_pending_until = {};
--- a/tests/kernel/simulated_daemon.h
+++ b/tests/kernel/simulated_daemon.h
@@ -87,7 +87,7 @@
   void ApplyRegistry(const std::map<std::string, SimulatedEntry>& registry);
   void ApplyClaim(const SimulatedClaim& newer);
   // Candidates whose promotion may still take place beside the lead of `primary`.
-  std::vector<std::string> PendingPromotions(const std::string& primary) const;
+  std::vector<std::string> PendingCandidates(const std::string& primary, uint64_t term) const;
   bool HasOrderedPromotion() const;
   bool HasTakeoverInProgress() const;
   void NoteClaimVerified(TimePoint verified);
--- a/tests/kernel/simulated_store.h
+++ b/tests/kernel/simulated_store.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "kernel/takeover_plan.h"
+#include "kernel/ordered_promotion.h"
 #include "kernel/time.h"
 
 namespace poplarmoor {
@@ -20,6 +20,7 @@
   uint64_t nonce = 0;
   std::vector<std::string> members;
   std::vector<OrderedPromotion> ordered;  // Promotions that may still take place, oldest first.
+  bool resume_pending = false;
   uint64_t revision = 0;  // Also the fencing token if the revision belongs to a new claim.
 };
 
--- a/tests/kernel/simulated_takeover.cc
+++ b/tests/kernel/simulated_takeover.cc
@@ -22,8 +22,14 @@
 constexpr Duration kPlannedJitter = 400ms;
 constexpr uint32_t kSynchronousReplicas = 1;
 
+constexpr Duration kCandidateTimeout = 500ms;
+
 using Kind = TakeoverStep::Kind;
 
+bool IsRecorded(const SimulatedClaim& claim, const std::string& id) {
+  return std::find(claim.members.begin(), claim.members.end(), id) != claim.members.end();
+}
+
 }  // namespace
 
 bool SimulatedDaemon::IsClaimed() {
@@ -84,8 +90,12 @@
   if (!wanted.ordered.empty() && !this->HasOrderedPromotion()) {
     wanted.ordered.erase(wanted.ordered.begin(), wanted.ordered.end() - 1);
   }
+  wanted.resume_pending = this->Now() < this->resume_pending_until;
+  const bool has_record = !this->claim.members.empty();
   for (const auto& [id, member] : this->members) {
-    wanted.members.push_back(id);
+    if (!has_record || IsRecorded(this->claim, id)) {
+      wanted.members.push_back(id);
+    }
   }
   const uint64_t expected = this->claim.revision;
   wanted.revision = co_await this->StoreClaim(wanted, expected);
@@ -103,13 +113,6 @@
   TakeoverView& view = takeover->view;
   view.reason = reason;
   view.old_primary = this->old_primary;
-  if (this->HasOrderedPromotion()) {
-    const std::vector<OrderedPromotion>& ordered = takeover->held.ordered;
-    const auto led = std::find_if(ordered.begin(), ordered.end(), [&view](const auto& promotion) {
-      return promotion.endpoint == view.old_primary;
-    });
-    view.ordered.assign(led == ordered.end() ? ordered.begin() : led + 1, ordered.end());
-  }
   view.synchronous_replicas = kSynchronousReplicas;
   const TimePoint deadline = this->Now() + kTakeoverTimeout;
   std::string last_cause;
@@ -122,9 +125,15 @@
       view.members = co_await this->CollectStatuses(kOrderTimeout);
       outdated = false;
       uint64_t newest_term = this->term;
-      for (const MemberStatus& member : view.members) {
+      for (MemberStatus& member : view.members) {
         newest_term = std::max(newest_term, member.term);
+        member.recorded = IsRecorded(takeover->held, member.id);
+        if (member.reachable && member.is_primary && member.id == view.old_primary) {
+          this->term = std::max(this->term, member.term);
+        }
       }
+      view.ordered = PendingPromotions(takeover->held.ordered, view.old_primary, this->term);
+      view.none_has_led |= NoneHasLed(view);
       view.pause_term = std::max(view.pause_term, newest_term + 1);
       if (!this->IsCurrent(view)) {
         continue;
@@ -236,6 +245,12 @@
   SimulatedClaim wanted = this->claim;
   wanted.phase = phase;
   wanted.ordered = std::move(ordered);
+  wanted.resume_pending = phase == SimulatedPhase::kResuming ||
+                          (wanted.resume_pending && phase != SimulatedPhase::kAbandoned);
+  if (!wanted.ordered.empty() && !IsRecorded(wanted, wanted.ordered.back().endpoint) &&
+      this->members.contains(wanted.ordered.back().endpoint)) {
+    wanted.members.push_back(wanted.ordered.back().endpoint);
+  }
   const uint64_t expected = wanted.revision;
   wanted.revision = co_await this->StoreClaim(wanted, expected);
   if (wanted.revision == 0) {
@@ -265,7 +280,7 @@
   if (ordered.empty() || ordered.back().endpoint != endpoint) {
     for (const MemberStatus& member : takeover->view.members) {
       if (member.id == endpoint) {
-        ordered.push_back({endpoint, member.received});
+        ordered.push_back({endpoint, member.received, takeover->view.pause_term});
       }
     }
   }
@@ -316,9 +331,16 @@
 }
 
 SimulatedDaemon::Task SimulatedDaemon::HasLog(OrderedPromotion promotion) {
-  const auto reply = this->Send(SimulatedOrder::kStatus, 0, promotion.endpoint, kOrderTimeout);
-  const Status answer = co_await *reply;
-  co_return !answer.report.answered || answer.report.received >= promotion.received;
+  const TimePoint deadline = this->Now() + kCandidateTimeout;
+  do {
+    const auto reply = this->Send(SimulatedOrder::kStatus, 0, promotion.endpoint, kOrderTimeout);
+    const Status answer = co_await *reply;
+    if (answer.report.answered) {
+      co_return answer.report.received >= promotion.received;
+    }
+    co_await this->Sleep(kStatusRoundInterval);
+  } while (this->Now() < deadline);
+  co_return false;
 }
 
 SimulatedDaemon::Task SimulatedDaemon::AwaitPromotion(std::string endpoint) {
--- a/tests/kernel/simulated_verification.cc
+++ b/tests/kernel/simulated_verification.cc
@@ -18,16 +18,13 @@
 
 }  // namespace
 
-std::vector<std::string> SimulatedDaemon::PendingPromotions(const std::string& primary) const {
-  std::vector<std::string> ordered;
-  for (const OrderedPromotion& promotion : this->claim.ordered) {
-    ordered.push_back(promotion.endpoint);
-  }
-  return PendingCandidates(ordered, primary);
+std::vector<std::string> SimulatedDaemon::PendingCandidates(const std::string& primary,
+                                                            uint64_t term) const {
+  return CandidatesOf(PendingPromotions(this->claim.ordered, primary, term), primary);
 }
 
 bool SimulatedDaemon::HasOrderedPromotion() const {
-  return !this->PendingPromotions(this->old_primary).empty();
+  return !this->PendingCandidates(this->old_primary, this->term).empty();
 }
 
 bool SimulatedDaemon::HasTakeoverInProgress() const {
@@ -45,7 +42,8 @@
   view.primary = primary;
   view.position = position;
   view.replicas = 1;
-  view.candidates = this->PendingPromotions(primary);
+  view.candidates = this->PendingCandidates(primary, position.term);
+  view.has_record = !this->claim.members.empty();
   const auto& recorded = this->claim.members;
   for (const auto& [id, member] : this->members) {
     const bool is_recorded =
@@ -58,8 +56,9 @@
     witness.answered = member.received.has_value();
     if (member.received) {
       witness.received = *member.received;
-      witness.continuous = (this->calm_at && member.connected_since < *this->calm_at) ||
-                           this->world->Defects().ignores_continuity;
+      witness.continuous =
+          (!member.departed && this->calm_at && member.connected_since < *this->calm_at) ||
+          this->world->Defects().ignores_continuity;
     }
     view.witnesses.push_back(std::move(witness));
   }
@@ -71,6 +70,7 @@
                                                     LogPosition position,
                                                     Duration limit) {
   const TimePoint started = this->Now();
+  this->term = std::max(this->term, position.term);
   CommitVerdict verdict = CommitVerdict::kUnknown;
   for (;;) {
     const CommitView view = this->MakeCommitView(primary, position);
