--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -36,8 +36,6 @@
 // Time for which other endpoints are preferred after an endpoint was unreachable; about the time
 // that a reconnection takes.
 constexpr Duration kUnreachablePause = 100ms;
-// Interval at which a write that waits for commits to be confirmed checks whether they are.
-constexpr Duration kStallCheckInterval = 50ms;
 
 }  // namespace
 
@@ -126,43 +124,6 @@
   }
 }
 
-void StatementRunner::NoteCommit(SessionState* state, const StatementAnswer& answer) {
-  if (answer.position) {
-    state->last_commit = std::max(state->last_commit, *answer.position);
-    state->last_commit_time = BootNow();
-  }
-}
-
-asio::awaitable<bool> StatementRunner::MayCommit(const StatementJob& job, ServiceGroup* group) {
-  for (;;) {
-    const Duration stall = group->ExpectedCommitStall();
-    if (stall == Duration{}) {
-      co_return true;
-    }
-    if (stall > job.TimeLeft()) {
-      co_return false;
-    }
-    co_await group->statuses_changed.Wait(std::min<Duration>(job.TimeLeft(), kStallCheckInterval));
-  }
-}
-
-asio::awaitable<bool> StatementRunner::IsSafe(const StatementJob& job,
-                                              ServiceGroup* group,
-                                              std::shared_ptr<EndpointPool> pool,
-                                              const StatementAnswer& answer) {
-  if (!answer.position) {
-    Log(LogLevel::kWarn, "commit acknowledged without a position",
-        {{"service", group->name}, {"endpoint", pool->record().id}, {"statement", job.id}});
-    co_return false;
-  }
-  const TimePoint started = BootNow();
-  const CommitVerdict verdict =
-      co_await this->verifier.Verify(group, pool->record().id, *answer.position, job.TimeLeft());
-  this->metrics->Add(Metric::kCommitChecks, {group->name, kCommitVerdictNames.NameOf(verdict)});
-  this->metrics->Observe(Metric::kCommitCheckSeconds, {group->name}, BootNow() - started);
-  co_return verdict == CommitVerdict::kSafe;
-}
-
 StatementAnswer StatementRunner::Fail(const StatementJob& job,
                                       StatementError error,
                                       std::string_view cause,
