--- a/tests/platform/fake_line_endpoint.cc
+++ b/tests/platform/fake_line_endpoint.cc
@@ -181,6 +181,7 @@
     this->active_pause_term = word == "PAUSE"    ? std::stoull(name)
                               : word == "RESUME" ? 0
                                                  : this->active_pause_term;
+    this->resumed += word == "RESUME" ? 1 : 0;
     if (word == "PAUSE" && this->on_pause) {
       std::exchange(this->on_pause, nullptr)();
     }
--- a/tests/platform/fake_line_endpoint.h
+++ b/tests/platform/fake_line_endpoint.h
@@ -49,6 +49,7 @@
   std::string id;
   // Term in the PAUSE command that paused replication; 0 while replication is not paused.
   uint64_t active_pause_term = 0;
+  int resumed = 0;                 // Number of RESUME commands.
   std::function<void()> on_pause;  // If set, it is called once, at the next PAUSE command.
   // First words of the statements whose answers are cut off: the endpoint runs such a statement,
   // sends half of the answer and closes the connection.
--- a/tests/platform/memory_store.h
+++ b/tests/platform/memory_store.h
@@ -30,6 +30,10 @@
   boost::asio::awaitable<std::optional<StoredObject>> Get(std::string kind,
                                                           std::string name,
                                                           bool) override {
+    ++this->reads;
+    if (this->refuses_reads) {
+      throw StoreError(StoreFailure::kRefused, "the memory store refuses reads");
+    }
     const auto found = this->kinds[kind].find(name);
     if (found == this->kinds[kind].end()) {
       co_return std::nullopt;
@@ -72,6 +76,8 @@
     ++this->era;
   }
 
+  int reads = 0;               // Number of calls of Get().
+  bool refuses_reads = false;  // Whether Get() fails.
   uint64_t era = 0;
   uint64_t revision = 1;  // Number of the latest change.
   std::map<std::string, std::map<std::string, StoredObject>> kinds;
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -170,6 +170,39 @@
   CHECK(fixture.group.executed.size() == 1);
 }
 
+// Guards against commits in doubt, or without proof, at a daemon that reaches only the primary.
+TEST_CASE("a daemon without a path to the replicas confirms commits by way of another daemon") {
+  RelayFixture fixture;
+  EndpointRecord primary = fixture.gate.cluster.FindEndpoint("p")->record();
+  primary.revision = {0, 3};
+  fixture.entry.cluster.ApplyEndpoint(primary);
+  fixture.entry.cluster.FindEndpoint("p")->down = false;
+  fixture.endpoints[1]->lag = 1;
+  fixture.route.statement_timeout = 1h;
+  std::optional<StatementAnswer> answer;
+  SessionState state;
+  asio::co_spawn(fixture.context,
+                 fixture.entry.runner.Run(fixture.Job("w1", "WRITE 1 x", true), &state),
+                 [&answer](std::exception_ptr, StatementAnswer result) { answer = result; });
+  const auto run_until = [&fixture](const auto& condition) {
+    const TimePoint limit = BootNow() + 60s;
+    while (!condition() && BootNow() < limit) {
+      fixture.context.run_one_for(std::chrono::milliseconds(20));
+    }
+    REQUIRE(condition());
+  };
+  const auto replica = fixture.entry.cluster.FindEndpoint("a");
+  run_until([&] { return replica->last_report.has_value(); });
+  CHECK(replica->last_report->received == LogPosition{1, 10});
+  CHECK(replica->UsesRelay());
+  CHECK(fixture.group.index == 11);
+  CHECK_FALSE(answer);
+  fixture.endpoints[1]->lag = 0;
+  run_until([&] { return answer.has_value(); });
+  CHECK_FALSE(answer->error);
+  CHECK(answer->signature == "signed.w1");
+}
+
 // Guards against a planned stop of a gateway that cuts off what other daemons' callers have sent:
 // a write would be reported as in doubt, a transaction as aborted.
 TEST_CASE(
