--- a/session/caller_session.cc
+++ b/session/caller_session.cc
@@ -109,10 +109,12 @@
     refusal = this->codec->EncodeRefusal(StatementError::kUnknownDatabase, message.database);
   }
   if (!refusal.empty()) {
+    const auto age = this->cluster->access().Age();
     Log(LogLevel::kInfo, "session refused",
         {{"database", message.database},
          {"cause", refusal.substr(0, refusal.find('\r'))},
-         {"config_version", this->cluster->routes().version}});
+         {"config_version", this->cluster->routes().version},
+         {"copy_age_ms", age ? ToMillis(*age) : -1}});
     co_await this->Write(refusal);
     co_return false;
   }
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -64,6 +64,11 @@
   return this->verified ? std::optional(BootNow() - *this->verified) : std::nullopt;
 }
 
+int64_t StoreSync::KindState::LoggedAge() const {
+  const auto age = this->VerifiedAge();
+  return age ? ToMillis(*age) : -1;
+}
+
 void StoreSync::Start() {
   const auto start_sync = [this](std::string name, Duration bound, Apply apply) {
     const bool has_keys = this->revocation_bound && name == this->registry->routes_kind();
@@ -122,6 +127,11 @@
     if (!succeeded && (this->retrying_kind == nullptr || this->retrying_kind == kind.get())) {
       succeeded = co_await this->SyncFromStore(kind);
       this->retrying_kind = succeeded ? nullptr : kind.get();
+    } else if (!succeeded) {
+      Log(LogLevel::kInfo, "store not called: another kind retries",
+          {{"kind", kind->name},
+           {"retrying", this->retrying_kind->name},
+           {"copy_age_ms", kind->LoggedAge()}});
     }
     if (succeeded) {
       if (!kind->reachable) {
@@ -176,9 +186,10 @@
   } catch (const StoreError& error) {
     cause = error.what();
   }
-  if (kind->reachable) {
-    Log(LogLevel::kWarn, "store lost", {{"kind", kind->name}, {"cause", cause}});
-  }
+  const bool was_reachable = kind->reachable;
+  Log(was_reachable ? LogLevel::kWarn : LogLevel::kInfo,
+      was_reachable ? "store lost" : "store still out of reach",
+      {{"kind", kind->name}, {"cause", cause}, {"copy_age_ms", kind->LoggedAge()}});
   co_return false;
 }
 
@@ -199,7 +210,7 @@
     Log(LogLevel::kInfo, "store regained",
         {{"kind", kind->name}, {"revision", snapshot.revision.ToText()}});
   }
-  this->Merge(kind.get(), snapshot, true);
+  this->Merge(kind.get(), snapshot, true, stale_ok ? "stale_listing" : "listing");
   kind->confirmed = BootNow();
   if (!stale_ok) {
     this->NoteVerified(kind.get(), sent);
@@ -238,7 +249,7 @@
         {{"kind", kind->name}, {"revision", snapshot.revision.ToText()}});
   }
   if (snapshot.revision.era == since.era && kind->revision.era == since.era) {
-    this->Merge(kind.get(), snapshot, false);
+    this->Merge(kind.get(), snapshot, false, "watch");
     kind->confirmed = BootNow();
     this->NoteVerified(kind.get(), sent);
     co_return;
@@ -265,10 +276,20 @@
   }
 }
 
-void StoreSync::Merge(KindState* kind, const StoreSnapshot& snapshot, bool complete) {
+void StoreSync::Merge(KindState* kind,
+                      const StoreSnapshot& snapshot,
+                      bool complete,
+                      std::string_view source) {
   if (snapshot.revision < kind->revision) {
     return;  // A peer has sent later changes while the call was in progress.
   }
+  if (kind->name == this->registry->routes_kind() && (complete || !snapshot.objects.empty())) {
+    Log(LogLevel::kInfo, "configuration read",
+        {{"source", source},
+         {"revision", snapshot.revision.ToText()},
+         {"previous_revision", kind->revision.ToText()},
+         {"previous_age_ms", kind->LoggedAge()}});
+  }
   if (complete) {
     kind->objects.clear();
     kind->listed_at = snapshot.revision;
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "kernel/change_schedule.h"
@@ -85,6 +86,9 @@
     /// @returns Highest possible age of the copy; empty: it was never verified.
     std::optional<Duration> VerifiedAge() const;
 
+    /// @returns Highest possible age of the copy in milliseconds; -1: it was never verified.
+    int64_t LoggedAge() const;
+
     std::string name;
     ChangeSchedule schedule;
     Apply apply;
@@ -150,7 +154,12 @@
                                             Peer peer,
                                             Duration wait);
   boost::asio::awaitable<PeerMessage> HandleSyncRequest(PeerMessage message);
-  void Merge(KindState* kind, const StoreSnapshot& snapshot, bool complete);
+  // @param source Where the objects come from, for the log: kind of the call to the store, or name
+  //     of a peer.
+  void Merge(KindState* kind,
+             const StoreSnapshot& snapshot,
+             bool complete,
+             std::string_view source);
   boost::asio::awaitable<void> TrackDaemons();
   // Writes this daemon's entry to the store.
   // @param listed The daemon's entry in the last listing; empty if it was not listed.
--- a/session/store_sync_peers.cc
+++ b/session/store_sync_peers.cc
@@ -109,7 +109,7 @@
     }
     if (answer.revision > kind->revision) {
       this->NoteEra(kind->name, answer.revision);
-      this->Merge(kind.get(), snapshot, answer.complete);
+      this->Merge(kind.get(), snapshot, answer.complete, peer.daemon);
       if (!answer.reachable) {
         Log(LogLevel::kInfo, "changes read from a peer that cannot reach the store",
             {{"peer", peer.daemon}, {"kind", kind->name}, {"revision", answer.revision.ToText()}});
