--- a/kernel/copy_age.cc
+++ b/kernel/copy_age.cc
@@ -4,27 +4,75 @@
 
 namespace poplarmoor {
 
-CopyAge::CopyAge(ChangeSchedule schedule) : limits(schedule) {}
+namespace {
 
-void CopyAge::NoteStoreAnswer(TimePoint /*sent*/, TimePoint now) {
-  this->confirmed = now;
+// The bound divided by this number is the time for which the answer of a witness counts.
+constexpr int kWitnessTimeDivisor = 4;
+
+}  // namespace
+
+CopyAge::CopyAge(ChangeSchedule schedule, TimePoint started) : limits(schedule), started(started) {}
+
+void CopyAge::NoteStoreAnswer(TimePoint sent, TimePoint now) {
+  this->verified_at = std::max(this->verified_at, std::optional(sent));
+  this->answered_at = std::max(this->answered_at, std::optional(now));
 }
 
 void CopyAge::NoteStaleListing(TimePoint now) {
-  this->confirmed = now;
+  this->answered_at = std::max(this->answered_at, std::optional(now));
 }
 
 bool CopyAge::NotePeerAnswer(const PeerCopy& answer, TimePoint now) {
-  this->confirmed = std::max(this->confirmed, std::optional(now - answer.confirmed_age));
-  return answer.reachable && this->limits.IsCurrent(answer.confirmed_age);
+  // The earliest time at which the peer can have answered.
+  const TimePoint answered = answer.sent + answer.held;
+  this->answered_at = std::max(this->answered_at, std::optional(answered - answer.silence));
+  std::optional<TimePoint> verified;
+  if (answer.age) {
+    verified = answered - *answer.age;
+    this->verified_at = std::max(this->verified_at, verified);
+  }
+  if (now - answer.sent - answer.held <= ChangeSchedule::kPeerAnswerTimeout) {
+    this->prompt_answers[answer.daemon] = {now, verified};
+  } else {
+    this->late_answer_at = now;
+  }
+  std::erase_if(this->prompt_answers, [this, now](const auto& entry) {
+    return now - entry.second.arrived > this->limits.MaxUseAge() / kWitnessTimeDivisor;
+  });
+  return answer.reachable && this->limits.IsCurrent(answer.silence);
+}
+
+std::optional<Duration> CopyAge::Silence(TimePoint now) const {
+  return this->answered_at ? std::optional(now - *this->answered_at) : std::nullopt;
 }
 
 std::optional<Duration> CopyAge::Age(TimePoint now) const {
-  return this->confirmed ? std::optional(now - *this->confirmed) : std::nullopt;
+  return this->verified_at ? std::optional(now - *this->verified_at) : std::nullopt;
+}
+
+bool CopyAge::IsStoreLostForAll(TimePoint now, size_t others) const {
+  const Duration window = this->limits.MaxUseAge() / kWitnessTimeDivisor;
+  if (this->late_answer_at && now - *this->late_answer_at <= window) {
+    return false;
+  }
+  const auto count =
+      std::count_if(this->prompt_answers.begin(), this->prompt_answers.end(),
+                    [this, now, window](const auto& entry) {
+                      const auto& verified = entry.second.verified;
+                      return now - entry.second.arrived <= window &&
+                             (!verified || now - *verified > this->limits.MaxUseAge());
+                    });
+  return static_cast<size_t>(count) >= std::clamp<size_t>(others, 1, kWitnesses);
 }
 
-CopyUse CopyAge::Use(TimePoint /*now*/, size_t /*others*/) const {
-  return CopyUse::kAll;
+CopyUse CopyAge::Use(TimePoint now, size_t others) const {
+  const std::optional<Duration> age = this->Age(now);
+  if (age && *age <= this->limits.MaxUseAge()) {
+    return CopyUse::kAll;
+  }
+  const bool is_starting = !age && now - this->started <= this->limits.MaxUseAge();
+  return is_starting || this->IsStoreLostForAll(now, others) ? CopyUse::kKnownRoutes
+                                                             : CopyUse::kNothing;
 }
 
 bool CopyAge::NeedsYoungerCopy(TimePoint now) const {
--- a/kernel/copy_age.h
+++ b/kernel/copy_age.h
@@ -31,31 +31,59 @@
   Duration held{};              // How long the daemon waited before it answered.
   Duration confirmed_age{};     // Time since an answer of the store arrived; see SyncAnswer.
   std::optional<Duration> age;  // Highest possible age of the copy at the answer.
-  bool reachable = false;       // Whether the daemon reaches the store, itself or by others.
+  // Time since the daemon had an answer of the store, directly or through others.
+  Duration silence{};
+  bool reachable = false;  // Whether the daemon reaches the store, itself or by others.
 };
 
-/// Age of a daemon's copy of the store objects of one kind, and what follows from it.
+/// Highest possible age of a daemon's copy of the store objects of one kind, and what may be done
+/// with the copy. An age of a copy claims that the copy holds every change that the store had
+/// acknowledged by then. Only two things prove this: an answer of the store, from the time when the
+/// call was sent, and the claim of another daemon about a copy that was merged into this one.
 class CopyAge {
  public:
+  /// Number of other daemons whose prompt answers show that the store is lost for all, if that many
+  /// can be reached.
+  static constexpr size_t kWitnesses = 3;
+
   /// @param schedule Time limits of the kind.
-  explicit CopyAge(ChangeSchedule schedule);
+  /// @param started When this daemon started.
+  CopyAge(ChangeSchedule schedule, TimePoint started);
 
   /// Records an answer of the store that has brought the copy up to date.
   /// @param sent When the call began.
-  /// @param now When the answer was merged.
+  /// @param now When the answer arrived.
   void NoteStoreAnswer(TimePoint sent, TimePoint now);
 
-  /// Records a listing that may be some seconds old.
+  /// Records a listing that may be stale. It says nothing about the age of the copy.
+  /// @param now When the answer arrived.
   void NoteStaleListing(TimePoint now);
 
   /// Records the answer of another daemon. To be called after its changes were merged.
+  /// @param now When the answer arrived.
   /// @returns Whether this daemon may rely on the other one's copy instead of asking elsewhere.
   bool NotePeerAnswer(const PeerCopy& answer, TimePoint now);
 
-  /// @returns Age of the copy; empty: not known.
+  /// @returns A time until which the copy holds all changes; empty: not known.
+  std::optional<TimePoint> verified() const { return this->verified_at; }
+
+  /// @returns A time from which on the store may have changes that the copy lacks: verified(), or
+  ///     the daemon's start.
+  TimePoint unchanged_until() const { return this->verified_at.value_or(this->started); }
+
+  /// @returns Time since this daemon had an answer of the store, directly or through others; empty:
+  ///     it had none. A late answer shortens the silence, but not the age of the copy.
+  std::optional<Duration> Silence(TimePoint now) const;
+
+  /// @returns Highest possible age of the copy; empty: not known.
   std::optional<Duration> Age(TimePoint now) const;
 
-  /// @param others Number of other daemons that are known.
+  /// Decides what may be done with the copy. Beyond the bound, the routes of the copy are served
+  /// only if the other daemons that this one reaches have no younger copy either, so that the store
+  /// is out of reach for all of them. Otherwise the cause is this daemon, for example its full
+  /// link.
+  /// @param others Number of other daemons that are not known to be out of reach; kWitnesses stands
+  ///     for all higher numbers.
   CopyUse Use(TimePoint now, size_t others) const;
 
   /// @returns Whether other daemons are to be asked for a younger copy.
@@ -64,8 +92,20 @@
   const ChangeSchedule& schedule() const { return this->limits; }
 
  private:
+  // Answer of another daemon that came promptly. A late one shows that a link is full.
+  struct PromptAnswer {
+    TimePoint arrived;
+    std::optional<TimePoint> verified;
+  };
+
+  bool IsStoreLostForAll(TimePoint now, size_t others) const;
+
   ChangeSchedule limits;
-  std::optional<TimePoint> confirmed;
+  TimePoint started;
+  std::optional<TimePoint> verified_at;
+  std::optional<TimePoint> answered_at;                // See Silence().
+  std::map<std::string, PromptAnswer> prompt_answers;  // Latest ones, by daemon.
+  std::optional<TimePoint> late_answer_at;             // Arrival of the latest late answer.
 };
 
 }  // namespace poplarmoor
--- a/session/caller_session.cc
+++ b/session/caller_session.cc
@@ -24,6 +24,13 @@
 // Size in bytes that an entry of the session's state takes in addition to its texts.
 constexpr size_t kStateEntryOverhead = 128;
 
+constexpr char kCopyTooOldText[] = "this daemon's copy of the configuration is too old";
+
+// Returns the text of an error of CallerSession::CheckRoute().
+std::string RouteErrorText(StatementError error, const std::string& database) {
+  return error == StatementError::kUnknownDatabase ? database : kCopyTooOldText;
+}
+
 StatementAnswer Success(TransactionState state) {
   StatementAnswer answer;
   answer.signature = "-";
@@ -105,8 +112,8 @@
   } else if (!co_await this->cluster->AwaitReady(kFirstConfigurationWait)) {
     refusal = this->codec->EncodeRefusal(StatementError::kOverloaded,
                                          "this daemon has not received a configuration yet");
-  } else if (this->cluster->routes().Find(message.database) == nullptr) {
-    refusal = this->codec->EncodeRefusal(StatementError::kUnknownDatabase, message.database);
+  } else if (const auto error = this->CheckRoute(message.database, "session")) {
+    refusal = this->codec->EncodeRefusal(*error, RouteErrorText(*error, message.database));
   }
   if (!refusal.empty()) {
     const auto age = this->cluster->access().Age();
@@ -128,6 +135,20 @@
   co_return co_await this->Write(std::move(text));
 }
 
+std::optional<StatementError> CallerSession::CheckRoute(const std::string& name,
+                                                        std::string_view subject) const {
+  const bool is_known = this->cluster->routes().Find(name) != nullptr;
+  const CopyUse use = this->cluster->configuration().Use();
+  if (use == CopyUse::kAll) {
+    return is_known ? std::nullopt : std::optional(StatementError::kUnknownDatabase);
+  }
+  if (is_known && use == CopyUse::kKnownRoutes) {
+    return std::nullopt;
+  }
+  this->cluster->configuration().NoteRefusal(subject);
+  return StatementError::kOverloaded;
+}
+
 std::optional<std::string> CallerSession::RefuseOpening(const CallerMessage& message) {
   const AccessControl& access = this->cluster->access();
   this->presented_key = message.key;
@@ -137,6 +158,11 @@
     return std::nullopt;
   }
   access.NoteRefusal("session", this->state.organisation, "", *refusal);
+  if (this->cluster->configuration().Use() != CopyUse::kAll) {
+    // The key may have been added since.
+    this->cluster->configuration().NoteRefusal("session");
+    return this->codec->EncodeRefusal(StatementError::kOverloaded, kCopyTooOldText);
+  }
   return this->codec->EncodeRefusal(refusal->error, refusal->cause);
 }
 
@@ -273,11 +299,13 @@
   if (message.kind != CallerMessage::Kind::kStatement) {
     co_return Failure(StatementError::kMalformed, "the message is not a statement", this->State());
   }
+  if (!this->transaction) {
+    if (const auto error = this->CheckRoute(this->database, "statement")) {
+      co_return Failure(*error, RouteErrorText(*error, this->database), TransactionState::kNone);
+    }
+  }
   const DatabaseRoute* route =
       this->transaction ? &*this->transaction_route : this->cluster->routes().Find(this->database);
-  if (route == nullptr) {
-    co_return Failure(StatementError::kUnknownDatabase, this->database, TransactionState::kNone);
-  }
   // The route is copied, because new routes may replace the route table while the statement runs.
   const DatabaseRoute current = *route;
   StatementAnswer answer;
--- a/session/caller_session.h
+++ b/session/caller_session.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "session/caller_message.h"
 #include "session/caller_stream.h"
@@ -74,6 +75,11 @@
   // Returns the token of an operation that has not run.
   void ReturnToken(const Admission& admission, const StatementAnswer& answer);
   StatementAnswer AnswerSetting(CallerMessage message);
+  // Checks whether operations on a database may start: the configuration has its route, and the
+  // copy of the configuration is not too old for the answer.
+  // @param subject What would be refused: "session" or "statement".
+  // @returns Why they may not, or nothing.
+  std::optional<StatementError> CheckRoute(const std::string& name, std::string_view subject) const;
   // Sets the session's key and organisation from its opening message.
   // @returns The answer that refuses the session because of its key, or nothing.
   std::optional<std::string> RefuseOpening(const CallerMessage& message);
--- a/session/cluster.cc
+++ b/session/cluster.cc
@@ -218,6 +218,7 @@
 
 void Cluster::RunMaintenance() {
   const TimePoint now = BootNow();
+  this->configuration_guard.Observe(this->table.version);
   this->RetireLeavingPrimaries();
   std::erase_if(this->leaving_since,
                 [this](const auto& entry) { return this->FindEndpoint(entry.first) == nullptr; });
--- a/session/cluster.h
+++ b/session/cluster.h
@@ -14,6 +14,7 @@
 #include "kernel/placement/region_map.h"
 #include "kernel/route_table.h"
 #include "session/access_control.h"
+#include "session/configuration_guard.h"
 #include "session/relay_router.h"
 #include "session/service_group.h"
 
@@ -106,6 +107,9 @@
 
   /// @returns Checks of API keys with the routes in force.
   AccessControl& access() { return this->access_control; }
+
+  /// @returns Limits of the use of the routes in force.
+  ConfigurationGuard& configuration() { return this->configuration_guard; }
   std::map<std::string, std::unique_ptr<ServiceGroup>>& groups() { return this->by_service; }
   const std::string& failure_domain() const { return this->own_domain; }
 
@@ -140,6 +144,7 @@
   std::map<std::string, TimePoint> leaving_since;
   Duration drain_bound = Duration::max();
   RelayRouter router;
+  ConfigurationGuard configuration_guard{&this->router};
   ClaimReader claim_reader;  // Empty: claims are not read on demand.
   WaitList changed;
 };
--- a/session/session_daemon.cc
+++ b/session/session_daemon.cc
@@ -98,6 +98,7 @@
         server(executor, &this->cluster, &this->runner, adapter.sessions, settings.memory) {
     this->cluster.access().SetRevocationBound(settings.revocation_bound);
     this->cluster.access().SetMetrics(adapter.metrics);
+    this->cluster.configuration().SetMetrics(adapter.metrics);
     this->cluster.SetDrainBound(settings.bounds.endpoints);
     this->server.SetCloseReporter(&this->closes);
     this->server.SetLimits(&this->limits);
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -56,30 +56,36 @@
       restored(std::move(executor)),
       random(std::random_device{}()) {}
 
-Duration StoreSync::KindState::Age() const {
-  return BootNow() - this->confirmed;
+std::optional<Duration> StoreSync::KindState::Age() const {
+  return this->age->Age(BootNow());
 }
 
-std::optional<Duration> StoreSync::KindState::VerifiedAge() const {
-  return this->verified ? std::optional(BootNow() - *this->verified) : std::nullopt;
+Duration StoreSync::KindState::Silence() const {
+  return this->age->Silence(BootNow()).value_or(std::chrono::hours(24));
+}
+
+bool StoreSync::KindState::NeedsYoungerCopy() const {
+  return this->age->NeedsYoungerCopy(BootNow());
 }
 
 int64_t StoreSync::KindState::LoggedAge() const {
-  const auto age = this->VerifiedAge();
-  return age ? ToMillis(*age) : -1;
+  const auto copy_age = this->Age();
+  return copy_age ? ToMillis(*copy_age) : -1;
 }
 
 void StoreSync::Start() {
   const auto start_sync = [this](std::string name, Duration bound, Apply apply) {
-    const bool has_keys = this->revocation_bound && name == this->registry->routes_kind();
+    const bool is_configuration = name == this->registry->routes_kind();
     const ChangeSchedule schedule =
-        has_keys ? ChangeSchedule(bound, *this->revocation_bound) : ChangeSchedule(bound);
-    auto kind =
-        std::make_shared<KindState>(name, schedule, std::move(apply), WaitList(this->executor));
+        is_configuration ? ChangeSchedule::ForConfiguration(bound, this->revocation_bound)
+                         : ChangeSchedule(bound);
+    auto kind = std::make_shared<KindState>(name, schedule, std::move(apply),
+                                            WaitList(this->executor), BootNow());
     this->kinds[name] = kind;
-    if (has_keys) {
+    if (is_configuration) {
       // A stale listing may hold keys that were withdrawn before this daemon started.
-      kind->stale_ok = false;
+      kind->stale_ok = !this->revocation_bound;
+      this->cluster->configuration().SetAge(kind->age);
       SpawnService(this->executor, "seek younger copies of " + name,
                    [this, kind] { return this->SeekYoungerCopies(kind); });
     }
@@ -114,7 +120,7 @@
     const GatewayPlan& plan = this->cluster->relays().plan();
     const bool has_peers = this->cluster->relays().peers() != nullptr && plan.size() > 1;
     const bool discovering_peers = plan.size() == 1 && BootNow() - started < kPeerDiscoveryTimeout;
-    const bool may_wait = !kind->schedule.NeedsYoungerCopy(kind->VerifiedAge());
+    const bool may_wait = !kind->schedule.HasKeys() || !kind->NeedsYoungerCopy();
     if (discovering_peers && kind->revision.Exists() && may_wait) {
       co_await Pause(kPeerDiscoveryPoll);
       continue;
@@ -124,7 +130,7 @@
     if (follows_watchers) {
       succeeded = co_await this->SyncFromWatchers(kind);
     }
-    if (!succeeded && (this->retrying_kind == nullptr || this->retrying_kind == kind.get())) {
+    if (!succeeded && this->MayCallStore(*kind)) {
       succeeded = co_await this->SyncFromStore(kind);
       this->retrying_kind = succeeded ? nullptr : kind.get();
     } else if (!succeeded) {
@@ -154,10 +160,15 @@
       retry = kInitialRetryDelay;
       continue;
     }
-    retry = std::min(retry * 2, follows_watchers ? kMaxFollowerRetryDelay : kMaxRetryDelay);
+    const bool may_pause = follows_watchers && !kind->NeedsYoungerCopy();
+    retry = std::min(retry * 2, may_pause ? kMaxFollowerRetryDelay : kMaxRetryDelay);
   }
 }
 
+bool StoreSync::MayCallStore(const KindState& kind) const {
+  return this->retrying_kind == nullptr || this->retrying_kind == &kind;
+}
+
 asio::awaitable<bool> StoreSync::SyncFromStore(std::shared_ptr<KindState> kind) {
   std::string cause;
   try {
@@ -211,9 +222,11 @@
         {{"kind", kind->name}, {"revision", snapshot.revision.ToText()}});
   }
   this->Merge(kind.get(), snapshot, true, stale_ok ? "stale_listing" : "listing");
-  kind->confirmed = BootNow();
-  if (!stale_ok) {
-    this->NoteVerified(kind.get(), sent);
+  if (stale_ok) {
+    kind->age->NoteStaleListing(BootNow());
+  } else {
+    kind->age->NoteStoreAnswer(sent, BootNow());
+    this->NoteYounger(kind.get());
   }
 }
 
@@ -250,8 +263,8 @@
   }
   if (snapshot.revision.era == since.era && kind->revision.era == since.era) {
     this->Merge(kind.get(), snapshot, false, "watch");
-    kind->confirmed = BootNow();
-    this->NoteVerified(kind.get(), sent);
+    kind->age->NoteStoreAnswer(sent, BootNow());
+    this->NoteYounger(kind.get());
     co_return;
   }
   // The store was restored since `since`: the number was given out again, and the answer lacks the
@@ -263,15 +276,18 @@
        {"known_revision", kind->revision.ToText()}});
 }
 
-void StoreSync::NoteVerified(KindState* kind, TimePoint verified) {
-  kind->verified = std::max(kind->verified, std::optional(verified));
+void StoreSync::NoteYounger(KindState* kind) {
+  const std::optional<TimePoint> verified = kind->age->verified();
+  if (!verified) {
+    return;
+  }
   if (kind->name == this->registry->routes_kind()) {
-    this->cluster->access().NoteVerified(*kind->verified);
+    this->cluster->access().NoteVerified(*verified);
   }
   if (kind->name == kTakeoverKind) {
-    this->cluster->NoteClaimsVerified(*kind->verified);
+    this->cluster->NoteClaimsVerified(*verified);
   }
-  if (kind->schedule.IsVerified()) {
+  if (kind->schedule.HasKeys()) {
     kind->changed.NotifyAll();
   }
 }
@@ -304,10 +320,10 @@
   }
   kind->revision = std::max(kind->revision, snapshot.revision);
   // While this daemon was cut off from the store, the objects may have changed at any time since
-  // its copy was last confirmed.
+  // the time until which its copy certainly held all changes.
   std::optional<TimePoint> unchanged_until;
-  if (!kind->reachable && kind->confirmed != TimePoint{}) {
-    unchanged_until = kind->confirmed;
+  if (!kind->reachable) {
+    unchanged_until = kind->age->unchanged_until();
   }
   kind->apply(snapshot, complete, unchanged_until);
   if (complete || !snapshot.objects.empty()) {
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -9,11 +9,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "kernel/change_schedule.h"
+#include "kernel/copy_age.h"
 #include "kernel/organisation/entry_write.h"
 #include "kernel/placement/gateway_plan.h"
 #include "kernel/random.h"
@@ -26,6 +28,7 @@
 class Cluster;
 class PeerNetwork;
 struct PeerMessage;
+enum class PeerCallKind;
 class RegistryCodec;
 
 /// Keeps the cluster's routes, endpoints, takeover claims and list of daemons up to date with
@@ -74,17 +77,26 @@
 
   // This daemon's copy of the objects of one kind.
   struct KindState {
-    KindState(std::string name, ChangeSchedule schedule, Apply apply, WaitList changed)
+    KindState(std::string name,
+              ChangeSchedule schedule,
+              Apply apply,
+              WaitList changed,
+              TimePoint started)
         : name(std::move(name)),
           schedule(schedule),
           apply(std::move(apply)),
-          changed(std::move(changed)) {}
-
-    /// @returns Time since the store last confirmed this daemon's copy.
-    Duration Age() const;
+          changed(std::move(changed)),
+          age(std::make_shared<CopyAge>(schedule, started)) {}
 
     /// @returns Highest possible age of the copy; empty: it was never verified.
-    std::optional<Duration> VerifiedAge() const;
+    std::optional<Duration> Age() const;
+
+    /// @returns Time since an answer of the store, directly or through others; a day if there was
+    ///     none.
+    Duration Silence() const;
+
+    /// @returns Whether other daemons are to be asked for a younger copy.
+    bool NeedsYoungerCopy() const;
 
     /// @returns Highest possible age of the copy in milliseconds; -1: it was never verified.
     int64_t LoggedAge() const;
@@ -103,13 +115,9 @@
     bool reachable = true;    // The last call to the store or to a watcher succeeded.
     std::string source;       // Watcher whose copy was recent enough last time; empty: none yet.
     std::string copy_source;  // Peer that last had a younger copy when one was needed.
-    // When the store last answered that the copy is up to date, to this daemon or to the peer that
-    // the changes were read from.
-    TimePoint confirmed;
-    // A time at which this daemon's copy was certainly up to date: when the call began whose answer
-    // confirmed the copy. Delayed or repeated answers cannot make it later than the truth. Empty:
-    // no answer has confirmed the copy; a listing that may be stale does not.
-    std::optional<TimePoint> verified;
+    // Shared with ConfigurationGuard if the kind is that of the configuration.
+    std::shared_ptr<CopyAge> age;
+    std::set<std::string> queried;  // Peers that have not yet answered a query for a younger copy.
   };
 
   struct KeptObject {
@@ -130,9 +138,12 @@
   // Chooses the peers to ask for a younger copy: the one that had one last time and random ones of
   // a small set.
   std::vector<Peer> CopySources(const KindState& kind);
-  // Records that the copy of the kind was up to date at a time. To be called after the changes
-  // until then were merged.
-  void NoteVerified(KindState* kind, TimePoint verified);
+  // Asks a peer for a younger copy.
+  boost::asio::awaitable<void> QueryPeer(std::shared_ptr<KindState> kind, Peer peer);
+  // Whether a kind calls the store now although a call for another kind has failed.
+  bool MayCallStore(const KindState& kind) const;
+  // Passes the age of a copy on after it has become younger.
+  void NoteYounger(KindState* kind);
   // Lists all objects of the kind and merges them.
   // @throws StoreError, also if the listing is of an earlier era than the store's present one.
   boost::asio::awaitable<void> ListKind(std::shared_ptr<KindState> kind);
@@ -150,9 +161,14 @@
   // Random time that spreads the calls of all daemons after the store was restored.
   Duration RestoreJitter();
   boost::asio::awaitable<bool> SyncFromStore(std::shared_ptr<KindState> kind);
+  // @param wait Longest time for which the peer waits for a change.
+  // @param limit Time limit for the answer, in addition to `wait`.
+  // @param call_kind What happens to the call when the peer is silent.
   boost::asio::awaitable<bool> SyncFromPeer(std::shared_ptr<KindState> kind,
                                             Peer peer,
-                                            Duration wait);
+                                            Duration wait,
+                                            Duration limit,
+                                            PeerCallKind call_kind);
   boost::asio::awaitable<PeerMessage> HandleSyncRequest(PeerMessage message);
   // @param source Where the objects come from, for the log: kind of the call to the store, or name
   //     of a peer.
--- a/session/store_sync_peers.cc
+++ b/session/store_sync_peers.cc
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "net/peer_network.h"
+#include "session/background_task.h"
 #include "session/boot_clock.h"
 #include "session/cluster.h"
 #include "session/evidence_exchange.h"
@@ -22,6 +23,9 @@
 // Number of peers that a daemon asks one after the other for a younger copy. With the interval of
 // the queries, this bounds a daemon's calls whatever the size of the fleet; see ChangeSchedule.
 constexpr size_t kSourcesPerQuery = 2;
+// Largest number of such queries without an answer, and the time limit of each.
+constexpr size_t kMaxQueries = 6;
+constexpr Duration kQueryTimeout = 1s;
 // Number of reachable daemons among which these peers are chosen. They are the first ones in the
 // rendezvous order, so that a daemon needs few connections. Copies still reach every daemon: the
 // probability that a daemon is no source of any other one is about e^-12.
@@ -54,7 +58,10 @@
     if (this->cluster->relays().health().IsLost(watcher)) {
       continue;
     }
-    const bool succeeded = co_await this->SyncFromPeer(kind, watcher, wait);
+    const PeerCallKind call_kind =
+        wait > Duration{} ? PeerCallKind::kLongPoll : PeerCallKind::kRepeatable;
+    const bool succeeded = co_await this->SyncFromPeer(
+        kind, watcher, wait, ChangeSchedule::kPeerAnswerTimeout, call_kind);
     if (succeeded) {
       kind->source = watcher.daemon;
       co_return true;
@@ -77,7 +84,8 @@
     if (peer.daemon == this->self.daemon || this->cluster->relays().health().IsLost(peer)) {
       continue;
     }
-    const bool up_to_date = co_await this->SyncFromPeer(kind, peer, Duration{});
+    const bool up_to_date = co_await this->SyncFromPeer(
+        kind, peer, Duration{}, ChangeSchedule::kPeerAnswerTimeout, PeerCallKind::kRepeatable);
     if (up_to_date) {
       co_return;
     }
@@ -86,7 +94,9 @@
 
 asio::awaitable<bool> StoreSync::SyncFromPeer(std::shared_ptr<KindState> kind,
                                               Peer peer,
-                                              Duration wait) {
+                                              Duration wait,
+                                              Duration limit,
+                                              PeerCallKind call_kind) {
   SyncRequest request;
   request.kind = kind->name;
   request.since = kind->revision;
@@ -96,9 +106,8 @@
   const TimePoint sent = BootNow();
   try {
     const PeerMessage message = co_await this->cluster->relays().peers()->Call(
-        peer.address, std::move(query),
-        std::chrono::milliseconds(ToMillis(wait + ChangeSchedule::kPeerAnswerTimeout)),
-        wait > Duration{} ? PeerCallKind::kLongPoll : PeerCallKind::kRepeatable);
+        peer.address, std::move(query), std::chrono::milliseconds(ToMillis(wait + limit)),
+        call_kind);
     const SyncAnswer answer = DecodeSyncAnswer(message.body);
     RecordEvidence(this->cluster, answer.evidence,
                    sent + Duration(static_cast<int64_t>(answer.held_us)));
@@ -115,17 +124,20 @@
             {{"peer", peer.daemon}, {"kind", kind->name}, {"revision", answer.revision.ToText()}});
       }
     }
-    const Duration age(static_cast<int64_t>(answer.age_us));
-    kind->confirmed = std::max(kind->confirmed, BootNow() - age);
-    const TimePoint answered = sent + Duration(static_cast<int64_t>(answer.held_us));
-    if (const auto verified = VerifiedTime(answered, answer.verified_age_us)) {
-      this->NoteVerified(kind.get(), *verified);
+    PeerCopy copy;
+    copy.daemon = peer.daemon;
+    copy.sent = sent;
+    copy.held = Duration(static_cast<int64_t>(answer.held_us));
+    copy.reachable = answer.reachable;
+    copy.silence = Duration(static_cast<int64_t>(answer.age_us));
+    if (const auto verified = VerifiedTime(sent, answer.verified_age_us)) {
+      copy.age = sent - *verified;
     }
-    const bool current = kind->schedule.IsCurrent(age);
-    const bool usable = answer.reachable && current;
-    if (answer.reachable && !current && kind->reachable) {
+    const bool usable = kind->age->NotePeerAnswer(copy, BootNow());
+    this->NoteYounger(kind.get());
+    if (answer.reachable && !usable && kind->reachable) {
       Log(LogLevel::kInfo, "a peer's copy of the store is too old",
-          {{"peer", peer.daemon}, {"kind", kind->name}, {"age_ms", ToMillis(age)}});
+          {{"peer", peer.daemon}, {"kind", kind->name}, {"age_ms", ToMillis(copy.silence)}});
     }
     co_return usable;
   } catch (const PeerError& error) {
@@ -153,14 +165,15 @@
   if (found != this->kinds.end()) {
     const std::shared_ptr<KindState> kind = found->second;
     const TimePoint deadline = BootNow() + Duration(static_cast<int64_t>(request.wait_us));
-    const std::optional<TimePoint> known = kind->verified;
+    const std::optional<TimePoint> known = kind->age->verified();
     // Followers of a kind with API keys learn of each verification without waiting for a change.
     const auto is_verified_again = [&kind, &known] {
-      return kind->schedule.IsVerified() && kind->verified &&
-             (!known || *kind->verified - *known >= kind->schedule.VerificationStep());
+      const std::optional<TimePoint> verified = kind->age->verified();
+      return kind->schedule.HasKeys() && verified &&
+             (!known || *verified - *known >= kind->schedule.VerificationStep());
     };
     while (kind->reachable && kind->revision <= request.since && !is_verified_again()) {
-      const Duration wait = kind->schedule.AnswerWait(deadline - BootNow(), kind->Age());
+      const Duration wait = kind->schedule.AnswerWait(deadline - BootNow(), kind->Silence());
       if (wait == Duration{}) {
         break;
       }
@@ -168,8 +181,8 @@
     }
     answer.reachable = kind->reachable && kind->revision.Exists();
     answer.revision = kind->revision;
-    answer.age_us = static_cast<uint64_t>(kind->Age().count());
-    answer.verified_age_us = ToVerifiedAge(kind->VerifiedAge());
+    answer.verified_age_us = ToVerifiedAge(kind->Age());
+    answer.age_us = static_cast<uint64_t>(kind->Silence().count());
     answer.complete = request.since < kind->listed_at;
     for (const auto& [name, object] : kind->objects) {
       if (answer.complete ? !object.deleted : object.revision > request.since) {
@@ -185,34 +198,43 @@
 }
 
 asio::awaitable<void> StoreSync::SeekYoungerCopies(std::shared_ptr<KindState> kind) {
-  const auto needs_younger = [kind] {
-    return kind->schedule.NeedsYoungerCopy(kind->VerifiedAge());
-  };
   for (;;) {
     co_await Pause(kind->schedule.QueryInterval());
-    if (this->cluster->relays().peers() == nullptr || !needs_younger()) {
+    if (this->cluster->relays().peers() == nullptr || !kind->NeedsYoungerCopy()) {
       continue;
     }
     for (const Peer& peer : this->CopySources(*kind)) {
-      const std::optional<TimePoint> known = kind->verified;
-      co_await this->SyncFromPeer(kind, peer, Duration{});
-      if (kind->verified > known) {
-        kind->copy_source = peer.daemon;
-      }
-      if (!needs_younger()) {
-        break;
+      if (kind->queried.size() < kMaxQueries && kind->queried.insert(peer.daemon).second) {
+        SpawnTask(this->executor, "ask a peer for a younger copy", this->QueryPeer(kind, peer),
+                  [kind, peer] { kind->queried.erase(peer.daemon); });
       }
     }
   }
 }
 
+asio::awaitable<void> StoreSync::QueryPeer(std::shared_ptr<KindState> kind, Peer peer) {
+  const std::optional<TimePoint> known = kind->age->verified();
+  // The call goes on while the peer is silent: behind a full link the answer comes late, and it
+  // still tells a copy's age correctly.
+  co_await this->SyncFromPeer(kind, peer, Duration{}, kQueryTimeout, PeerCallKind::kNonRepeatable);
+  if (kind->age->verified() > known) {
+    kind->copy_source = peer.daemon;
+  }
+}
+
 std::vector<Peer> StoreSync::CopySources(const KindState& kind) {
   std::vector<Peer> reachable;
+  std::vector<Peer> lost;
   for (Peer& peer : this->cluster->relays().plan().OtherDaemons(kind.name, std::string())) {
-    if (reachable.size() < kCopySources && !this->cluster->relays().health().IsLost(peer)) {
-      reachable.push_back(std::move(peer));
+    auto& list = this->cluster->relays().health().IsLost(peer) ? lost : reachable;
+    if (list.size() < kCopySources) {
+      list.push_back(std::move(peer));
     }
   }
+  if (reachable.size() < kSourcesPerQuery) {
+    // Peers also seem lost to a daemon whose own link is full.
+    reachable.insert(reachable.end(), lost.begin(), lost.end());
+  }
   std::vector<Peer> sources;
   const auto take = [&reachable, &sources](size_t place) {
     sources.push_back(reachable[place]);
--- a/telemetry/metric_table.h
+++ b/telemetry/metric_table.h
@@ -44,6 +44,7 @@
   kConfigRevision,
   kConfigSeconds,
   kConfigAge,
+  kConfigTooOld,
   kOrganisations,
   kAccessRefused,
   kPlatformCalls,
@@ -75,7 +76,7 @@
   std::string_view help;
 };
 
-inline constexpr size_t kMetricCount = 48;
+inline constexpr size_t kMetricCount = 49;
 
 /// Names, labels and meaning of all metrics, indexed by Metric.
 inline constexpr std::array<MetricRow, kMetricCount> kMetricTable{{
@@ -150,6 +151,8 @@
      "Time from the first sight of a unit in the fleet to its arrival here."},
     {Metric::kConfigAge, MetricType::kGauge, "poplarmoor_config_age_seconds", "",
      "Highest possible age of this daemon's copy of the configuration; -1 before it is verified."},
+    {Metric::kConfigTooOld, MetricType::kCounter, "poplarmoor_config_too_old_total", "subject",
+     "Sessions and statements refused because this daemon's copy of the configuration is too old."},
     {Metric::kOrganisations, MetricType::kGauge, "poplarmoor_organisations", "",
      "Organisations in the configuration in force."},
     {Metric::kAccessRefused, MetricType::kCounter, "poplarmoor_access_refused_total",
--- a/tests/kernel/copy_spread_simulation.cc
+++ b/tests/kernel/copy_spread_simulation.cc
@@ -14,6 +14,8 @@
 constexpr Duration kPoll = 20ms;
 constexpr Duration kCallLimit = 800ms;
 constexpr Duration kWatchSlack = 600ms;
+constexpr Duration kAnswerLimit = ChangeSchedule::kPeerAnswerTimeout;
+constexpr Duration kQueryLimit = 1s;
 constexpr Duration kOldestListing = 4s;  // A listing that may be stale is at most this old.
 constexpr size_t kQueries = 2;           // Peers that are asked in one round.
 
@@ -26,8 +28,8 @@
   this->bound = kBounds.at(RandomBelow(&this->random, kBounds.size()));
   const bool has_keys = RandomBelow(&this->random, 3) == 0;
   this->standby_watchers = has_keys || RandomBelow(&this->random, 2) == 0;
-  this->schedule =
-      has_keys ? ChangeSchedule(this->bound, this->bound) : ChangeSchedule(this->bound);
+  this->schedule = has_keys ? ChangeSchedule::ForConfiguration(this->bound, this->bound)
+                            : ChangeSchedule::ForConfiguration(this->bound);
   this->acknowledged.push_back(TimePoint{});
   this->PlanFaults();
 }
@@ -114,7 +116,7 @@
   this->processes.push_back(
       std::make_unique<SpreadDaemon>(number, *this->schedule, this->clock.Now()));
   SpreadDaemon* daemon = this->processes.back().get();
-  daemon->stale_ok = !this->schedule->IsVerified();
+  daemon->stale_ok = !this->schedule->HasKeys();
   this->current[number] = daemon;
   this->clock.Spawn(this->Sync(daemon));
   this->clock.Spawn(this->Seek(daemon));
@@ -157,7 +159,7 @@
     const std::vector<size_t> watchers = this->WatchersToFollow(self->number);
     Duration wait = this->schedule->FollowWait();
     for (const size_t watcher : watchers) {
-      succeeded = co_await this->SyncFromPeer(self, watcher, wait);
+      succeeded = co_await this->SyncFromPeer(self, watcher, wait, kAnswerLimit);
       if (succeeded) {
         break;
       }
@@ -172,7 +174,7 @@
       continue;
     }
     const size_t peer = RandomBelow(&this->random, this->fleet);
-    co_await this->SyncFromPeer(self, peer, Duration{});
+    co_await this->SyncFromPeer(self, peer, Duration{}, kAnswerLimit);
     const Duration pause = retry + RandomDuration(&this->random, retry);
     co_await this->clock.Sleep(pause, self);
     retry = std::min<Duration>(retry * 2, watchers.empty() ? 1s : 3s);
@@ -183,10 +185,12 @@
   for (;;) {
     const Duration interval = this->schedule->QueryInterval();
     co_await this->clock.Sleep(interval, self);
+    const size_t others = this->fleet - 1;
+    const size_t first = RandomBelow(&this->random, others);
     for (size_t query = 0; query < kQueries; ++query) {
       if (self->age.NeedsYoungerCopy(this->clock.Now())) {
-        const size_t peer = RandomBelow(&this->random, this->fleet);
-        co_await this->SyncFromPeer(self, peer, Duration{});
+        const size_t peer = (self->number + 1 + (first + query) % others) % this->fleet;
+        this->clock.Spawn(this->SyncFromPeer(self, peer, Duration{}, kQueryLimit));
       }
     }
   }
@@ -226,15 +230,15 @@
 
 SimulatedTask<bool> CopySpreadSimulation::SyncFromPeer(SpreadDaemon* self,
                                                        size_t peer,
-                                                       Duration wait) {
+                                                       Duration wait,
+                                                       Duration limit) {
   if (peer == self->number || this->current[peer] == nullptr) {
     co_return false;
   }
   const auto reply = std::make_shared<PeerReply>(&this->clock, self);
   this->clock.Spawn(this->AnswerPeer(reply, this->current[peer], self->number, self->version, wait,
                                      this->clock.Now()));
-  this->clock.After(wait + ChangeSchedule::kPeerAnswerTimeout,
-                    [reply] { reply->Complete(std::nullopt); });
+  this->clock.After(wait + limit, [reply] { reply->Complete(std::nullopt); });
   const std::optional<PeerAnswer> answer = co_await *reply;
   if (!answer) {
     co_return false;
@@ -261,9 +265,10 @@
     const TimePoint now = this->clock.Now();
     const std::optional<Duration> age = self->age.Age(now);
     const bool is_verified_again =
-        this->schedule->IsVerified() && age &&
+        this->schedule->HasKeys() && age &&
         (!known || *known + (now - arrived) - *age >= this->schedule->VerificationStep());
-    const Duration left = this->schedule->AnswerWait(deadline - now, age.value_or(kLength));
+    const Duration silence = self->age.Silence(now).value_or(kLength);
+    const Duration left = this->schedule->AnswerWait(deadline - now, silence);
     if (is_verified_again || left == Duration{}) {
       break;
     }
@@ -276,7 +281,7 @@
   answer.copy.sent = sent;
   answer.copy.held = this->clock.Now() - arrived;
   answer.copy.age = self->age.Age(this->clock.Now());
-  answer.copy.confirmed_age = answer.copy.age.value_or(kLength);
+  answer.copy.silence = self->age.Silence(this->clock.Now()).value_or(kLength);
   answer.copy.reachable = self->reachable && self->version > 0;
   const Duration delay = this->LinkDelay(self->number) + this->LinkDelay(asker);
   co_await this->clock.Sleep(delay, nullptr);
@@ -356,12 +361,33 @@
 // -----------------------------------------------------------------------------
 // Checks
 
+bool CopySpreadSimulation::IsPureOutage(TimePoint now, Duration time) const {
+  return std::all_of(this->faults.begin(), this->faults.end(), [&](const auto& period) {
+    const bool is_over = period.begin > now || period.end + time < now;
+    return is_over || (period.fault == SpreadFault::kStoreDown && period.begin + time <= now &&
+                       now < period.end);
+  });
+}
+
 bool CopySpreadSimulation::IsCalm(TimePoint now, Duration time) const {
   return std::none_of(this->faults.begin(), this->faults.end(), [&](const auto& period) {
     return period.begin <= now && period.end + time >= now;
   });
 }
 
+size_t CopySpreadSimulation::ReachableOthers(size_t daemon) const {
+  size_t count = 0;
+  for (const SpreadDaemon* other : this->current) {
+    count += other != nullptr && other->alive && other->number != daemon &&
+                     this->ReachEachOther(daemon, other->number)
+                 ? 1
+                 : 0;
+  }
+  // A daemon whose link is full may take all others for lost.
+  const bool is_full = this->Find(SpreadFault::kFullLinks, daemon, this->clock.Now()) != nullptr;
+  return is_full ? 0 : count;
+}
+
 bool CopySpreadSimulation::IsInTouch(const SpreadDaemon& daemon,
                                      TimePoint now,
                                      Duration time) const {
@@ -391,7 +417,7 @@
 
 void CopySpreadSimulation::JudgeDaemon(const SpreadDaemon& daemon) {
   const TimePoint now = this->clock.Now();
-  const CopyUse use = daemon.age.Use(now, this->fleet - 1);
+  const CopyUse use = daemon.age.Use(now, this->ReachableOthers(daemon.number));
   ++this->sample_count;
   const auto age = daemon.age.Age(now);
   if (age && daemon.version < this->VersionAt(now - *age)) {
@@ -404,6 +430,10 @@
   if (is_outdated && use == CopyUse::kKnownRoutes && this->IsInTouch(daemon, now, this->bound)) {
     this->Fail(daemon, "a route is served by a copy that is older than the bound");
   }
+  if (age && *age > this->bound + this->bound / 4 && this->IsPureOutage(now, this->bound)) {
+    ++this->outage_sample_count;
+    this->outage_refused += use == CopyUse::kNothing ? 1 : 0;
+  }
   if (this->IsCalm(now, 2 * this->bound) && now - daemon.started >= this->bound) {
     ++this->calm_samples;
     this->calm_refused += use == CopyUse::kAll ? 0 : 1;
--- a/tests/kernel/copy_spread_simulation.h
+++ b/tests/kernel/copy_spread_simulation.h
@@ -39,7 +39,7 @@
 /// Copy of the configuration at one simulated daemon.
 struct SpreadDaemon : SimulatedProcess {
   SpreadDaemon(size_t number, const ChangeSchedule& schedule, TimePoint started)
-      : number(number), started(started), age(schedule) {}
+      : number(number), started(started), age(schedule, started) {}
 
   size_t number;
   TimePoint started;
@@ -60,9 +60,15 @@
   /// @returns What was violated first; empty: nothing.
   std::string Run();
 
-  /// @returns Share of the samples in which an undisturbed daemon refused everything.
+  /// @returns Share of the samples in which an undisturbed daemon refused anything.
   double refused_share() const;
 
+  /// @returns Number of samples in which a daemon refused everything although only the store had
+  ///     failed, and had done so for a time in which the daemons could learn this of each other.
+  uint64_t refused_in_outage() const { return this->outage_refused; }
+
+  uint64_t outage_samples() const { return this->outage_sample_count; }
+
   uint64_t samples() const { return this->sample_count; }
 
  private:
@@ -83,6 +89,8 @@
   const SpreadFaultPeriod* Find(SpreadFault fault, size_t daemon, TimePoint now) const;
   bool ReachesStore(size_t daemon) const;
   bool ReachEachOther(size_t left, size_t right) const;
+  // Number of other daemons that a daemon takes to be in reach.
+  size_t ReachableOthers(size_t daemon) const;
   Duration LinkDelay(size_t daemon);
   bool IsWatcher(size_t daemon) const;
   std::vector<size_t> WatchersToFollow(size_t daemon);
@@ -90,7 +98,7 @@
   SimulatedTask<bool> Sync(SpreadDaemon* self);
   SimulatedTask<bool> Seek(SpreadDaemon* self);
   SimulatedTask<bool> SyncFromStore(SpreadDaemon* self);
-  SimulatedTask<bool> SyncFromPeer(SpreadDaemon* self, size_t peer, Duration wait);
+  SimulatedTask<bool> SyncFromPeer(SpreadDaemon* self, size_t peer, Duration wait, Duration limit);
   SimulatedTask<bool> AnswerStore(std::shared_ptr<StoreReply> reply,
                                   size_t daemon,
                                   std::optional<uint64_t> since,
@@ -108,6 +116,8 @@
 
   // Newest version that was acknowledged at or before a time.
   uint64_t VersionAt(TimePoint time) const;
+  // Whether the store is down, and nothing else has disturbed any daemon for a time.
+  bool IsPureOutage(TimePoint now, Duration time) const;
   // Whether nothing has disturbed the store, the links or any daemon for a time.
   bool IsCalm(TimePoint now, Duration time) const;
   // Whether a daemon has been running, and has been connected to a store without faults, for a
@@ -129,6 +139,8 @@
   uint64_t sample_count = 0;
   uint64_t calm_samples = 0;
   uint64_t calm_refused = 0;
+  uint64_t outage_sample_count = 0;
+  uint64_t outage_refused = 0;
 };
 
 }  // namespace poplarmoor
--- a/wire/relay_codec.h
+++ b/wire/relay_codec.h
@@ -138,8 +138,8 @@
   // has been deleted.
   bool complete = false;
   StoreRevision revision;  // Revision up to which the peer knows the objects of this kind.
-  // Time since the store last confirmed, directly or through other peers, that this revision is the
-  // latest one.
+  // Time since the peer had an answer of the store, directly or through other peers. It tells
+  // whether the peer may be cut off from the store, not how old its copy is.
   uint64_t age_us = 0;
   std::vector<SyncObject> objects;
   // Time from the arrival of the request at the peer to this answer. The ages in `evidence` are
@@ -147,8 +147,7 @@
   uint64_t held_us = 0;
   std::vector<PositionEvidence> evidence;
   // Highest possible age of the peer's copy at this answer: time since a call to the store began
-  // whose answer confirmed the copy. `age_us` counts from the end of such a call, before which the
-  // copy may have become outdated unnoticed. kNeverVerified: no answer has confirmed it.
+  // whose answer confirmed the copy. kNeverVerified: no answer has confirmed it.
   uint64_t verified_age_us = kNeverVerified;
 };
 
