--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -166,7 +166,8 @@
 }
 
 bool StoreSync::MayCallStore(const KindState& kind) const {
-  return this->retrying_kind == nullptr || this->retrying_kind == &kind;
+  return this->retrying_kind == nullptr || this->retrying_kind == &kind ||
+         kind.schedule.LimitsUse();
 }
 
 asio::awaitable<bool> StoreSync::SyncFromStore(std::shared_ptr<KindState> kind) {
--- a/session/store_sync.h
+++ b/session/store_sync.h
@@ -197,8 +197,9 @@
   ApplyBounds bounds;
   std::optional<std::chrono::milliseconds> revocation_bound;
   std::map<std::string, std::shared_ptr<KindState>> kinds;  // Object kinds by name.
-  // The only object kind for which this daemon retries calls while the store is unreachable; null
-  // while the store is reachable.
+  // The object kind whose call to the store failed last; null while the store is reachable. The
+  // other kinds wait until a call succeeds, except for the configuration: it is one small object
+  // with a time bound, which must not wait for large ones.
   const KindState* retrying_kind = nullptr;
   WaitList store_recovered;
   std::optional<uint64_t> era;  // Latest era of the store in any answer; empty: no answer yet.
--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -36,13 +36,20 @@
                                        uint64_t since,
                                        std::chrono::milliseconds) override {
     ++this->watches;
-    if (this->down) {
+    ++this->watches_of[kind];
+    if (this->down || this->refused.contains(kind)) {
       throw StoreError(StoreFailure::kRefused, "the store is down");
     }
     if (this->history_gone.erase(kind) > 0) {
       throw StoreError(StoreFailure::kHistoryGone, "the history was discarded");
     }
-    co_await Pause(60s);
+    const TimePoint end = BootNow() + 60s;
+    while (BootNow() < end) {
+      if (this->cut.erase(kind) > 0) {
+        throw StoreError(StoreFailure::kUnreachable, "the watch was cut off");
+      }
+      co_await Pause(5ms);
+    }
     StoreSnapshot snapshot;
     snapshot.revision = {this->era, since};
     co_return snapshot;
@@ -64,7 +71,10 @@
   int full_calls = 0;
   int stale_lists = 0;
   int watches = 0;
+  std::map<std::string, int> watches_of;  // Watches by kind.
   bool down = false;
+  std::set<std::string> refused;       // Kinds whose watches the store refuses.
+  std::set<std::string> cut;           // Kinds whose present watch is cut off.
   std::set<std::string> history_gone;  // Kinds whose next watch fails, so that they are listed.
   bool outdated_lists = false;         // The objects of a listing are removed right after it.
 };
@@ -128,7 +138,7 @@
 };
 
 // Lets a daemon answer requests for changes as a watcher does that believes to reach the store.
-// @param age Time since the store last confirmed the watcher's copy.
+// @param age Time since the watcher had an answer of the store.
 // @param waits Receives, for each request, how long the watcher was asked to wait for a change.
 void AnswerAsWatcher(PeerNetwork* network, Duration age, std::vector<uint64_t>* waits) {
   network->SetHandler(
@@ -195,6 +205,29 @@
   CHECK(fixture.store.watches - before <= 8);
 }
 
+// Guards against changes of the configuration that come late because the store answers for it while
+// calls for another kind fail, for example because that kind is large (issue 40).
+TEST_CASE("the configuration is read from the store while another kind of objects is retried") {
+  SyncFixture fixture;
+  fixture.AddFleet(3);
+  const std::string endpoints = fixture.registry.endpoint_kind();
+  const std::string configuration = fixture.registry.routes_kind();
+  const auto watches = [&fixture](const std::string& kind) {
+    return fixture.store.watches_of[kind];
+  };
+  fixture.sync.Start();
+  fixture.RunUntil([&] { return watches(configuration) == 1 && watches(endpoints) == 1; });
+  fixture.store.refused = {configuration, endpoints};
+  fixture.store.cut = {configuration};
+  fixture.RunUntil([&] { return watches(configuration) >= 2; });
+  fixture.store.cut = {endpoints};  // The kind whose call failed last is retried.
+  fixture.RunUntil([&] { return fixture.store.cut.empty(); });
+  fixture.store.refused = {endpoints};
+  const int before = watches(configuration);
+  fixture.RunUntil([&] { return watches(configuration) > before || watches(endpoints) >= 6; });
+  CHECK(watches(configuration) > before);
+}
+
 // Guards against statements that reach an endpoint after its drain bound because this daemon was
 // cut off from the store when the endpoint announced its end.
 TEST_CASE("an endpoint may have announced its end as soon as a daemon lost the store") {
