--- a/net/peer_connection.cc
+++ b/net/peer_connection.cc
@@ -23,6 +23,9 @@
 // Limit on the bytes that are queued for sending on a connection. The connection is closed when the
 // queue would exceed this limit, because the peer reads too slowly or not at all.
 constexpr size_t kMaxOutput = 64 << 20;
+// Size in bytes from which on a write takes no further frames, so that urgent ones do not wait for
+// a long write.
+constexpr size_t kMaxBatch = 16 << 10;
 // Smallest number of bytes by which a read buffer grows. A buffer grows when its free space is less
 // than half of kReadSize.
 constexpr size_t kReadSize = 4 << 10;
@@ -225,22 +228,28 @@
   co_return DecodePeerFrame(co_await this->ReadFrame(kMaxPeerFrame));
 }
 
-void PeerConnection::Send(std::string bytes) {
+void PeerConnection::Send(std::string bytes, bool urgent) {
+  bool is_full = false;
   {
     std::lock_guard lock(this->mutex);
     if (this->closed) {
       return;
     }
-    if (this->output.size() + bytes.size() <= kMaxOutput) {
-      this->output += bytes;
+    is_full = this->output_size + bytes.size() > kMaxOutput;
+    if (!is_full) {
+      this->output_size += bytes.size();
+      if (urgent) {
+        this->urgent_output += bytes;
+      } else {
+        this->output.push_back(std::move(bytes));
+      }
       if (this->writing) {
         return;
       }
       this->writing = true;
-      bytes.clear();
     }
   }
-  if (!bytes.empty()) {
+  if (is_full) {
     this->Close();
     return;
   }
@@ -249,17 +258,26 @@
       asio::detached);
 }
 
+std::string PeerConnection::TakeBatch() {
+  std::string batch = std::exchange(this->urgent_output, {});
+  while (!this->output.empty() && batch.size() < kMaxBatch) {
+    batch += this->output.front();
+    this->output.pop_front();
+  }
+  this->output_size -= batch.size();
+  return batch;
+}
+
 asio::awaitable<void> PeerConnection::WriteQueue() {
   std::string batch;
   while (true) {
-    batch.clear();
     {
       std::lock_guard lock(this->mutex);
-      if (this->output.empty() || this->closed) {
+      if (this->output_size == 0 || this->closed) {
         this->writing = false;
         co_return;
       }
-      batch.swap(this->output);
+      batch = this->TakeBatch();
     }
     boost::system::error_code error;
     co_await asio::async_write(this->socket, asio::buffer(batch),
@@ -278,7 +296,9 @@
       return;
     }
     this->closed = true;
+    this->urgent_output.clear();
     this->output.clear();
+    this->output_size = 0;
   }
   asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
     boost::system::error_code ignored;
--- a/net/peer_connection.h
+++ b/net/peer_connection.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -50,11 +51,12 @@
   /// @throws std::exception when the connection ended or the frame is malformed.
   boost::asio::awaitable<PeerFrame> Receive();
 
-  /// Queues a frame. All frames that are queued while a write is in progress are sent together by
-  /// the next write. If the queue would exceed its size limit, because the peer reads too slowly or
+  /// Queues a frame. Frames that are queued while a write is in progress are sent together by the
+  /// next writes. If the queue would exceed its size limit, because the peer reads too slowly or
   /// not at all, closes the connection instead.
   /// @param bytes Encoded frame with its length prefix.
-  void Send(std::string bytes);
+  /// @param urgent Whether the frame is sent before the queued frames that are not urgent.
+  void Send(std::string bytes, bool urgent = false);
 
   /// Closes the connection; a pending Receive() fails.
   void Close();
@@ -73,6 +75,8 @@
  private:
   boost::asio::awaitable<std::string_view> ReadFrame(size_t max_size);
   boost::asio::awaitable<void> WriteQueue();
+  // Takes the frames of the next write out of the queue. The caller holds `mutex`.
+  std::string TakeBatch();
   void StartHandshakeTimer();
 
   boost::asio::ip::tcp::socket socket;
@@ -88,7 +92,10 @@
   std::atomic<int64_t> received_at{0};
 
   std::mutex mutex;
-  std::string output;    // Frames that wait for the next write, with their length prefixes.
+  // Frames that wait for a write, with their length prefixes, and the sum of their sizes in bytes.
+  std::string urgent_output;
+  std::deque<std::string> output;
+  size_t output_size = 0;
   bool writing = false;  // Whether WriteQueue() is running.
   bool closed = false;
 };
--- a/net/peer_network.cc
+++ b/net/peer_network.cc
@@ -76,6 +76,7 @@
   tcp::acceptor acceptor;
   asio::steady_timer idle_timer;
   std::map<std::string, Handler> handlers;
+  std::set<std::string, std::less<>> urgent_types;
   std::shared_ptr<TrafficCounter> traffic = std::make_shared<TrafficCounter>();
   // The part of `traffic` that consists of callers' requests, which other daemons forwarded to this
   // daemon, and of this daemon's answers to these requests.
@@ -100,6 +101,10 @@
   this->impl->handlers[type] = std::move(handler);
 }
 
+void PeerNetwork::SetUrgent(const std::string& type) {
+  this->impl->urgent_types.insert(type);
+}
+
 void PeerNetwork::LimitHandshakes(size_t max_handshakes, CloseReporter* closes) {
   this->impl->handshakes.Configure(max_handshakes, closes);
 }
@@ -218,6 +223,7 @@
                                                 PeerFrame frame,
                                                 std::shared_ptr<std::atomic<int>> active) {
   PeerFrame answer{frame.id, {}};
+  const bool is_urgent = this->urgent_types.contains(frame.message.type);
   const bool is_forward = frame.message.type == kForward;
   if (is_forward) {
     this->forwarded.received += frame.message.body.size();
@@ -244,7 +250,7 @@
   if (is_forward) {
     this->forwarded.sent += bytes.size();
   }
-  connection->Send(std::move(bytes));
+  connection->Send(std::move(bytes), is_urgent);
 }
 
 std::shared_ptr<OutgoingPeer> PeerNetwork::Impl::FindOrConnect(const std::string& address) {
@@ -487,7 +493,7 @@
     peer->last_used = Now();
     OutgoingPeer::Call call{promise, {}, peer->open, peer->last_used, kind};
     if (peer->open) {
-      peer->connection->Send(std::move(frame));
+      peer->connection->Send(std::move(frame), impl->urgent_types.contains(message.type));
     } else {
       call.frame = std::move(frame);
     }
--- a/net/peer_network.h
+++ b/net/peer_network.h
@@ -72,6 +72,10 @@
   /// Listen().
   void SetHandler(const std::string& type, Handler handler);
 
+  /// Sets that messages of a type, and the answers to them, are sent before the queued ones of
+  /// other types. Call this before Listen() and Call().
+  void SetUrgent(const std::string& type);
+
   /// Limits the accepted connections whose handshake has not ended. Beyond the limit, a new
   /// connection takes the place of the oldest one, because the handshake of a daemon takes only
   /// milliseconds. To be called before Listen().
--- a/session/store_sync_peers.cc
+++ b/session/store_sync_peers.cc
@@ -152,6 +152,7 @@
 }
 
 void StoreSync::Attach(PeerNetwork* network) {
+  network->SetUrgent(kSyncMessage);
   network->SetHandler(kSyncMessage, [this](std::string, PeerMessage message) {
     return this->HandleSyncRequest(std::move(message));
   });
--- a/tests/net/peer_network_test.cc
+++ b/tests/net/peer_network_test.cc
@@ -10,8 +10,10 @@
 
 #include "net/address.h"
 #include "net/key_ring.h"
+#include "net/peer_connection.h"
 #include "net/peer_frame.h"
 #include "net/peer_network.h"
+#include "net/traffic_counter.h"
 #include "wire/msgpack_fields.h"
 
 namespace poplarmoor {
@@ -442,5 +444,32 @@
   CHECK(fixture.hang_calls_started == running);
 }
 
+// Guards against changes of the configuration that wait behind statements for a peer whose link is
+// full (issue 40).
+TEST_CASE("an urgent frame is sent before the queued frames that are not urgent") {
+  asio::io_context context{1};
+  tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  tcp::socket socket(asio::make_strand(context));
+  socket.connect(acceptor.local_endpoint());
+  tcp::socket reader = acceptor.accept();
+  const auto connection =
+      std::make_shared<PeerConnection>(std::move(socket), std::make_shared<TrafficCounter>());
+  constexpr size_t kLarge = 32 << 20;  // More than the buffers of the system hold.
+  connection->Send(std::string(kLarge, 'a'));
+  context.poll();
+  connection->Send(std::string(kLarge / 2, 'b'));
+  connection->Send("urgent", true);
+  std::string received;
+  std::array<char, 65536> chunk{};
+  while (received.size() < kLarge + kLarge / 2 + 6) {
+    context.poll();
+    reader.non_blocking(true);
+    boost::system::error_code error;
+    received.append(chunk.data(), reader.read_some(asio::buffer(chunk), error));
+    REQUIRE((!error || error == asio::error::would_block));
+  }
+  CHECK(received.find("urgent") == kLarge);
+}
+
 }  // namespace
 }  // namespace poplarmoor
