relays: the age of the sender's configuration counts from when the request was sent

No caller saw it: the sender has checked the key before. It now counts from the sending, by the delay that the gateway measures already. The test fails without the change (the statement is not refused after 20 minutes on the way with a copy that was 50 minutes old; bound one hour).

--- a/session/relay_server.cc
+++ b/session/relay_server.cc
@@ -44,9 +44,11 @@
   return state;
 }
 
-RelayedAccess ToAccess(const RelayRequest& request) {
+// `left` is the time at which the request left the sender, for which the age of the sender's copy
+// holds.
+RelayedAccess ToAccess(const RelayRequest& request, TimePoint left) {
   return {request.key, request.organisation, request.config_version,
-          VerifiedTime(BootNow(), request.verified_age_us)};
+          VerifiedTime(left, request.verified_age_us)};
 }
 
 RelayAnswer ToAnswer(const StatementAttempt& attempt) {
@@ -97,7 +99,7 @@
   RelayAnswer answer;
   ++this->running;
   try {
-    answer = co_await this->Run(request, deadline);
+    answer = co_await this->Run(request, now - delay, deadline);
   } catch (...) {
     --this->running;
     throw;
@@ -107,10 +109,12 @@
   co_return PeerMessage(kRelayMessage, std::move(body));
 }
 
-asio::awaitable<RelayAnswer> RelayServer::Run(const RelayRequest& request, TimePoint deadline) {
+asio::awaitable<RelayAnswer> RelayServer::Run(const RelayRequest& request,
+                                              TimePoint left,
+                                              TimePoint deadline) {
   const TimePoint arrived = BootNow();
   const SessionState state = ToState(request);
-  const RelayedAccess access = ToAccess(request);
+  const RelayedAccess access = ToAccess(request, left);
   StatementAttempt attempt;
   LeasedConnection leased;
   const auto existing = this->transactions.find(request.lease);
--- a/session/relay_server.h
+++ b/session/relay_server.h
@@ -61,8 +61,11 @@
   boost::asio::awaitable<PeerMessage> OnStatement(std::string from, PeerMessage message);
   boost::asio::awaitable<PeerMessage> OnEnd(PeerMessage message);
   boost::asio::awaitable<PeerMessage> OnOrder(PeerMessage message);
+  // @param left Time at which the request left the sender, at the latest.
   // @param deadline Time after which the request's sender no longer waits for an answer.
-  boost::asio::awaitable<RelayAnswer> Run(const RelayRequest& request, TimePoint deadline);
+  boost::asio::awaitable<RelayAnswer> Run(const RelayRequest& request,
+                                          TimePoint left,
+                                          TimePoint deadline);
   // Leases one of this daemon's connections for a relayed statement. The wait ends when the
   // configuration withdraws the statement's API key.
   boost::asio::awaitable<EndpointLease> Acquire(std::shared_ptr<EndpointPool> pool,
--- a/tests/platform/access_test.cc
+++ b/tests/platform/access_test.cc
@@ -14,6 +14,7 @@
 #include "session/statement_runner.h"
 #include "telemetry/metrics.h"
 #include "tests/platform/fake_line_endpoint.h"
+#include "wire/relay_codec.h"
 
 namespace poplarmoor::platform {
 namespace {
@@ -243,5 +244,39 @@
   }
 }
 
+// Guards against a statement that runs with a withdrawn key because the sender's copy of the
+// configuration is taken to be as old as when the request was sent, although a cut held it up.
+TEST_CASE("a request that was held up makes the sender's copy older at the gateway") {
+  AccessFixture fixture;
+  fixture.gate.cluster.access().SetRevocationBound(1h);
+  RelayRequest request;
+  request.endpoint = "p";
+  request.opening = kOpeningNames.NameOf(Opening::kNone);
+  request.text = "READ 1";
+  request.organisation = "north";
+  request.key = KeyIdOf("k-north");
+  request.config_version = fixture.gate.cluster.routes().version;
+  request.clock = 7;
+  request.limit_us = static_cast<uint64_t>(Duration(2h).count());
+  const auto outcome_after = [&](Duration held) {
+    request.verified_age_us = ToVerifiedAge(50min);
+    request.sent_us = static_cast<uint64_t>((BootNow() - held).time_since_epoch().count());
+    std::optional<std::string> outcome;
+    asio::co_spawn(
+        fixture.context,
+        fixture.entry.peers.Call(fixture.gate.peers.address(),
+                                 PeerMessage(kRelayMessage, EncodeRelayRequest(request)), 60s),
+        [&outcome](std::exception_ptr, PeerMessage answer) {
+          outcome = DecodeRelayAnswer(answer.body).outcome;
+        });
+    fixture.RunUntil([&outcome] { return outcome.has_value(); });
+    return *outcome;
+  };
+  CHECK(outcome_after(0s) == "answered");
+  CHECK(outcome_after(20min) == "not_sent");
+  CHECK(fixture.gate.metrics.Value(Metric::kAccessRefused, {"relayed_statement", "copy_too_old"}) ==
+        1);
+}
+
 }  // namespace
 }  // namespace poplarmoor::platform
