store sync: a peer's copy of an earlier era proves nothing about the copy of a restored store

A peer that does not know yet that the store was restored answers with a young copy of the former state. Found by reading. The test fails without the change: the age never reaches the bound.

--- a/kernel/copy_age.h
+++ b/kernel/copy_age.h
@@ -29,7 +29,6 @@
   std::string daemon;
   TimePoint sent;               // When the request was sent.
   Duration held{};              // How long the daemon waited before it answered.
-  Duration confirmed_age{};     // Time since an answer of the store arrived; see SyncAnswer.
   std::optional<Duration> age;  // Highest possible age of the copy at the answer.
   // Time since the daemon had an answer of the store, directly or through others.
   Duration silence{};
--- a/session/store_sync_peers.cc
+++ b/session/store_sync_peers.cc
@@ -130,7 +130,9 @@
     copy.held = Duration(static_cast<int64_t>(answer.held_us));
     copy.reachable = answer.reachable;
     copy.silence = Duration(static_cast<int64_t>(answer.age_us));
-    if (const auto verified = VerifiedTime(sent, answer.verified_age_us)) {
+    const auto verified = VerifiedTime(sent, answer.verified_age_us);
+    // A copy of an earlier era was not merged: what it claims does not hold for the restored store.
+    if (verified && answer.revision.era == kind->revision.era) {
       copy.age = sent - *verified;
     }
     const bool usable = kind->age->NotePeerAnswer(copy, BootNow());
--- a/tests/platform/copy_age_test.cc
+++ b/tests/platform/copy_age_test.cc
@@ -215,6 +215,35 @@
       [&] { return fixture.Verdict("k-south", "south") == AccessVerdict::kCopyTooOld; });
 }
 
+// Guards against a daemon that takes an old copy for a young one because a peer, which does not
+// know yet that the store was restored, has a young copy of the former state.
+TEST_CASE("a peer's copy of an earlier era proves nothing about the copy of a restored store") {
+  CopyFixture fixture;
+  const KeyRing keys("k", {{"k", "0123456789abcdef0123456789abcdef"}});
+  PeerNetwork own(fixture.context.get_executor(), "d0", &keys);
+  PeerNetwork peer(fixture.context.get_executor(), "d1", &keys);
+  SyncAnswer answer;
+  answer.revision = {0, 100};
+  answer.verified_age_us = ToVerifiedAge(0ms);
+  size_t asked = 0;
+  peer.SetHandler(kSyncMessage, [&](std::string, PeerMessage) -> asio::awaitable<PeerMessage> {
+    ++asked;
+    std::string body = EncodeSyncAnswer(answer);
+    co_return PeerMessage(kSyncMessage, std::move(body));
+  });
+  peer.Listen("127.0.0.1:0");
+  const Peer other{"d1", peer.address(), "fd0"};
+  fixture.store.kinds[kDaemonKind]["d1"] = {"d1", {0, 1}, EncodeDaemonEntry(other, 0), false};
+  fixture.store.era = 1;  // The fixture's watches answer for era 0, so that they fail.
+  fixture.cluster.SetNetwork(&own);
+  fixture.sync.Start();
+  fixture.AwaitVersion(1);
+  fixture.RunUntil([&] { return fixture.cluster.access().Age() > kBound && asked > 0; });
+  CHECK(fixture.Verdict() == AccessVerdict::kCopyTooOld);
+  answer.revision = {1, 1};
+  fixture.RunUntil([&] { return fixture.Verdict() == AccessVerdict::kAllowed; });
+}
+
 // Guards against a malformed configuration that makes a daemon forget its keys, or whose arrival
 // counts as a lost store.
 TEST_CASE("a malformed list of organisations leaves the last good configuration in force") {
