--- a/kernel/copy_age.h
+++ b/kernel/copy_age.h
@@ -68,11 +68,11 @@
   bool NotePeerAnswer(const PeerCopy& answer, TimePoint now);
 
   /// @returns A time until which the copy holds all changes; empty: not known.
-  std::optional<TimePoint> verified() const { return this->verified_at; }
+  std::optional<TimePoint> Verified() const { return this->verified_at; }
 
-  /// @returns A time from which on the store may have changes that the copy lacks: verified(), or
+  /// @returns A time from which on the store may have changes that the copy lacks: Verified(), or
   ///     the daemon's start.
-  TimePoint unchanged_until() const { return this->verified_at.value_or(this->started); }
+  TimePoint UnchangedUntil() const { return this->verified_at.value_or(this->started); }
 
   /// @returns Time since this daemon had an answer of the store, directly or through others; empty:
   ///     it had none. A late answer shortens the silence, but not the age of the copy.
@@ -92,7 +92,7 @@
   /// @returns Whether other daemons are to be asked for a younger copy.
   bool NeedsYoungerCopy(TimePoint now) const;
 
-  const ChangeSchedule& schedule() const { return this->limits; }
+  const ChangeSchedule& Schedule() const { return this->limits; }
 
  private:
   // Answer of another daemon that came promptly. A late one shows that a link is full.
--- a/session/configuration_guard.cc
+++ b/session/configuration_guard.cc
@@ -40,7 +40,7 @@
        {"previous", kCopyUseNames.NameOf(this->observed)},
        {"version", version},
        {"copy_age_ms", copy_age ? ToMillis(*copy_age) : -1},
-       {"bound_ms", ToMillis(this->age->schedule().MaxUseAge())},
+       {"bound_ms", ToMillis(this->age->Schedule().MaxUseAge())},
        {"peers_in_reach", this->ReachablePeers()}});
   this->observed = use;
 }
--- a/session/store_sync.cc
+++ b/session/store_sync.cc
@@ -282,7 +282,7 @@
 }
 
 void StoreSync::NoteYounger(KindState* kind) {
-  const std::optional<TimePoint> verified = kind->age->verified();
+  const std::optional<TimePoint> verified = kind->age->Verified();
   if (!verified) {
     return;
   }
@@ -328,7 +328,7 @@
   // the time until which its copy certainly held all changes.
   std::optional<TimePoint> unchanged_until;
   if (!kind->reachable) {
-    unchanged_until = kind->age->unchanged_until();
+    unchanged_until = kind->age->UnchangedUntil();
   }
   kind->apply(snapshot, complete, unchanged_until);
   if (complete || !snapshot.objects.empty()) {
--- a/session/store_sync_peers.cc
+++ b/session/store_sync_peers.cc
@@ -168,10 +168,10 @@
   if (found != this->kinds.end()) {
     const std::shared_ptr<KindState> kind = found->second;
     const TimePoint deadline = BootNow() + Duration(static_cast<int64_t>(request.wait_us));
-    const std::optional<TimePoint> known = kind->age->verified();
+    const std::optional<TimePoint> known = kind->age->Verified();
     // Followers of a kind with API keys learn of each verification without waiting for a change.
     const auto is_verified_again = [&kind, &known] {
-      const std::optional<TimePoint> verified = kind->age->verified();
+      const std::optional<TimePoint> verified = kind->age->Verified();
       return kind->schedule.HasKeys() && verified &&
              (!known || *verified - *known >= kind->schedule.VerificationStep());
     };
@@ -216,11 +216,11 @@
 }
 
 asio::awaitable<void> StoreSync::QueryPeer(std::shared_ptr<KindState> kind, Peer peer) {
-  const std::optional<TimePoint> known = kind->age->verified();
+  const std::optional<TimePoint> known = kind->age->Verified();
   // The call goes on while the peer is silent: behind a full link the answer comes late, and it
   // still tells a copy's age correctly.
   co_await this->SyncFromPeer(kind, peer, Duration{}, kQueryTimeout, PeerCallKind::kNonRepeatable);
-  if (kind->age->verified() > known) {
+  if (kind->age->Verified() > known) {
     kind->copy_source = peer.daemon;
   }
 }
