statements: a write to a service without known endpoints does not end the daemon

The write now goes on to the refusal as not run. The test fails without the change (null pointer in MayCommit, sanitizer build).

--- a/session/statement_runner.cc
+++ b/session/statement_runner.cc
@@ -400,7 +400,7 @@
   const Opening opening = job.writes ? Opening::kNone : Opening::kWritable;
   std::string cause = "no primary is known";
   for (;;) {
-    if (job.writes) {
+    if (job.writes && group != nullptr) {
       const bool may_commit = co_await this->MayCommit(job, group);
       if (!may_commit) {
         co_return this->Fail(job, StatementError::kOverloaded, kNoCommits, nullptr);
--- a/tests/platform/session_test.cc
+++ b/tests/platform/session_test.cc
@@ -236,6 +236,25 @@
   CHECK_FALSE(answer->error);
 }
 
+// Guards against a daemon that crashes on a write to a service of which it knows no endpoint yet.
+TEST_CASE("a write to a service without known endpoints is refused as not run") {
+  Fixture fixture;
+  RouteTable table = fixture.cluster.routes();
+  ++table.version;
+  table.services["empty"] = {"empty", 40, 1};
+  table.routes["new"] = table.routes["orders"];
+  table.routes["new"].name = table.routes["new"].database = "new";
+  table.routes["new"].service = "empty";
+  table.routes["new"].statement_timeout = 300ms;
+  fixture.cluster.ApplyRoutes(table);
+  Caller caller(&fixture, "new");
+  caller.Receive();
+  CHECK(caller.Query("WRITE 1 a").starts_with("ERROR BUSY"));
+  CHECK(caller.Query("READ 1").starts_with("ERROR BUSY"));
+  CHECK(caller.Query("BEGIN").starts_with("COMPLETE"));
+  CHECK(caller.Query("WRITE 1 a").starts_with("ERROR BUSY"));
+}
+
 TEST_CASE(
     "invalid input from a caller is answered with an error or closes the caller's session, and "
     "other sessions are not affected") {
