--- a/review/standins-2/partial_log.cpp
+++ b/review/standins-2/partial_log.cpp
@@ -99,7 +99,17 @@
     record.Add("the case could not run: writes are not served");
     std::_Exit(2);
   }
-  if (trouble) {
+  const bool in_turn = std::string(arguments[5] == nullptr ? "" : arguments[5]) == "in_turn";
+  if (trouble && in_turn) {
+    for (const char* id : {"i-3", "i-2"}) {
+      record.Add(std::string(id) + " ends and starts again under its id, without its log; " +
+                 group.Describe());
+      group.Crash(id, true);
+      SleepMs(kDownMs);
+      group.Start(id);
+      SleepMs(kRestartAfterMs - kDownMs);
+    }
+  } else if (trouble) {
     record.Add("i-3 receives nothing from now on; " + group.Describe());
     group.SetDeaf("i-3", true);
     SleepMs(kRestartAfterMs);
